--- /dev/null
+++ b/include/loftrouter/app/daemon.hpp
@@ -0,0 +1,12 @@
+// Wiring: sockets on one side, the core's commands and effects on the other.
+#pragma once
+
+#include "loftrouter/core/settings.hpp"
+
+namespace loft::app {
+
+// Runs until killed; a start-up problem is returned as one line.
+std::string run_daemon(const Settings &settings);
+void setup_logging();
+
+} // namespace loft::app
--- /dev/null
+++ b/include/loftrouter/cloud/cloud.hpp
@@ -0,0 +1,22 @@
+// Client of the cloud's API.
+#pragma once
+
+#include <functional>
+
+#include "loftrouter/core/core.hpp"
+#include "loftrouter/net/client.hpp"
+
+namespace loft::cloud {
+
+class CloudClient {
+public:
+  using Done = std::function<void(core::OpId, wire::CloudReply &&)>;
+  CloudClient(net::Loop &loop, net::Address address, Done done);
+  void send(const core::CloudOp &op);
+
+private:
+  net::HttpClient http_;
+  Done done_;
+};
+
+} // namespace loft::cloud
--- /dev/null
+++ b/include/loftrouter/core/core.hpp
@@ -0,0 +1,359 @@
+// The single owner of all state. Pure: `apply` takes a batch of commands and the time, and returns
+// what is to be done; it does no I/O and reads no clock.
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <list>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <tuple>
+#include <unordered_map>
+#include <variant>
+#include <vector>
+
+#include "loftrouter/core/placement.hpp"
+#include "loftrouter/core/settings.hpp"
+#include "loftrouter/core/types.hpp"
+#include "loftrouter/core/util.hpp"
+#include "loftrouter/wire/messages.hpp"
+
+namespace loft::core {
+
+struct Now {
+  double mono = 0, wall = 0;
+};
+using RequestId = std::uint64_t;
+using OpId = std::uint64_t;
+
+// ---- commands ----
+struct CmdTick {};
+struct CmdSubmit {
+  RequestId req;
+  JobSpec spec;
+};
+struct CmdLookup {
+  RequestId req;
+  std::string id;
+};
+struct CmdAbort {
+  RequestId req;
+  std::string id;
+};
+struct CmdUp {
+  RequestId req;
+};
+struct CmdReport {
+  RequestId req;
+  WorkerReport report;
+};
+struct CmdStoreReply {
+  OpId op;
+  wire::StoreReply reply;
+};
+struct CmdCloudReply {
+  OpId op;
+  wire::CloudReply reply;
+};
+using Command = std::variant<CmdTick, CmdSubmit, CmdLookup, CmdAbort, CmdUp, CmdReport, CmdStoreReply,
+                             CmdCloudReply>;
+
+// ---- effects ----
+struct Reply {
+  RequestId req;
+  int status;
+  std::string body;
+  std::optional<int> retry_after;
+};
+struct StoreGet {
+  std::string key;
+};
+struct StoreList {
+  std::string prefix, from;
+};
+struct StoreCommit {
+  std::vector<wire::Guard> guards;
+  std::vector<wire::Write> writes;
+};
+struct StoreLeaseNew {
+  double ttl_s;
+};
+struct StoreLeaseTouch {
+  std::uint64_t lease;
+};
+struct StoreLeaseDrop {
+  std::uint64_t lease;
+};
+struct StoreFollow {
+  std::string prefix;
+  std::uint64_t from;
+  double hold_s;
+};
+struct StoreOp {
+  OpId op;
+  double deadline_s;
+  std::variant<StoreGet, StoreList, StoreCommit, StoreLeaseNew, StoreLeaseTouch, StoreLeaseDrop,
+               StoreFollow>
+      what;
+};
+struct CloudTypes {};
+struct CloudList {
+  std::string from;
+};
+struct CloudRent {
+  std::string request, type, zone;
+  bool spot;
+  int count;
+};
+struct CloudReturn {
+  std::vector<std::string> names;
+};
+struct CloudOp {
+  OpId op;
+  double deadline_s;
+  std::variant<CloudTypes, CloudList, CloudRent, CloudReturn> what;
+};
+enum class LogLevel : std::uint8_t { Error, Info, Debug };
+struct LogLine {
+  LogLevel level;
+  std::string text;
+};
+struct Effects {
+  std::vector<Reply> replies;
+  std::vector<StoreOp> store;
+  std::vector<CloudOp> cloud;
+  std::vector<LogLine> logs;
+};
+
+// ---- state ----
+enum class TaskState : std::uint8_t { Pending, Unaccounted, Placed, Done };
+struct Task {
+  TaskState state = TaskState::Pending;
+  bool started = false;  // a start may have been sent by some leader; never taken back
+  bool recorded = false; // and the state service says so
+  std::int32_t machine = -1;
+};
+struct Job {
+  JobSpec spec;
+  double submit_wall = 0;
+  std::uint64_t open_stamp = 0, progress_stamp = 0;
+  bool cancelled = false;
+  bool ending = false;       // its final record is being written
+  bool needs_resync = false; // stamps unknown after an unanswered or refused write
+  bool resyncing = false;
+  bool dirty = false;
+  double dirty_since = 0;
+  bool urgent = false; // starts wait for the write
+  std::vector<Task> tasks;
+  std::uint32_t done = 0, placed = 0, unaccounted = 0;
+  std::uint64_t gang_attempt = 0; // current attempt of a gang
+  bool gang_closed = false;       // that attempt takes no replacements any more
+  int team = -1, image = -1, class_ix = -1;
+  double retry_at = 0; // held off after errors
+  int errors = 0;
+  std::vector<int> bad_machines;
+  std::vector<int> zone_used;
+  std::string reason;
+};
+struct Slot {
+  int job = -1; // -1: a task of an unknown job, to be stopped
+  std::string job_id;
+  std::uint32_t index = 0;
+  std::uint64_t attempt = 0;
+  TaskPhase phase = TaskPhase::Fetching;
+  bool durable = false; // recorded as started: the start may be sent
+  bool sent = false;
+  bool seen = false;
+  bool stop = false;
+  double grace_s = 0;
+  double placed_at = 0, running_since = -1;
+  bool finished = false; // exited with success
+  bool recorded = false; // and the state service says so: the worker may forget it
+  std::uint64_t start_flush = 0, done_flush = 0; // the transactions that cover them
+  Resources need;
+};
+struct Machine {
+  std::string name;
+  int type = -1, zone = -1;
+  bool spot = false;
+  bool heard = false;
+  bool lost = false;      // its lease ran out, or it failed
+  bool returning = false; // no new tasks; given back
+  bool listed_failed = false;
+  std::uint64_t session = 0, seq = 0;
+  double known_since = 0, last_answer = -1, idle_since = -1, first_heard = -1;
+  double rented_at = 0;
+  std::optional<double> taken_at; // notice
+  std::vector<Slot> slots;
+  Resources size, used;
+  std::list<int> images; // most recent first
+  std::vector<std::string> error_jobs;
+  int errors = 0, successes = 0;
+};
+
+class Core {
+public:
+  explicit Core(Settings settings, std::uint64_t seed);
+  Effects apply(std::vector<Command> batch, Now now);
+
+  bool leading() const { return role_ == Role::Leading; }
+  std::uint64_t term() const { return role_ == Role::Leading ? term_ : 0; }
+
+private:
+  enum class Role { Follower, Acquiring, Loading, Leading };
+  using StoreFn = std::function<void(const wire::StoreReply &)>;
+  using CloudFn = std::function<void(const wire::CloudReply &)>;
+
+  // core.cpp
+  void on(CmdTick &&);
+  void on(CmdUp &&);
+  void on(CmdStoreReply &&);
+  void on(CmdCloudReply &&);
+  OpId store(decltype(StoreOp::what) what, double deadline_s, StoreFn fn);
+  OpId cloud(decltype(CloudOp::what) what, double deadline_s, CloudFn fn);
+  void reply(RequestId req, int status, std::string body, std::optional<int> retry = {});
+  void refuse(RequestId req, std::string_view why, int retry = 1);
+  void log(LogLevel level, std::string text);
+  double now() const { return now_.mono; }
+
+  // users.cpp
+  void on(CmdSubmit &&);
+  void on(CmdLookup &&);
+  void on(CmdAbort &&);
+  enum class Verdict { Ok, Never, Unknown };
+  Verdict judge(const JobSpec &spec, std::string &why) const;
+  void answer_state(RequestId req, const std::string &id, bool as_submit);
+  void answer_end(RequestId req, const std::string &id, const EndRecord &end, bool as_submit);
+  void read_end(RequestId req, const std::string &id, bool as_submit, bool as_abort);
+  void remember_end(const std::string &id, EndRecord end);
+
+  // term.cpp
+  void tick_term();
+  void poll_leader();
+  void acquire();
+  void renew();
+  void step_down(std::string_view why);
+  void load_open(std::string from);
+  void load_progress(std::string from);
+  void start_leading();
+  void follow_open();
+  bool lease_valid() const { return now() < lease_valid_until_; }
+  bool active() const { return role_ == Role::Leading && lease_valid(); }
+
+  // jobs.cpp
+  int add_job(OpenRecord record, std::uint64_t stamp);
+  void remove_job(int j);
+  void cancel_job(int j);
+  void update_open(const std::string &key, const wire::Json &value, std::uint64_t stamp);
+  void mark_dirty(int j, bool urgent);
+  void flush();
+  void resync(int j);
+  bool finishable(const Job &job) const;
+  void set_task(int j, std::uint32_t i, TaskState state, int machine = -1);
+  void age_unaccounted();
+  void tend_gang(int j);
+  Job &job(int j) { return *jobs_[static_cast<std::size_t>(j)]; }
+
+  // fleet.cpp
+  void on(CmdReport &&);
+  int machine_index(const std::string &name, const std::string &type, const std::string &zone, bool spot);
+  Machine &machine(int m) { return *machines_[static_cast<std::size_t>(m)]; }
+  void take_report(int m, const WorkerReport &r, std::vector<TaskOrder> &orders);
+  void task_exited(int m, Slot &slot, const TaskReport &t);
+  void drop_slot(int m, std::size_t s, bool to_pending);
+  void lose_machine(int m, std::string_view why);
+  void remove_machine(int m);
+  void tick_fleet();
+  void stop_slot(int m, Slot &slot, double grace);
+  void touch_image(Machine &m, int image, double gb);
+  void round();
+  void preempt(const std::vector<int> &starved);
+  std::vector<PlaceMachine> snapshot(std::vector<int> &index) const;
+  PlaceJob place_job(int j, const std::unordered_map<int, int> &machine_position) const;
+
+  // autoscaler.cpp
+  void tick_cloud();
+  void list_machines(std::string from);
+  void merge_list(const wire::CloudReply &r);
+  void scale();
+  void rent(int type, int zone, bool spot, int count);
+  void send_rent(CloudRent call, std::tuple<int, int, bool> key, int tries);
+  void load_types();
+  void set_types(std::vector<MachineType> types);
+  void note_whole_machine_job(const Job &job);
+  std::vector<std::string> names_to_return();
+  void return_machines();
+
+  Settings settings_;
+  std::uint64_t rng_;
+  double random();
+
+  Now now_;
+  Effects effects_;
+  OpId next_op_ = 1;
+  std::unordered_map<OpId, StoreFn> store_ops_;
+  std::unordered_map<OpId, CloudFn> cloud_ops_;
+  double started_at_ = -1;
+
+  // store contact
+  double store_ok_at_ = -1e9;
+  TokenBucket user_writes_, user_reads_, leader_writes_;
+  int user_ops_ = 0;
+
+  // term
+  Role role_ = Role::Follower;
+  std::uint64_t epoch_guard_ = 0; // counts role changes, so late continuations are dropped
+  std::uint64_t term_ = 0, lease_ = 0, nonce_ = 0;
+  double lease_valid_until_ = -1e9, next_renew_ = 0, next_poll_ = 0, acquire_after_ = 0;
+  bool renewing_ = false, polling_ = false;
+  std::string leader_name_;
+  std::uint64_t leader_term_ = 0;
+  double leader_seen_ = -1e9;
+  std::uint64_t highest_term_ = 0;
+  double unaccounted_until_ = 0;
+  std::uint64_t follow_from_ = 0;
+  bool following_ = false;
+  bool relisting_ = false;
+
+  // types and names
+  std::vector<MachineType> types_;
+  bool types_known_ = false, types_loading_ = false;
+  double next_types_ = 0;
+  Names type_names_, zone_names_, image_names_, class_names_, team_names_;
+
+  // jobs
+  std::vector<std::unique_ptr<Job>> jobs_;
+  std::vector<int> free_jobs_;
+  std::unordered_map<std::string, int> job_index_;
+  std::unordered_map<std::string, ProgressRecord> loaded_progress_;
+  std::unordered_map<std::string, std::uint64_t> loaded_stamps_;
+  std::vector<int> dirty_;
+  bool flushing_ = false;
+  double flush_after_ = 0;
+  std::uint64_t flush_counter_ = 0;
+  std::uint64_t attempt_counter_ = 0;
+  std::unordered_map<std::string, EndRecord> ends_;
+  std::deque<std::string> ends_order_;
+
+  // fleet
+  std::vector<std::unique_ptr<Machine>> machines_;
+  std::unordered_map<std::string, int> machine_index_;
+  std::unordered_map<std::string, double> gone_; // names given back, and when
+  double next_round_ = 0, next_scale_ = 0, next_list_ = 0;
+  bool round_wanted_ = false;
+
+  // cloud
+  bool listing_ = false;
+  double listed_once_at_ = -1;
+  TokenBucket cloud_calls_;
+  std::uint64_t rent_counter_ = 0;
+  std::map<std::tuple<int, int, bool>, int> rents_open_;
+  std::map<std::tuple<int, int, bool>, double> no_capacity_until_;
+  bool returning_ = false;
+  std::unordered_map<int, double> kept_types_; // machine type -> last wanted by such a class
+};
+
+} // namespace loft::core
--- /dev/null
+++ b/include/loftrouter/core/placement.hpp
@@ -0,0 +1,66 @@
+// One placement round as a pure function of a snapshot. See docs/design.md for what comes from the
+// paper and what is ours.
+#pragma once
+
+#include <cstdint>
+#include <vector>
+
+#include "loftrouter/core/types.hpp"
+
+namespace loft::core {
+
+struct PlaceMachine {
+  Resources size, free;
+  int type = 0, zone = 0;
+  bool spot = false;
+  bool kept = false;            // wanted whole by a job class that fits nowhere else
+  double hourly = 0;            // price now
+  std::vector<int> images;      // held or being fetched
+  double speed_gb_s = 1;
+};
+
+struct PlaceJob {
+  Resources need;
+  std::vector<char> types; // by type index: allowed
+  int zone = -1;           // only this zone, or -1
+  bool spot = false;       // may use spot machines
+  bool gang = false;       // all of `ready` or nothing
+  bool one_zone = false;
+  int zone_cap = -1;                  // most tasks in a zone (spread), or -1
+  std::vector<int> zone_used;         // tasks of the job on machines, by zone
+  std::vector<int> barred;            // machines not to be used
+  std::uint32_t ready = 0;            // tasks to place
+  std::uint32_t limit = 0;            // most of them allowed by the team's limit
+  Urgency urgency = Urgency::Normal;
+  bool guaranteed = false;            // within its team's guarantee
+  double wait_s = 0;
+  int image = -1;
+  double image_gb = 0;
+  bool small = false; // low, short and spot-tolerant: leaves kept machines alone
+  int team = 0;
+};
+
+struct PlaceOptions {
+  double whole_bonus = 10;    // the plan fits whole
+  double age_weight = 0.05;   // per second waited
+  double image_weight = 0.3;  // beside F: the machine holds the image
+  double price_weight = 0.5;  // beside F: dearer than the cheapest
+  double reserve_after_s = 120;
+};
+
+struct Assignment {
+  int job = 0, machine = 0;
+};
+
+// What a task of `job` scores on `m`; nothing where it may not go or does not fit.
+bool allowed(const PlaceJob &job, const PlaceMachine &m, int machine_index);
+double fit_score(const PlaceJob &job, const PlaceMachine &m); // F of the paper
+double place_score(const PlaceJob &job, const PlaceMachine &m, const PlaceOptions &o);
+
+// Rounds until nothing more fits. `team_room` (CPUs and GPUs left under each team's limit, or
+// negative for none) is used up along the way.
+std::vector<Assignment> place_round(std::vector<PlaceMachine> machines,
+                                    const std::vector<PlaceJob> &jobs,
+                                    std::vector<Resources> team_room, const PlaceOptions &options);
+
+} // namespace loft::core
--- /dev/null
+++ b/include/loftrouter/core/settings.hpp
@@ -0,0 +1,36 @@
+// What the platform's settings file says, as the core needs it.
+#pragma once
+
+#include <string>
+#include <vector>
+
+namespace loft {
+
+struct Team {
+  std::string name;
+  double cpus = 0, cpus_max = 0, gpus = 0, gpus_max = 0; // 0: none
+};
+struct Objective {
+  std::string kind, job_class;
+  double within_s = 0, share = 0, times = 1;
+};
+struct Sibling {
+  std::string node, zone, address;
+};
+struct Settings {
+  std::string node, zone, listen, peer_listen;
+  std::vector<Sibling> siblings;
+  std::string cloud_address, state_address;
+  std::vector<std::string> zones;
+  std::vector<Team> teams;
+  std::vector<Objective> objectives;
+  double report_s = 1, lease_s = 10, gang_wait_s = 30, gang_peer_s = 4, cancel_s = 40;
+  double state_rps = 100, state_write_rps = 10, state_value_kb = 8;
+  int state_txn_ops = 8;
+  double cloud_rps = 5, cloud_list_lag_s = 3;
+  double cpu_share = 1, memory_mb = 256;
+  int fd_limit = 1024;
+  double clock_bound_ms = 10;
+};
+
+} // namespace loft
--- /dev/null
+++ b/include/loftrouter/core/types.hpp
@@ -0,0 +1,117 @@
+// Plain data shared by every layer. The field's own terms are used here (token, task, zone); the
+// wire's names for them live in wire/ alone.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace loft {
+
+enum class Shape : std::uint8_t { Array, Gang, Service };
+enum class Urgency : std::uint8_t { Low, Normal, High, Production };
+enum class TaskPhase : std::uint8_t { Fetching, Waiting, Running, Saving, Exited };
+enum class ExitCause : std::uint8_t { None, Done, Stopped, Peers, Alone, Error, NoRoom, Busy, Unknown };
+
+struct Resources {
+  double cpus = 0, gpus = 0, memory = 0;
+  bool fits(const Resources &free) const {
+    constexpr double eps = 1e-6;
+    return cpus <= free.cpus + eps && gpus <= free.gpus + eps && memory <= free.memory + eps;
+  }
+  void add(const Resources &o, double times = 1) {
+    cpus += o.cpus * times;
+    gpus += o.gpus * times;
+    memory += o.memory * times;
+  }
+};
+
+struct JobSpec {
+  std::string id, job_class, team;
+  Shape shape = Shape::Array;
+  Urgency urgency = Urgency::Normal;
+  std::uint32_t tasks = 1;
+  Resources need;
+  std::string image;
+  double image_gb = 0;
+  std::optional<std::vector<std::string>> types; // null: any
+  std::optional<std::string> zone;
+  bool one_zone = false, spread = false, spot = false;
+  double estimate_s = 0, checkpoint_s = 0, save_s = 0;
+  std::optional<double> deadline_s;
+};
+
+// Half-open index ranges, sorted and apart.
+using Ranges = std::vector<std::pair<std::uint32_t, std::uint32_t>>;
+
+struct OpenRecord {
+  JobSpec spec;
+  double submit_wall = 0;
+  bool cancelled = false;
+};
+struct EndRecord {
+  bool cancelled = false;
+  std::uint32_t tasks = 0;
+  std::string job_class, team;
+  double submit_wall = 0, end_wall = 0;
+  bool late = false;
+  std::string reason;
+};
+struct ProgressRecord {
+  Ranges started, finished;
+};
+struct LeaderRecord {
+  std::string node;
+  std::uint64_t nonce = 0;
+};
+
+struct MachineType {
+  std::string name;
+  Resources size;
+  double cache_gb = 0, fetch_gb_per_s = 0, price = 0, spot_price = 0, boot_s = 0;
+  std::vector<std::string> zones;
+};
+
+struct TaskReport {
+  std::string job;
+  std::uint32_t index = 0;
+  std::uint64_t attempt = 0;
+  TaskPhase phase = TaskPhase::Fetching;
+  ExitCause cause = ExitCause::None;
+  bool saved = false;
+};
+struct WorkerReport {
+  std::string machine, address, type, zone;
+  bool spot = false;
+  std::uint64_t session = 0, seq = 0, token = 0;
+  std::optional<double> notice_s;
+  std::vector<TaskReport> tasks;
+};
+
+struct TaskOrder {
+  enum class Verb : std::uint8_t { Start, Stop, Forget } verb = Verb::Start;
+  std::string job;
+  std::uint32_t index = 0;
+  std::uint64_t attempt = 0;
+  double grace_s = 0;
+};
+
+enum class MachineStatus : std::uint8_t { Booting, Running, Failed };
+struct ListedMachine {
+  std::string name, address, type, zone;
+  bool spot = false;
+  MachineStatus status = MachineStatus::Booting;
+  double age_s = 0;
+};
+
+enum class JobState : std::uint8_t { Queued, Running, Done, Cancelled };
+struct JobView {
+  std::string id;
+  JobState state = JobState::Queued;
+  std::uint32_t done = 0, running = 0;
+  std::string reason;
+};
+
+} // namespace loft
--- /dev/null
+++ b/include/loftrouter/net/server.hpp
@@ -0,0 +1,57 @@
+// HTTP server: one request at a time per connection, every wait bounded, sockets kept in reserve.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <unordered_map>
+#include <vector>
+
+#include "loftrouter/net/http.hpp"
+#include "loftrouter/net/loop.hpp"
+
+namespace loft::net {
+
+using ConnId = std::uint64_t;
+
+class HttpServer {
+public:
+  struct Options {
+    std::size_t max_connections = 200;
+    double request_timeout_s = 10; // from a request's first byte to its last
+    double idle_timeout_s = 75;
+    double write_timeout_s = 10;
+  };
+  using Handler = std::function<void(ConnId, HttpMessage &&)>;
+
+  HttpServer(Loop &loop, Fd listener, Options options, Handler handler);
+  ~HttpServer();
+
+  // Answers the request a connection is waiting on; unknown ids (closed meanwhile) are ignored.
+  void respond(ConnId id, int status, std::string_view body, std::optional<int> retry_after = {},
+               std::string_view content_type = "application/cbor");
+  std::size_t connections() const { return conns_.size(); }
+
+private:
+  struct Conn;
+  void accept_ready();
+  void on_io(Conn &c, int events);
+  void drive(Conn &c);
+  void flush(Conn &c);
+  void close(ConnId id);
+  void sweep();
+  void make_room();
+
+  Loop &loop_;
+  Fd listener_;
+  Fd spare_; // given up to accept and close a connection when descriptors have run out
+  Options options_;
+  Handler handler_;
+  IoWatch accept_watch_;
+  Timer sweep_timer_;
+  ConnId next_id_ = 1;
+  std::unordered_map<ConnId, std::unique_ptr<Conn>> conns_;
+  std::vector<std::unique_ptr<Conn>> graveyard_;
+};
+
+} // namespace loft::net
--- /dev/null
+++ b/include/loftrouter/wire/messages.hpp
@@ -0,0 +1,91 @@
+// Every message of the protocol, from CBOR to plain structs and back. All field names are here.
+#pragma once
+
+#include <optional>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+#include "loftrouter/core/types.hpp"
+#include "loftrouter/wire/cbor.hpp"
+
+namespace loft::wire {
+
+bool valid_job_id(std::string_view id);
+
+// Users.
+std::variant<JobSpec, std::string> decode_job(std::string_view body); // or why it is malformed
+std::string encode_job_view(const JobView &view);
+std::string encode_accepted(std::string_view id, JobState state);
+std::string encode_error(std::string_view text);
+
+// Workers.
+std::optional<WorkerReport> decode_report(std::string_view body);
+std::string encode_orders(std::uint64_t token, const std::vector<TaskOrder> &orders);
+std::string encode_redirect(std::string_view node); // empty: no node named
+
+// State service: records.
+Json to_json(const JobSpec &spec);
+std::optional<JobSpec> job_from_json(const Json &j, std::string &problem);
+Json to_json(const OpenRecord &r);
+Json to_json(const EndRecord &r);
+Json to_json(const ProgressRecord &r);
+Json to_json(const LeaderRecord &r);
+Json to_json(const std::vector<MachineType> &types);
+std::optional<OpenRecord> open_from_json(const Json &j);
+std::optional<EndRecord> end_from_json(const Json &j);
+std::optional<ProgressRecord> progress_from_json(const Json &j);
+std::optional<LeaderRecord> leader_from_json(const Json &j);
+std::optional<std::vector<MachineType>> types_from_json(const Json &j);
+
+// State service: requests and answers.
+struct Guard {
+  std::string key;
+  std::uint64_t stamp = 0;
+};
+struct Write {
+  std::string key;
+  std::optional<Json> value; // nothing: delete
+  std::uint64_t lease = 0;
+};
+struct Entry {
+  std::string key;
+  Json value;
+  std::uint64_t stamp = 0;
+  std::uint64_t lease = 0;
+};
+struct Event {
+  std::string key;
+  std::optional<Json> value;
+  std::uint64_t stamp = 0;
+};
+struct StoreReply {
+  int status = 0; // 0: no answer, outcome unknown
+  std::uint64_t revision = 0;
+  std::uint64_t lease = 0;
+  bool more = false;
+  std::vector<std::string> failed;
+  std::vector<Entry> entries;
+  std::vector<Event> events;
+};
+std::string encode_commit(const std::vector<Guard> &guards, const std::vector<Write> &writes);
+std::string encode_ttl(double ttl_s);
+StoreReply decode_store(int status, std::string_view body);
+
+// Cloud.
+struct CloudReply {
+  int status = 0;
+  bool no_capacity = false;
+  std::vector<MachineType> types;
+  std::vector<std::string> names;
+  std::vector<ListedMachine> machines;
+  bool more = false;
+};
+std::string encode_rent(std::string_view request, std::string_view type, std::string_view zone,
+                        bool spot, int count);
+std::string encode_return(const std::vector<std::string> &names);
+enum class CloudCall : std::uint8_t { Types, List, Rent, Return };
+CloudReply decode_cloud(CloudCall call, int status, std::string_view body);
+
+} // namespace loft::wire
--- /dev/null
+++ b/src/app/daemon.cpp
@@ -0,0 +1,158 @@
+#include "loftrouter/app/daemon.hpp"
+
+#include <cstdlib>
+#include <random>
+
+#include <spdlog/sinks/stdout_sinks.h>
+#include <spdlog/spdlog.h>
+
+#include "loftrouter/cloud/cloud.hpp"
+#include "loftrouter/core/core.hpp"
+#include "loftrouter/net/loop.hpp"
+#include "loftrouter/net/server.hpp"
+#include "loftrouter/store/store.hpp"
+
+namespace loft::app {
+
+namespace {
+
+constexpr double kTick = 0.1;
+
+class Daemon {
+public:
+  Daemon(const Settings &s, net::Fd api)
+      : core_(s, std::random_device{}()),
+        server_(loop_, std::move(api), server_options(s),
+                [this](net::ConnId id, net::HttpMessage &&m) { on_request(id, std::move(m)); }),
+        store_(loop_, *net::parse_address(s.state_address),
+               [this](core::OpId op, wire::StoreReply &&r) { push(core::CmdStoreReply{op, std::move(r)}); }),
+        cloud_(loop_, *net::parse_address(s.cloud_address),
+               [this](core::OpId op, wire::CloudReply &&r) { push(core::CmdCloudReply{op, std::move(r)}); }),
+        tick_(loop_, [this] {
+          tick_.once(kTick);
+          push(core::CmdTick{});
+        }),
+        work_(loop_, [this] { drain(); }) {}
+
+  void run() {
+    tick_.once(0);
+    loop_.run();
+  }
+
+private:
+  static net::HttpServer::Options server_options(const Settings &s) {
+    net::HttpServer::Options o;
+    // The rest is for this node's own connections: state service, cloud, siblings, log.
+    o.max_connections = static_cast<std::size_t>(std::max(8, s.fd_limit - 60));
+    return o;
+  }
+
+  void push(core::Command c) {
+    queue_.push_back(std::move(c));
+    if (queue_.size() == 1) work_.once(0);
+  }
+
+  void drain() {
+    auto batch = std::move(queue_);
+    queue_.clear();
+    auto effects = core_.apply(std::move(batch), {net::mono_now(), net::wall_now()});
+    for (const auto &l : effects.logs) write_log(l);
+    for (const auto &r : effects.replies) server_.respond(r.req, r.status, r.body, r.retry_after);
+    for (const auto &op : effects.store) store_.send(op);
+    for (const auto &op : effects.cloud) cloud_.send(op);
+  }
+
+  void write_log(const core::LogLine &l) {
+    double t = net::mono_now();
+    log_level_ = std::min(kLogBurst, log_level_ + (t - log_at_) * kLogRate);
+    log_at_ = t;
+    if (log_level_ < 1 && l.level != core::LogLevel::Error) {
+      ++log_dropped_;
+      return;
+    }
+    log_level_ -= 1;
+    if (log_dropped_) {
+      spdlog::info("{} lines left out", log_dropped_);
+      log_dropped_ = 0;
+    }
+    auto level = l.level == core::LogLevel::Error  ? spdlog::level::err
+                 : l.level == core::LogLevel::Info ? spdlog::level::info
+                                                   : spdlog::level::debug;
+    spdlog::log(level, "{}", l.text);
+  }
+
+  void on_request(net::ConnId id, net::HttpMessage &&m) {
+    std::string_view target = m.target;
+    auto query = target.find('?');
+    if (query != std::string_view::npos) target = target.substr(0, query);
+    auto only = [&](std::string_view method) {
+      if (m.method == method) return true;
+      server_.respond(id, 405, wire::encode_error("method not allowed"));
+      return false;
+    };
+    if (target == "/v1/report") {
+      if (!only("POST")) return;
+      auto r = wire::decode_report(m.body);
+      if (!r) return server_.respond(id, 400, wire::encode_error("malformed report"));
+      return push(core::CmdReport{id, std::move(*r)});
+    }
+    if (target == "/up") {
+      if (!only("GET")) return;
+      return push(core::CmdUp{id});
+    }
+    constexpr std::string_view jobs = "/api/jobs";
+    if (target == jobs) {
+      if (!only("POST")) return;
+      auto spec = wire::decode_job(m.body);
+      if (auto *problem = std::get_if<std::string>(&spec))
+        return server_.respond(id, 400, wire::encode_error(*problem));
+      return push(core::CmdSubmit{id, std::move(std::get<JobSpec>(spec))});
+    }
+    if (target.size() > jobs.size() + 1 && target.substr(0, jobs.size() + 1) == "/api/jobs/") {
+      auto rest = target.substr(jobs.size() + 1);
+      constexpr std::string_view abort = "/abort";
+      if (rest.size() > abort.size() && rest.substr(rest.size() - abort.size()) == abort) {
+        if (!only("POST")) return;
+        return push(core::CmdAbort{id, std::string(rest.substr(0, rest.size() - abort.size()))});
+      }
+      if (!only("GET")) return;
+      return push(core::CmdLookup{id, std::string(rest)});
+    }
+    server_.respond(id, 404, wire::encode_error("no such path"));
+  }
+
+  static constexpr double kLogRate = 50, kLogBurst = 200;
+
+  net::Loop loop_;
+  core::Core core_;
+  std::vector<core::Command> queue_;
+  net::HttpServer server_;
+  store::StoreClient store_;
+  cloud::CloudClient cloud_;
+  net::Timer tick_, work_;
+  double log_level_ = kLogBurst, log_at_ = 0;
+  std::size_t log_dropped_ = 0;
+};
+
+} // namespace
+
+void setup_logging() {
+  auto logger = spdlog::stderr_logger_st("loftrouter");
+  logger->set_pattern("%Y-%m-%dT%H:%M:%S.%eZ %l %v", spdlog::pattern_time_type::utc);
+  const char *env = std::getenv("LOG_LEVEL");
+  std::string level = env ? env : "info";
+  logger->set_level(level == "error"   ? spdlog::level::err
+                    : level == "debug" ? spdlog::level::debug
+                                       : spdlog::level::info);
+  spdlog::set_default_logger(logger);
+}
+
+std::string run_daemon(const Settings &s) {
+  std::string error;
+  auto api = net::listen_on(*net::parse_address(s.listen), error);
+  if (!api) return "api_addr: cannot listen: " + error;
+  Daemon(s, std::move(api)).run();
+  return {};
+}
+
+} // namespace loft::app
--- /dev/null
+++ b/src/app/main.cpp
@@ -0,0 +1,35 @@
+#include <csignal>
+#include <cstdio>
+
+#include <CLI/CLI.hpp>
+
+#include "loftrouter/app/daemon.hpp"
+#include "loftrouter/app/settings.hpp"
+
+int main(int argc, char **argv) {
+  CLI::App app{"loftrouterd, a controller of the loftrouter cluster scheduler", "loftrouterd"};
+  std::string config;
+  bool check = false;
+  app.add_option("--config", config, "settings file (JSON)")->required();
+  app.add_flag("--check-config", check, "check the settings file and stop");
+  app.set_version_flag("--version", std::string("loftrouterd ") + LOFTROUTER_VERSION);
+  try {
+    app.parse(argc, argv);
+  } catch (const CLI::ParseError &e) {
+    return app.exit(e) == 0 ? 0 : 2;
+  }
+  auto loaded = loft::app::load_settings(config);
+  if (auto *problem = std::get_if<std::string>(&loaded)) {
+    std::fprintf(stderr, "loftrouterd: settings: %s\n", problem->c_str());
+    return 2;
+  }
+  if (check) {
+    std::puts("settings are good");
+    return 0;
+  }
+  std::signal(SIGPIPE, SIG_IGN);
+  loft::app::setup_logging();
+  auto problem = loft::app::run_daemon(std::get<loft::Settings>(loaded));
+  std::fprintf(stderr, "loftrouterd: %s\n", problem.c_str());
+  return 1;
+}
--- /dev/null
+++ b/src/core/autoscaler.cpp
@@ -0,0 +1,301 @@
+// The fleet's size: what to rent, what to give back, and what the cloud's list says.
+#include "loftrouter/core/core.hpp"
+
+#include <cmath>
+#include <limits>
+
+#include <fmt/format.h>
+
+namespace loft::core {
+
+namespace {
+constexpr double kScaleEvery = 1.0;
+constexpr double kListEvery = 3.0;
+constexpr double kTypesEvery = 60.0;
+constexpr double kNoCapacityPause = 12.0;
+constexpr double kMinimumCharge = 60.0; // a returned machine costs at least this long
+constexpr double kIdleReturn = 10.0;
+constexpr double kIdleReturnKept = 120.0;
+constexpr double kLowWaves = 2.0; // how often a rented machine's place may be used for one backlog
+const char *const kTypesKey = "conf/types";
+} // namespace
+
+void Core::set_types(std::vector<MachineType> types) {
+  if (types.empty()) return;
+  for (auto &t : types) {
+    int i = type_names_.get(t.name);
+    if (static_cast<std::size_t>(i) >= types_.size()) types_.resize(static_cast<std::size_t>(i) + 1);
+    types_[static_cast<std::size_t>(i)] = std::move(t);
+  }
+  types_known_ = true;
+}
+
+// The types are kept in the state service, so that a node can judge jobs while the cloud is silent.
+void Core::load_types() {
+  types_loading_ = true;
+  next_types_ = now() + (types_known_ ? kTypesEvery : 1.0);
+  auto from_cloud = [this] {
+    if (!cloud_calls_.take(now())) {
+      types_loading_ = false;
+      return;
+    }
+    cloud(CloudTypes{}, 3.0, [this](const wire::CloudReply &r) {
+      types_loading_ = false;
+      if (r.status != 200 || r.types.empty()) return;
+      bool first = !types_known_;
+      set_types(r.types);
+      if (first && role_ == Role::Follower)
+        store(StoreCommit{{{kTypesKey, 0}}, {{kTypesKey, wire::to_json(types_), 0}}}, 2.0,
+              [](const wire::StoreReply &) {});
+    });
+  };
+  if (types_known_) return from_cloud();
+  store(StoreGet{kTypesKey}, 1.0, [this, from_cloud](const wire::StoreReply &r) {
+    if (r.status == 200 && r.entries.size() == 1)
+      if (auto types = wire::types_from_json(r.entries[0].value)) {
+        set_types(std::move(*types));
+        types_loading_ = false;
+        return;
+      }
+    from_cloud();
+  });
+}
+
+// A job that may not use spot machines and fits only one type needs those machines whole when it
+// comes: small work that can go elsewhere keeps off them.
+void Core::note_whole_machine_job(const Job &j) {
+  if (j.spec.spot || j.cancelled) return;
+  int only = -1;
+  for (int t = 0; t < static_cast<int>(types_.size()); ++t) {
+    const auto &type = types_[static_cast<std::size_t>(t)];
+    if (!j.spec.need.fits(type.size)) continue;
+    if (j.spec.types && std::find(j.spec.types->begin(), j.spec.types->end(), type.name) == j.spec.types->end()) continue;
+    if (only >= 0) return;
+    only = t;
+  }
+  if (only < 0) return;
+  const auto &size = types_[static_cast<std::size_t>(only)].size;
+  if (j.spec.need.cpus * 2 > size.cpus || j.spec.need.memory * 2 > size.memory) kept_types_[only] = now();
+}
+
+void Core::tick_cloud() {
+  if (!types_loading_ && now() >= next_types_ && (!types_known_ || role_ == Role::Leading)) load_types();
+  if (!active()) return;
+  if (!listing_ && now() >= next_list_ && cloud_calls_.take(now())) {
+    listing_ = true;
+    next_list_ = now() + kListEvery;
+    list_machines("");
+  }
+  return_machines();
+  if (now() >= next_scale_) {
+    next_scale_ = now() + kScaleEvery;
+    scale();
+  }
+}
+
+void Core::list_machines(std::string from) {
+  cloud(CloudList{from}, 3.0, [this, guard = epoch_guard_](const wire::CloudReply &r) {
+    if (guard != epoch_guard_) return;
+    if (r.status != 200) {
+      listing_ = false;
+      return;
+    }
+    merge_list(r);
+    if (r.more && !r.machines.empty()) return list_machines(r.machines.back().name);
+    listing_ = false;
+    if (listed_once_at_ < 0) listed_once_at_ = now();
+  });
+}
+
+void Core::merge_list(const wire::CloudReply &r) {
+  for (const auto &l : r.machines) {
+    if (auto it = gone_.find(l.name); it != gone_.end()) {
+      if (now() - it->second < 4 * settings_.cloud_list_lag_s + 5) continue; // the list lags
+      gone_.erase(it); // still there: give it back again
+      machine(machine_index(l.name, l.type, l.zone, l.spot)).returning = true;
+      continue;
+    }
+    bool fresh = !machine_index_.contains(l.name);
+    int m = machine_index(l.name, l.type, l.zone, l.spot);
+    if (fresh) machine(m).rented_at = now() - l.age_s;
+    if (l.status == MachineStatus::Failed && !machine(m).listed_failed) {
+      machine(m).listed_failed = true;
+      lose_machine(m, "it stopped on its own");
+      machine(m).returning = true;
+    }
+  }
+}
+
+std::vector<std::string> Core::names_to_return() {
+  std::vector<std::string> names;
+  int live = 0, lost = 0;
+  for (const auto &m : machines_)
+    if (m && m->heard) ++(m->lost ? lost : live);
+  for (auto &p : machines_) {
+    if (!p) continue;
+    Machine &n = *p;
+    double age = now() - n.rented_at;
+    double boot = n.type >= 0 ? types_[static_cast<std::size_t>(n.type)].boot_s : 60;
+    if (!n.heard && now() - n.known_since > 10 && age > 3 * boot + 15) n.returning = true;
+    // Many machines silent at once points at this node's network rather than at them.
+    if (n.heard && n.lost && (lost <= live || now() - n.last_answer > settings_.lease_s + 30)) n.returning = true;
+    if (n.taken_at && now() > *n.taken_at + 1 && now() - n.last_answer > settings_.report_s * 1.5 + 1) n.returning = true;
+    if (n.heard && !n.lost && n.slots.empty() && n.idle_since >= 0 && age >= kMinimumCharge - 2) {
+      auto kept = kept_types_.find(n.type);
+      bool keep = !n.spot && kept != kept_types_.end() && now() - kept->second < 300;
+      if (now() - n.idle_since > (keep ? kIdleReturnKept : kIdleReturn)) n.returning = true;
+    }
+    if (n.returning && names.size() < 100) names.push_back(n.name);
+  }
+  return names;
+}
+
+void Core::return_machines() {
+  std::erase_if(gone_, [this](const auto &g) { return now() - g.second > 600; });
+  if (returning_) return;
+  auto names = names_to_return();
+  if (names.empty() || !cloud_calls_.take(now())) return;
+  returning_ = true;
+  cloud(CloudReturn{names}, 5.0, [this, names, guard = epoch_guard_](const wire::CloudReply &r) {
+    if (guard != epoch_guard_) return;
+    returning_ = false;
+    if (r.status != 200) return; // asked again: a machine is gone only when the cloud has said so
+    for (const auto &name : names)
+      if (auto it = machine_index_.find(name); it != machine_index_.end()) remove_machine(it->second);
+    log(LogLevel::Info, fmt::format("gave back {} machines", names.size()));
+  });
+}
+
+void Core::scale() {
+  if (listed_once_at_ < 0 || now() - listed_once_at_ < 1.0) return;
+  struct Place {
+    Resources free;
+    int type, zone;
+    bool spot;
+  };
+  std::vector<Place> booting;
+  for (const auto &m : machines_)
+    if (m && !m->heard && !m->returning && m->type >= 0) booting.push_back({m->size, m->type, m->zone, m->spot});
+  for (const auto &[key, count] : rents_open_)
+    for (int i = 0; i < count; ++i) {
+      auto [t, z, spot] = key;
+      booting.push_back({types_[static_cast<std::size_t>(t)].size, t, z, spot});
+    }
+  std::vector<int> order;
+  for (int j = 0; j < static_cast<int>(jobs_.size()); ++j)
+    if (jobs_[static_cast<std::size_t>(j)]) order.push_back(j);
+  std::sort(order.begin(), order.end(), [this](int a, int b) {
+    return std::pair(-static_cast<int>(job(a).spec.urgency), job(a).submit_wall) <
+           std::pair(-static_cast<int>(job(b).spec.urgency), job(b).submit_wall);
+  });
+  std::vector<int> index;
+  auto up = snapshot(index);
+  // CPU seconds that machines already up are expected to still spend, per machine.
+  std::vector<double> busy(up.size(), 0);
+  for (std::size_t i = 0; i < up.size(); ++i)
+    for (const auto &s : machine(index[i]).slots) {
+      if (s.job < 0 || s.finished) continue;
+      const Job &n = job(s.job);
+      double ran = s.running_since >= 0 ? now() - s.running_since : 0;
+      busy[i] += std::max(5.0, n.spec.estimate_s - ran) * s.need.cpus;
+    }
+  int budget = 3;
+  for (int j : order) {
+    Job &n = job(j);
+    PlaceJob p = place_job(j, {});
+    if (p.limit == 0 || now() < n.retry_at) continue;
+    double waiting = p.ready;
+    for (auto &b : booting) { // what is on its way takes them first
+      PlaceMachine pm;
+      pm.type = b.type;
+      pm.zone = b.zone;
+      pm.spot = b.spot;
+      if (!allowed(p, pm, -1)) continue;
+      while (waiting >= 1 && p.need.fits(b.free)) {
+        b.free.add(p.need, -1);
+        waiting -= p.urgency == Urgency::Low ? kLowWaves : 1;
+      }
+    }
+    if (waiting < 1) continue;
+    double est = std::max(8.0, n.spec.estimate_s);
+    struct Choice {
+      int type = -1, zone = -1;
+      bool spot = false;
+      int count = 0;
+      double cost = std::numeric_limits<double>::infinity();
+    } best;
+    for (int t = 0; t < static_cast<int>(types_.size()); ++t) {
+      const auto &type = types_[static_cast<std::size_t>(t)];
+      if (!p.types[static_cast<std::size_t>(t)] || !p.need.fits(type.size)) continue;
+      double per = p.need.cpus > 0 ? std::floor(type.size.cpus / p.need.cpus + 1e-6) : 100;
+      if (p.need.memory > 0) per = std::min(per, std::floor(type.size.memory / p.need.memory + 1e-6));
+      if (p.need.gpus > 0) per = std::min(per, std::floor(type.size.gpus / p.need.gpus + 1e-6));
+      per = std::max(1.0, per);
+      double horizon = type.boot_s + (p.urgency == Urgency::Low ? est : 0.0);
+      double carried = 0; // tasks that machines already up get to within the horizon
+      for (std::size_t i = 0; i < up.size(); ++i) {
+        if (!allowed(p, up[i], -1) || !p.need.fits(up[i].size)) continue;
+        double cpus = std::max(p.need.cpus, 0.01);
+        carried += std::max(0.0, std::floor(up[i].size.cpus / cpus + 1e-6) * cpus * horizon - busy[i]) / (cpus * est);
+      }
+      double rest = waiting - carried;
+      if (p.urgency != Urgency::Low) rest = waiting - std::floor(carried);
+      if (rest < 0.5) {
+        best = {};
+        break;
+      }
+      double places = p.urgency == Urgency::Low ? std::ceil(rest / kLowWaves) : std::ceil(rest);
+      int count = static_cast<int>(std::ceil(places / per));
+      for (const auto &zone : type.zones) {
+        int z = zone_names_.get(zone);
+        if (p.zone >= 0 && p.zone != z) continue;
+        for (bool spot : {true, false}) {
+          if (spot && !p.spot) continue;
+          if (!spot && p.small && kept_types_.contains(t)) continue;
+          auto key = std::tuple(t, z, spot);
+          if (auto it = no_capacity_until_.find(key); it != no_capacity_until_.end() && now() < it->second) continue;
+          if (rents_open_[key] > 0) continue;
+          double cost = (spot ? type.spot_price : type.price) * count * (1 + 0.003 * type.boot_s);
+          if (cost < best.cost) best = {t, z, spot, std::min(count, 50), cost};
+        }
+      }
+    }
+    // Work counted here is not counted again for later jobs.
+    for (std::size_t i = 0; i < up.size(); ++i)
+      if (allowed(p, up[i], -1) && p.need.fits(up[i].size)) {
+        busy[i] += waiting * est * p.need.cpus / std::max<double>(1, static_cast<double>(up.size()));
+      }
+    if (best.type < 0 || budget-- <= 0) continue;
+    rent(best.type, best.zone, best.spot, best.count);
+  }
+}
+
+void Core::rent(int type, int zone, bool spot, int count) {
+  auto name = fmt::format("r-{}-{}", term_, ++rent_counter_);
+  auto key = std::tuple(type, zone, spot);
+  rents_open_[key] += count;
+  log(LogLevel::Info, fmt::format("renting {} x {} in {}{}", count, type_names_.name(type), zone_names_.name(zone),
+                                  spot ? " (spot)" : ""));
+  send_rent({name, type_names_.name(type), zone_names_.name(zone), spot, count}, key, 3);
+}
+
+void Core::send_rent(CloudRent call, std::tuple<int, int, bool> key, int tries) {
+  if (!cloud_calls_.take(now())) {
+    rents_open_[key] -= call.count;
+    return;
+  }
+  cloud(call, 3.0, [this, call, key, tries, guard = epoch_guard_](const wire::CloudReply &r) {
+    if (guard != epoch_guard_) return;
+    if (r.status == 0 && tries > 1) return send_rent(call, key, tries - 1); // same name: rents nothing twice
+    rents_open_[key] -= call.count;
+    if (r.status == 200) {
+      for (const auto &name : r.names)
+        if (!gone_.contains(name)) machine_index(name, call.type, call.zone, call.spot);
+      if (static_cast<int>(r.names.size()) < call.count) no_capacity_until_[key] = now() + kNoCapacityPause;
+    } else if (r.status == 503 && r.no_capacity) {
+      no_capacity_until_[key] = now() + kNoCapacityPause;
+    }
+  });
+}
+
+} // namespace loft::core
--- /dev/null
+++ b/src/core/core.cpp
@@ -0,0 +1,97 @@
+#include "loftrouter/core/core.hpp"
+
+#include <fmt/format.h>
+
+namespace loft::core {
+
+Core::Core(Settings settings, std::uint64_t seed) : settings_(std::move(settings)), rng_(seed | 1) {
+  double nodes = static_cast<double>(settings_.siblings.size() + 1);
+  const double w = settings_.state_write_rps, r = settings_.state_rps;
+  // The state service counts all nodes together: the leader's lease is outside these budgets, users'
+  // writes come next, and progress has the rest. Bursts may add up to a little more than one second's worth; a refusal by rate is retried.
+  user_writes_ = TokenBucket(0.4 * w / nodes, std::max(1.0, 0.25 * w));
+  leader_writes_ = TokenBucket(0.55 * w, std::max<double>(0.5 * w, 3));
+  user_reads_ = TokenBucket(0.75 * r / nodes, std::max(2.0, 0.7 * r / nodes));
+  cloud_calls_ = TokenBucket(0.7 * settings_.cloud_rps, std::max(1.0, 0.7 * settings_.cloud_rps));
+  for (const auto &t : settings_.teams) team_names_.get(t.name);
+  for (const auto &z : settings_.zones) zone_names_.get(z);
+}
+
+double Core::random() { // xorshift64*: only spreads retries, so quality does not matter
+  rng_ ^= rng_ >> 12;
+  rng_ ^= rng_ << 25;
+  rng_ ^= rng_ >> 27;
+  return static_cast<double>((rng_ * 0x2545F4914F6CDD1DULL) >> 11) / 9007199254740992.0;
+}
+
+Effects Core::apply(std::vector<Command> batch, Now at) {
+  now_ = at;
+  if (started_at_ < 0) started_at_ = at.mono;
+  effects_ = {};
+  for (auto &c : batch)
+    std::visit([this](auto &&cmd) { on(std::move(cmd)); }, std::move(c));
+  if (role_ == Role::Leading) {
+    if (round_wanted_ && now() >= next_round_) round();
+    flush();
+  }
+  return std::move(effects_);
+}
+
+void Core::on(CmdTick &&) {
+  tick_term();
+  tick_cloud();
+  if (role_ != Role::Leading) return;
+  age_unaccounted();
+  tick_fleet();
+  if (now() >= next_round_) round();
+}
+
+void Core::on(CmdUp &&cmd) {
+  bool ok = types_known_ && now() - store_ok_at_ < 3.0;
+  if (ok) reply(cmd.req, 200, "");
+  else refuse(cmd.req, types_known_ ? "state service out of reach" : "starting up");
+}
+
+void Core::on(CmdStoreReply &&cmd) {
+  auto it = store_ops_.find(cmd.op);
+  if (it == store_ops_.end()) return;
+  auto fn = std::move(it->second);
+  store_ops_.erase(it);
+  int s = cmd.reply.status;
+  if (s == 200 || s == 404 || s == 409 || s == 410) store_ok_at_ = now();
+  fn(cmd.reply);
+}
+
+void Core::on(CmdCloudReply &&cmd) {
+  auto it = cloud_ops_.find(cmd.op);
+  if (it == cloud_ops_.end()) return;
+  auto fn = std::move(it->second);
+  cloud_ops_.erase(it);
+  fn(cmd.reply);
+}
+
+OpId Core::store(decltype(StoreOp::what) what, double deadline_s, StoreFn fn) {
+  OpId op = next_op_++;
+  store_ops_.emplace(op, std::move(fn));
+  effects_.store.push_back({op, deadline_s, std::move(what)});
+  return op;
+}
+
+OpId Core::cloud(decltype(CloudOp::what) what, double deadline_s, CloudFn fn) {
+  OpId op = next_op_++;
+  cloud_ops_.emplace(op, std::move(fn));
+  effects_.cloud.push_back({op, deadline_s, std::move(what)});
+  return op;
+}
+
+void Core::reply(RequestId req, int status, std::string body, std::optional<int> retry) {
+  effects_.replies.push_back({req, status, std::move(body), retry});
+}
+
+void Core::refuse(RequestId req, std::string_view why, int retry) {
+  reply(req, 503, wire::encode_error(why), retry);
+}
+
+void Core::log(LogLevel level, std::string text) { effects_.logs.push_back({level, std::move(text)}); }
+
+} // namespace loft::core
--- /dev/null
+++ b/src/core/fleet.cpp
@@ -0,0 +1,493 @@
+// Machines, what runs on them, and the placement rounds.
+#include "loftrouter/core/core.hpp"
+
+#include <cmath>
+
+#include <fmt/format.h>
+
+namespace loft::core {
+
+namespace {
+constexpr double kDrift = 0.002;
+constexpr double kRound = 0.25;
+constexpr std::size_t kMaxStartsPerReply = 400; // keeps a response below the protocol's 64 KiB
+} // namespace
+
+int Core::machine_index(const std::string &name, const std::string &type, const std::string &zone, bool spot) {
+  if (auto it = machine_index_.find(name); it != machine_index_.end()) return it->second;
+  int m = -1;
+  for (std::size_t i = 0; i < machines_.size() && m < 0; ++i)
+    if (!machines_[i]) m = static_cast<int>(i);
+  if (m < 0) {
+    m = static_cast<int>(machines_.size());
+    machines_.emplace_back();
+  }
+  auto owned = std::make_unique<Machine>();
+  Machine &n = *owned;
+  n.name = name;
+  n.type = type_names_.find(type);
+  n.zone = zone_names_.get(zone);
+  n.spot = spot;
+  n.known_since = n.rented_at = now();
+  if (n.type >= 0) n.size = types_[static_cast<std::size_t>(n.type)].size;
+  machines_[static_cast<std::size_t>(m)] = std::move(owned);
+  machine_index_[name] = m;
+  return m;
+}
+
+void Core::on(CmdReport &&cmd) {
+  const auto &r = cmd.report;
+  highest_term_ = std::max(highest_term_, r.token);
+  if (role_ != Role::Follower && r.token > term_ && term_ > 0 && role_ != Role::Acquiring)
+    step_down("a worker has seen a higher term");
+  if (role_ != Role::Leading) {
+    bool fresh = !leader_name_.empty() && now() - leader_seen_ < 3.0;
+    return reply(cmd.req, 421, wire::encode_redirect(fresh ? leader_name_ : ""));
+  }
+  if (!active()) return refuse(cmd.req, "leadership is being renewed");
+  // A machine that was given back can only speak through packets held up on the way.
+  if (gone_.contains(r.machine)) return refuse(cmd.req, "this machine was given back");
+  int m = machine_index(r.machine, r.type, r.zone, r.spot);
+  Machine &n = machine(m);
+  if (std::pair(r.session, r.seq) <= std::pair(n.session, n.seq))
+    return refuse(cmd.req, "a newer report is known"); // late: as old as its task list
+  if (n.listed_failed) return refuse(cmd.req, "this machine has failed");
+  if (!n.heard) n.first_heard = now();
+  n.heard = true;
+  n.lost = false;
+  n.session = r.session;
+  n.seq = r.seq;
+  n.taken_at = r.notice_s ? std::optional(now() + *r.notice_s) : std::nullopt;
+  std::vector<TaskOrder> orders;
+  take_report(m, r, orders);
+  n.last_answer = now();
+  if (n.slots.empty()) {
+    if (n.idle_since < 0) n.idle_since = now();
+  } else {
+    n.idle_since = -1;
+  }
+  reply(cmd.req, 200, wire::encode_orders(term_, orders));
+}
+
+void Core::take_report(int m, const WorkerReport &r, std::vector<TaskOrder> &orders) {
+  Machine &n = machine(m);
+  std::vector<char> in_report(n.slots.size(), 0);
+  std::vector<const TaskReport *> unknown;
+  std::vector<std::pair<std::size_t, const TaskReport *>> exits;
+  for (const auto &t : r.tasks) {
+    bool found = false;
+    for (std::size_t s = 0; s < in_report.size() && !found; ++s) {
+      Slot &slot = n.slots[s];
+      if (slot.index != t.index || slot.attempt != t.attempt || slot.job_id != t.job) continue;
+      found = true;
+      in_report[s] = 1;
+      slot.seen = slot.sent = true;
+      slot.phase = t.phase;
+      if (t.phase == TaskPhase::Running && slot.running_since < 0) slot.running_since = now();
+      if (t.phase == TaskPhase::Exited) exits.emplace_back(s, &t);
+    }
+    if (!found) unknown.push_back(&t);
+  }
+  for (auto [s, t] : exits) {
+    Slot &slot = n.slots[s];
+    if (slot.finished) {
+      if (slot.recorded || slot.job < 0)
+        orders.push_back({TaskOrder::Verb::Forget, slot.job_id, slot.index, slot.attempt, 0});
+      continue;
+    }
+    task_exited(m, slot, *t);
+    if (!slot.finished) {
+      orders.push_back({TaskOrder::Verb::Forget, slot.job_id, slot.index, slot.attempt, 0});
+      in_report[s] = 2; // gone
+    }
+  }
+  // Proof of absence: the report is newer than every response that could have carried the start.
+  for (std::size_t s = in_report.size(); s-- > 0;) {
+    Slot &slot = n.slots[s];
+    if (in_report[s] == 1) continue;
+    if (in_report[s] == 2) {
+      int j = slot.job;
+      drop_slot(m, s, true);
+      if (j >= 0) tend_gang(j);
+    } else if (slot.seen || slot.stop) {
+      int j = slot.job;
+      drop_slot(m, s, true);
+      if (j >= 0) tend_gang(j);
+    }
+    // else: not there yet; the start is (re)sent below
+  }
+  for (const auto *t : unknown) {
+    auto it = job_index_.find(t->job);
+    Job *j = it != job_index_.end() ? &job(it->second) : nullptr;
+    bool adopt = false;
+    if (j && t->index < j->spec.tasks) {
+      TaskState state = j->tasks[t->index].state;
+      adopt = state == TaskState::Unaccounted || state == TaskState::Pending;
+      if (adopt && j->spec.shape == Shape::Gang) {
+        if (j->gang_attempt < t->attempt) j->gang_attempt = t->attempt;
+        else if (j->gang_attempt > t->attempt) adopt = t->phase == TaskPhase::Exited;
+      }
+    }
+    if (!adopt) { // ended, or a duplicate: it has to go
+      if (t->phase == TaskPhase::Exited) {
+        orders.push_back({TaskOrder::Verb::Forget, t->job, t->index, t->attempt, 0});
+      } else {
+        orders.push_back({TaskOrder::Verb::Stop, t->job, t->index, t->attempt, 0});
+        Slot slot;
+        slot.job_id = t->job;
+        slot.index = t->index;
+        slot.attempt = t->attempt;
+        slot.phase = t->phase;
+        slot.durable = slot.sent = slot.seen = slot.stop = true;
+        slot.placed_at = now();
+        if (j) slot.need = j->spec.need;
+        n.used.add(slot.need);
+        n.slots.push_back(std::move(slot));
+      }
+      continue;
+    }
+    Slot slot;
+    slot.job = it->second;
+    slot.job_id = t->job;
+    slot.index = t->index;
+    slot.attempt = t->attempt;
+    slot.phase = t->phase;
+    slot.durable = slot.sent = slot.seen = true;
+    slot.need = j->spec.need;
+    slot.placed_at = now();
+    if (t->phase == TaskPhase::Running) slot.running_since = now();
+    j->tasks[t->index].started = true;
+    set_task(it->second, t->index, TaskState::Placed, m);
+    n.used.add(slot.need);
+    touch_image(n, j->image, j->spec.image_gb);
+    n.slots.push_back(std::move(slot));
+    std::size_t s = n.slots.size() - 1;
+    if (t->phase == TaskPhase::Exited) {
+      task_exited(m, n.slots[s], *t);
+      if (!n.slots[s].finished) {
+        orders.push_back({TaskOrder::Verb::Forget, t->job, t->index, t->attempt, 0});
+        drop_slot(m, s, true);
+      }
+    } else if (j->cancelled) {
+      stop_slot(m, n.slots[s], 0);
+    }
+  }
+  std::size_t starts = 0;
+  for (auto &slot : n.slots) {
+    if (slot.finished) continue;
+    if (slot.stop) {
+      if (slot.seen && slot.phase != TaskPhase::Exited)
+        orders.push_back({TaskOrder::Verb::Stop, slot.job_id, slot.index, slot.attempt, slot.grace_s});
+    } else if (!slot.seen && slot.durable && slot.job >= 0 && !n.returning && starts < kMaxStartsPerReply) {
+      slot.sent = true;
+      ++starts;
+      orders.push_back({TaskOrder::Verb::Start, slot.job_id, slot.index, slot.attempt, 0});
+    }
+  }
+}
+
+void Core::task_exited(int m, Slot &slot, const TaskReport &t) {
+  Machine &n = machine(m);
+  if (slot.job < 0) return;
+  int j = slot.job;
+  Job &k = job(j);
+  if (t.cause == ExitCause::Done && k.spec.shape != Shape::Service) {
+    slot.finished = true;
+    n.used.add(slot.need, -1);
+    set_task(j, slot.index, TaskState::Done);
+    ++n.successes;
+    n.errors = 0;
+    k.errors = 0;
+    mark_dirty(j, finishable(k));
+    round_wanted_ = true;
+    return;
+  }
+  if (t.cause == ExitCause::Error) {
+    ++n.errors;
+    ++k.errors;
+    if (std::find(n.error_jobs.begin(), n.error_jobs.end(), slot.job_id) == n.error_jobs.end())
+      n.error_jobs.push_back(slot.job_id);
+    if (std::find(k.bad_machines.begin(), k.bad_machines.end(), m) == k.bad_machines.end()) k.bad_machines.push_back(m);
+    k.reason = fmt::format("a task failed on machine {}; started again elsewhere", n.name);
+    // One job failing proves nothing about the machine, and one machine nothing about the job.
+    bool elsewhere = k.done > 0;
+    if (n.error_jobs.size() >= 2 || (n.errors >= 3 && n.successes == 0 && elsewhere)) {
+      if (!n.returning) log(LogLevel::Info, fmt::format("machine {} fails tasks of several jobs; given back", n.name));
+      n.returning = true;
+    }
+    if (k.bad_machines.size() >= 3) {
+      k.retry_at = now() + std::min(60.0, 5.0 * k.errors);
+      k.reason = fmt::format("held off: its tasks fail on {} machines", k.bad_machines.size());
+    }
+  }
+  round_wanted_ = true;
+}
+
+void Core::drop_slot(int m, std::size_t s, bool to_pending) {
+  Machine &n = machine(m);
+  Slot slot = std::move(n.slots[s]);
+  n.slots.erase(n.slots.begin() + static_cast<long>(s));
+  if (slot.finished) return;
+  n.used.add(slot.need, -1);
+  if (slot.job < 0 || !to_pending) return;
+  Job &k = job(slot.job);
+  if (k.tasks[slot.index].state == TaskState::Placed && k.tasks[slot.index].machine == m)
+    set_task(slot.job, slot.index, TaskState::Pending);
+  if (finishable(k)) mark_dirty(slot.job, true);
+}
+
+void Core::stop_slot(int, Slot &slot, double grace) {
+  if (slot.finished) return;
+  if (!slot.stop || grace < slot.grace_s) slot.grace_s = grace;
+  slot.stop = true;
+}
+
+void Core::lose_machine(int m, std::string_view why) {
+  Machine &n = machine(m);
+  if (n.lost) return;
+  n.lost = true;
+  if (!n.slots.empty())
+    log(LogLevel::Info, fmt::format("machine {} lost ({}), {} tasks on it", n.name, why, n.slots.size()));
+  std::vector<int> touched;
+  while (!n.slots.empty()) {
+    if (n.slots.back().job >= 0) {
+      touched.push_back(n.slots.back().job);
+      job(touched.back()).reason = fmt::format("a task's machine was lost ({}); started again", why);
+    }
+    drop_slot(m, n.slots.size() - 1, true);
+  }
+  for (int j : touched)
+    if (jobs_[static_cast<std::size_t>(j)]) tend_gang(j);
+}
+
+void Core::remove_machine(int m) {
+  lose_machine(m, "given back");
+  gone_[machine(m).name] = now();
+  machine_index_.erase(machine(m).name);
+  for (auto &j : jobs_)
+    if (j) std::erase(j->bad_machines, m);
+  machines_[static_cast<std::size_t>(m)].reset();
+}
+
+void Core::tick_fleet() {
+  for (int m = 0; m < static_cast<int>(machines_.size()); ++m) {
+    if (!machines_[static_cast<std::size_t>(m)]) continue;
+    Machine &n = machine(m);
+    // The last 200 that could reach it is ours: earlier leaders' were over before our term began.
+    if (n.heard && !n.lost && now() > n.last_answer + settings_.lease_s * (1 + kDrift) + 0.5)
+      lose_machine(m, "silent for longer than its lease");
+    if (n.taken_at && n.heard && !n.lost) { // drained: tasks that can save do so in time
+      double left = *n.taken_at - now();
+      for (auto &s : n.slots)
+        if (s.job >= 0 && !s.stop && !s.finished && job(s.job).spec.checkpoint_s > 0 &&
+            left < job(s.job).spec.save_s + 2 * settings_.report_s + 1)
+          stop_slot(m, s, job(s.job).spec.save_s + 1);
+    }
+  }
+}
+
+void Core::touch_image(Machine &m, int image, double gb) {
+  if (image < 0) return;
+  m.images.remove(image);
+  m.images.push_front(image);
+  (void)gb;
+  if (m.images.size() > 6) m.images.pop_back();
+}
+
+std::vector<PlaceMachine> Core::snapshot(std::vector<int> &index) const {
+  std::vector<PlaceMachine> out;
+  for (std::size_t i = 0; i < machines_.size(); ++i) {
+    const auto &p = machines_[i];
+    if (!p || !p->heard || p->lost || p->returning || p->taken_at || p->type < 0) continue;
+    // Silent for a while: probably dead, hanging or cut off.
+    if (now() - p->last_answer > 2.5 * settings_.report_s + 1) continue;
+    PlaceMachine pm;
+    pm.size = p->size;
+    pm.free = p->size;
+    pm.free.add(p->used, -1);
+    pm.type = p->type;
+    pm.zone = p->zone;
+    pm.spot = p->spot;
+    const auto &type = types_[static_cast<std::size_t>(p->type)];
+    pm.hourly = p->spot ? type.spot_price : type.price;
+    pm.speed_gb_s = type.fetch_gb_per_s;
+    pm.images.assign(p->images.begin(), p->images.end());
+    auto kept = kept_types_.find(p->type);
+    pm.kept = !p->spot && kept != kept_types_.end() && now() - kept->second < 600;
+    out.push_back(std::move(pm));
+    index.push_back(static_cast<int>(i));
+  }
+  return out;
+}
+
+PlaceJob Core::place_job(int j, const std::unordered_map<int, int> &position) const {
+  const Job &n = *jobs_[static_cast<std::size_t>(j)];
+  PlaceJob p;
+  p.need = n.spec.need;
+  p.types.assign(types_.size(), 1);
+  if (n.spec.types)
+    for (std::size_t t = 0; t < types_.size(); ++t)
+      p.types[t] = std::find(n.spec.types->begin(), n.spec.types->end(), types_[t].name) != n.spec.types->end();
+  if (n.spec.zone) {
+    int z = zone_names_.find(*n.spec.zone);
+    p.zone = z >= 0 ? z : 1'000'000;
+  }
+  p.spot = n.spec.spot;
+  p.gang = n.spec.shape == Shape::Gang;
+  p.one_zone = n.spec.one_zone;
+  p.zone_used = n.zone_used;
+  if (n.spec.spread) p.zone_cap = static_cast<int>((n.spec.tasks + 1) / 2);
+  for (int m : n.bad_machines)
+    if (auto it = position.find(m); it != position.end()) p.barred.push_back(it->second);
+  p.ready = n.spec.tasks - n.done - n.placed - n.unaccounted;
+  bool held = n.cancelled || n.ending || now() < n.retry_at;
+  // Where unaccounted tasks are is not known, so neither are their zones.
+  if ((n.spec.one_zone || n.spec.spread) && n.unaccounted) held = true;
+  if (p.gang) {
+    if (n.unaccounted) held = true;
+    if (n.placed && n.gang_closed) held = true; // the old attempt has to be gone first
+  }
+  p.limit = held ? 0 : p.ready;
+  p.urgency = n.spec.urgency;
+  p.wait_s = std::max(0.0, now_.wall - n.submit_wall);
+  p.image = n.image;
+  p.image_gb = n.spec.image_gb;
+  p.small = n.spec.urgency == Urgency::Low && n.spec.spot;
+  p.team = std::max(0, n.team);
+  return p;
+}
+
+void Core::round() {
+  next_round_ = now() + kRound;
+  round_wanted_ = false;
+  if (!active()) return;
+  std::vector<int> index;
+  auto machines = snapshot(index);
+  std::unordered_map<int, int> position;
+  for (std::size_t i = 0; i < index.size(); ++i) position[index[i]] = static_cast<int>(i);
+  std::vector<Resources> room;
+  std::vector<Resources> wanted(settings_.teams.size());
+  for (const auto &t : settings_.teams)
+    room.push_back({t.cpus_max > 0 ? t.cpus_max : -1, t.gpus_max > 0 ? t.gpus_max : -1, -1});
+  std::vector<int> order;
+  for (int j = 0; j < static_cast<int>(jobs_.size()); ++j) {
+    if (!jobs_[static_cast<std::size_t>(j)]) continue;
+    const Job &n = job(j);
+    if (n.team < 0) continue;
+    auto team = static_cast<std::size_t>(n.team);
+    // Everything that may be on a machine counts against the limit, unaccounted tasks included.
+    double on = n.placed + n.unaccounted;
+    if (room[team].cpus >= 0) room[team].cpus = std::max(0.0, room[team].cpus - on * n.spec.need.cpus);
+    if (room[team].gpus >= 0) room[team].gpus = std::max(0.0, room[team].gpus - on * n.spec.need.gpus);
+    if (n.done + n.placed + n.unaccounted < n.spec.tasks && !n.cancelled) order.push_back(j);
+  }
+  // Oldest first, so that a team's guarantee covers its earliest unfinished jobs.
+  std::sort(order.begin(), order.end(), [this](int a, int b) { return job(a).submit_wall < job(b).submit_wall; });
+  std::vector<PlaceJob> jobs;
+  for (int j : order) {
+    jobs.push_back(place_job(j, position));
+    const Team &t = settings_.teams[static_cast<std::size_t>(job(j).team)];
+    auto &w = wanted[static_cast<std::size_t>(job(j).team)];
+    w.add(job(j).spec.need, job(j).spec.tasks - job(j).done);
+    jobs.back().guaranteed = (t.cpus > 0 || t.gpus > 0) && w.cpus <= t.cpus + 1e-6 && w.gpus <= t.gpus + 1e-6;
+  }
+  auto plan = place_round(machines, jobs, room, {});
+  std::vector<std::uint32_t> cursor(jobs.size(), 0);
+  std::vector<std::uint32_t> placed(jobs.size(), 0);
+  for (const auto &a : plan) {
+    auto p = static_cast<std::size_t>(a.job);
+    int j = order[p];
+    int m = index[static_cast<std::size_t>(a.machine)];
+    Job &n = job(j);
+    auto &i = cursor[p];
+    while (i < n.spec.tasks && n.tasks[i].state != TaskState::Pending) ++i;
+    if (i >= n.spec.tasks) continue;
+    Slot slot;
+    slot.job = j;
+    slot.job_id = n.spec.id;
+    slot.index = i;
+    if (n.spec.shape == Shape::Gang) {
+      if (n.placed == 0) {
+        n.gang_attempt = std::max(n.gang_attempt + 1, (term_ << 20) + ++attempt_counter_);
+        n.gang_closed = false;
+      }
+      slot.attempt = n.gang_attempt;
+    } else {
+      slot.attempt = (term_ << 20) + ++attempt_counter_;
+    }
+    slot.need = n.spec.need;
+    slot.placed_at = now();
+    slot.durable = n.tasks[i].recorded;
+    n.tasks[i].started = true;
+    set_task(j, i, TaskState::Placed, m);
+    machine(m).used.add(slot.need);
+    machine(m).idle_since = -1;
+    touch_image(machine(m), n.image, n.spec.image_gb);
+    if (!slot.durable) mark_dirty(j, true);
+    machine(m).slots.push_back(std::move(slot));
+    ++placed[p];
+  }
+  round_wanted_ = false;
+  std::vector<int> starved;
+  for (std::size_t p = 0; p < jobs.size(); ++p)
+    if (jobs[p].limit > 0 && placed[p] == 0) starved.push_back(order[p]);
+  if (!starved.empty()) preempt(starved);
+}
+
+// A job that fits nowhere may take the place of work of lower priority: on the machine where the
+// least work is lost.
+void Core::preempt(const std::vector<int> &starved) {
+  std::vector<int> index;
+  auto machines = snapshot(index);
+  std::unordered_map<int, int> position;
+  for (std::size_t i = 0; i < index.size(); ++i) position[index[i]] = static_cast<int>(i);
+  std::vector<char> taken(machines.size(), 0);
+  for (std::size_t i = 0; i < index.size(); ++i)
+    for (const auto &s : machine(index[i]).slots)
+      if (s.stop && !s.finished) taken[i] = 1; // room is being made there already
+  for (int j : starved) {
+    Job &n = job(j);
+    if (n.spec.urgency == Urgency::Low || n.spec.tasks - n.done > 1) continue;
+    PlaceJob p = place_job(j, position);
+    int best = -1;
+    double best_loss = 1e18;
+    for (std::size_t i = 0; i < machines.size(); ++i) {
+      if (!allowed(p, machines[i], static_cast<int>(i)) || !p.need.fits(machines[i].size)) continue;
+      Resources free = machines[i].free;
+      double loss = 0;
+      bool waiting = false;
+      for (const auto &s : machine(index[i]).slots) {
+        if (s.finished) continue;
+        if (s.stop) {
+          waiting = true;
+          free.add(s.need);
+        } else if (s.job >= 0 && job(s.job).spec.urgency < n.spec.urgency && job(s.job).spec.shape == Shape::Array) {
+          free.add(s.need);
+          loss += s.running_since >= 0 ? (now() - s.running_since) * s.need.cpus : 0.1;
+        }
+      }
+      if (!p.need.fits(free)) continue;
+      if (taken[i] && waiting) { // one machine is being emptied: that is enough
+        best = -2;
+        break;
+      }
+      if (loss < best_loss) {
+        best_loss = loss;
+        best = static_cast<int>(i);
+      }
+    }
+    if (best < 0) continue;
+    taken[static_cast<std::size_t>(best)] = 1;
+    int m = index[static_cast<std::size_t>(best)];
+    log(LogLevel::Info, fmt::format("job {} takes machine {} from work of lower priority", n.spec.id, machine(m).name));
+    for (std::size_t s = machine(m).slots.size(); s-- > 0;) {
+      Slot &slot = machine(m).slots[s];
+      if (slot.job < 0 || slot.finished || job(slot.job).spec.urgency >= n.spec.urgency) continue;
+      job(slot.job).reason = fmt::format("a task was stopped to make room for job {} of higher priority", n.spec.id);
+      if (!slot.sent && !slot.seen) drop_slot(m, s, true);
+      else stop_slot(m, slot, job(slot.job).spec.checkpoint_s > 0 ? job(slot.job).spec.save_s + 1 : 0);
+    }
+  }
+}
+
+} // namespace loft::core
--- /dev/null
+++ b/src/core/term.cpp
@@ -0,0 +1,193 @@
+// Who leads. The leader key hangs on a lease of the state service; the revision of the commit that
+// set it is both the term and the workers' token. See docs/safety.md.
+#include "loftrouter/core/core.hpp"
+
+#include <fmt/format.h>
+
+namespace loft::core {
+
+namespace {
+constexpr double kTtl = 4.0;
+constexpr double kRenewEvery = 1.0;
+constexpr double kPollEvery = 0.4;
+constexpr double kDrift = 0.002; // twice the protocol's bound on two clocks, doubled again
+const char *const kLeaderKey = "leader";
+} // namespace
+
+void Core::tick_term() {
+  if (role_ == Role::Follower) {
+    if (now() >= next_poll_ && !polling_) poll_leader();
+    return;
+  }
+  if (role_ != Role::Acquiring && now() >= next_renew_ && !renewing_) renew();
+  if (role_ == Role::Leading && !following_) follow_open();
+  if (role_ == Role::Loading && !lease_valid()) step_down("lease ran out while loading");
+  // A leader whose lease ran out by its own clock only pauses: it answers nothing and starts
+  // nothing, and goes on if the state service still knows the lease (after an outage it does).
+}
+
+void Core::poll_leader() {
+  next_poll_ = now() + kPollEvery * (0.8 + 0.4 * random());
+  polling_ = true;
+  store(StoreGet{kLeaderKey}, 1.0, [this](const wire::StoreReply &r) {
+    polling_ = false;
+    if (role_ != Role::Follower) return;
+    if (r.status == 200 && r.entries.size() == 1) {
+      if (auto rec = wire::leader_from_json(r.entries[0].value)) {
+        leader_name_ = rec->node == settings_.node ? "" : rec->node;
+        leader_term_ = r.entries[0].stamp;
+        highest_term_ = std::max(highest_term_, leader_term_);
+        leader_seen_ = now();
+      }
+    } else if (r.status == 404) {
+      leader_name_.clear();
+      if (now() >= acquire_after_ && types_known_) acquire();
+    }
+  });
+}
+
+void Core::acquire() {
+  role_ = Role::Acquiring;
+  auto guard = ++epoch_guard_;
+  double sent = now();
+  auto back = [this, guard](std::uint64_t lease) {
+    if (guard != epoch_guard_) return;
+    if (lease) store(StoreLeaseDrop{lease}, 2.0, [](const wire::StoreReply &) {});
+    role_ = Role::Follower;
+    ++epoch_guard_;
+    acquire_after_ = now() + 0.2 * random();
+    next_poll_ = now() + 0.05;
+  };
+  store(StoreLeaseNew{kTtl}, 1.0, [this, guard, sent, back](const wire::StoreReply &r) {
+    if (guard != epoch_guard_) return;
+    if (r.status != 200 || !r.lease) return back(0);
+    auto lease = r.lease;
+    nonce_ = static_cast<std::uint64_t>(random() * 9e15);
+    store(StoreCommit{{{kLeaderKey, 0}},
+                      {{kLeaderKey, wire::to_json(LeaderRecord{settings_.node, nonce_}), lease}}},
+          1.0, [this, guard, lease, sent, back](const wire::StoreReply &c) {
+            if (guard != epoch_guard_) return;
+            // An unknown outcome is given up with its lease: a commit that arrives later finds no lease.
+            if (c.status != 200) return back(lease);
+            role_ = Role::Loading;
+            ++epoch_guard_;
+            term_ = c.revision;
+            lease_ = lease;
+            highest_term_ = std::max(highest_term_, term_);
+            lease_valid_until_ = sent + kTtl * (1 - kDrift) - 0.02;
+            next_renew_ = now();
+            // By now the last leader's lease has run out by its own clock too, so its last answer
+            // lies behind us, and every worker it kept alive is heard or dead by this time.
+            unaccounted_until_ = now() + settings_.lease_s * (1 + kDrift) + 0.7;
+            log(LogLevel::Info, fmt::format("elected: term {}", term_));
+            loaded_progress_.clear();
+            loaded_stamps_.clear();
+            follow_from_ = 0;
+            load_progress("");
+          });
+  });
+}
+
+void Core::renew() {
+  renewing_ = true;
+  double sent = now();
+  next_renew_ = now() + kRenewEvery;
+  store(StoreLeaseTouch{lease_}, 1.0, [this, sent, guard = epoch_guard_](const wire::StoreReply &r) {
+    renewing_ = false;
+    if (guard != epoch_guard_ || role_ == Role::Follower) return;
+    if (r.status == 200) lease_valid_until_ = std::max(lease_valid_until_, sent + kTtl * (1 - kDrift) - 0.02);
+    else if (r.status == 404) step_down("lease is gone");
+    else next_renew_ = now() + 0.3;
+  });
+}
+
+void Core::step_down(std::string_view why) {
+  if (role_ == Role::Follower) return;
+  log(LogLevel::Info, fmt::format("no longer leading (term {}): {}", term_, why));
+  role_ = Role::Follower;
+  ++epoch_guard_;
+  lease_valid_until_ = -1e9;
+  if (lease_) store(StoreLeaseDrop{lease_}, 2.0, [](const wire::StoreReply &) {});
+  lease_ = 0;
+  renewing_ = following_ = flushing_ = relisting_ = false;
+  leader_name_.clear();
+  next_poll_ = now();
+  acquire_after_ = now() + 0.5;
+  jobs_.clear();
+  free_jobs_.clear();
+  job_index_.clear();
+  dirty_.clear();
+  machines_.clear();
+  machine_index_.clear();
+  listing_ = returning_ = false;
+  listed_once_at_ = -1;
+  rents_open_.clear();
+}
+
+// Progress is read before the open jobs: a job that ends in between is then simply not found open.
+void Core::load_progress(std::string from) {
+  store(StoreList{"progress/", from}, 2.0, [this, from, guard = epoch_guard_](const wire::StoreReply &r) {
+    if (guard != epoch_guard_) return;
+    if (r.status != 200) return load_progress(from);
+    for (const auto &e : r.entries)
+      if (auto p = wire::progress_from_json(e.value)) {
+        loaded_progress_[e.key.substr(9)] = std::move(*p);
+        loaded_stamps_[e.key.substr(9)] = e.stamp;
+      }
+    if (r.more && !r.entries.empty()) return load_progress(r.entries.back().key);
+    load_open("");
+  });
+}
+
+void Core::load_open(std::string from) {
+  store(StoreList{"open/", from}, 2.0, [this, from, guard = epoch_guard_](const wire::StoreReply &r) {
+    if (guard != epoch_guard_) return;
+    if (r.status != 200) return load_open(from);
+    if (from.empty()) follow_from_ = r.revision;
+    for (const auto &e : r.entries) update_open(e.key, e.value, e.stamp);
+    if (r.more && !r.entries.empty()) return load_open(r.entries.back().key);
+    if (relisting_) {
+      relisting_ = false;
+      return;
+    }
+    start_leading();
+  });
+}
+
+void Core::start_leading() {
+  role_ = Role::Leading;
+  loaded_progress_.clear();
+  loaded_stamps_.clear();
+  next_round_ = now() + 0.5;
+  next_list_ = now();
+  next_scale_ = now() + 1.0;
+  listed_once_at_ = -1;
+  gone_.clear();
+  leader_name_ = settings_.node;
+  std::uint32_t suspects = 0;
+  for (const auto &j : jobs_)
+    if (j) suspects += j->unaccounted;
+  log(LogLevel::Info, fmt::format("leading: term {}, {} open jobs, {} tasks unaccounted for", term_,
+                                  job_index_.size(), suspects));
+  follow_open();
+}
+
+void Core::follow_open() {
+  if (following_ || relisting_) return;
+  following_ = true;
+  store(StoreFollow{"open/", follow_from_, 10.0}, 14.0, [this, guard = epoch_guard_](const wire::StoreReply &r) {
+    if (guard != epoch_guard_) return;
+    following_ = false;
+    if (r.status == 410) {
+      relisting_ = true;
+      return load_open("");
+    }
+    if (r.status != 200) return; // tried again with the next tick
+    for (const auto &e : r.events)
+      if (e.value) update_open(e.key, *e.value, e.stamp);
+    follow_from_ = std::max(follow_from_, r.revision);
+    follow_open();
+  });
+}
+
+} // namespace loft::core
--- /dev/null
+++ b/src/core/users.cpp
@@ -0,0 +1,170 @@
+// What users ask for. Any node answers: submissions and cancellations go straight to the state
+// service, and an answer about a job comes from a read made after the question arrived.
+#include "loftrouter/core/core.hpp"
+
+#include <algorithm>
+
+#include <fmt/format.h>
+
+namespace loft::core {
+
+namespace {
+constexpr double kUserDeadline = 1.4; // a poll waits 2 s, a submission 5 s
+constexpr int kMaxUserOps = 256;
+constexpr std::size_t kMaxEnds = 4000;
+} // namespace
+
+Core::Verdict Core::judge(const JobSpec &spec, std::string &why) const {
+  int team = team_names_.find(spec.team);
+  if (team < 0) {
+    why = fmt::format("unknown team {}", spec.team);
+    return Verdict::Never;
+  }
+  const Team &t = settings_.teams[static_cast<std::size_t>(team)];
+  double times = spec.shape == Shape::Array ? 1 : spec.tasks;
+  constexpr double eps = 1e-6;
+  if ((t.cpus_max > 0 && spec.need.cpus * times > t.cpus_max + eps) ||
+      (t.gpus_max > 0 && spec.need.gpus * times > t.gpus_max + eps)) {
+    why = fmt::format("needs more than the limit of team {}", spec.team);
+    return Verdict::Never;
+  }
+  if (!types_known_) return Verdict::Unknown;
+  for (const auto &type : types_) {
+    if (spec.types && std::find(spec.types->begin(), spec.types->end(), type.name) == spec.types->end())
+      continue;
+    if (spec.zone && std::find(type.zones.begin(), type.zones.end(), *spec.zone) == type.zones.end())
+      continue;
+    if (spec.need.fits(type.size)) return Verdict::Ok;
+  }
+  why = "a task fits no machine type that the job allows";
+  return Verdict::Never;
+}
+
+void Core::on(CmdSubmit &&cmd) {
+  if (auto it = ends_.find(cmd.spec.id); it != ends_.end())
+    return answer_end(cmd.req, cmd.spec.id, it->second, true);
+  std::string why;
+  switch (judge(cmd.spec, why)) {
+  case Verdict::Never: return reply(cmd.req, 422, wire::encode_error(why));
+  case Verdict::Unknown: return refuse(cmd.req, "machine types are not known yet");
+  case Verdict::Ok: break;
+  }
+  OpenRecord record{cmd.spec, now_.wall, false};
+  auto value = wire::to_json(record);
+  if (static_cast<double>(value.dump().size()) > settings_.state_value_kb * 1024 - 64)
+    return reply(cmd.req, 422, wire::encode_error("the job's description is too long to be kept"));
+  if (user_ops_ >= kMaxUserOps || !user_writes_.take(now()))
+    return refuse(cmd.req, "too many submissions at once");
+  ++user_ops_;
+  std::string id = cmd.spec.id;
+  store(StoreCommit{{{"open/" + id, 0}, {"end/" + id, 0}}, {{"open/" + id, std::move(value), 0}}},
+        kUserDeadline, [this, req = cmd.req, id](const wire::StoreReply &r) {
+          --user_ops_;
+          if (r.status == 200) return reply(req, 201, wire::encode_accepted(id, JobState::Queued));
+          if (r.status == 409) return answer_state(req, id, true);
+          refuse(req, "the state service did not confirm the submission");
+        });
+}
+
+void Core::on(CmdLookup &&cmd) {
+  if (!wire::valid_job_id(cmd.id)) return reply(cmd.req, 404, wire::encode_error("no such job"));
+  answer_state(cmd.req, cmd.id, false);
+}
+
+void Core::answer_state(RequestId req, const std::string &id, bool as_submit) {
+  if (auto it = ends_.find(id); it != ends_.end()) return answer_end(req, id, it->second, as_submit);
+  if (user_ops_ >= kMaxUserOps || !user_reads_.take(now(), 2)) return refuse(req, "too many questions at once");
+  ++user_ops_;
+  store(StoreGet{"open/" + id}, kUserDeadline / 2, [this, req, id, as_submit](const wire::StoreReply &r) {
+    --user_ops_;
+    if (r.status == 404) return read_end(req, id, as_submit, false);
+    auto open = r.status == 200 && r.entries.size() == 1 ? wire::open_from_json(r.entries[0].value)
+                                                         : std::nullopt;
+    if (!open) return refuse(req, "the state service did not answer");
+    JobView view{id, JobState::Queued, 0, 0, {}};
+    if (open->cancelled) view.state = JobState::Cancelled;
+    auto mine = job_index_.find(id);
+    if (role_ == Role::Leading && mine != job_index_.end()) {
+      Job &j = job(mine->second);
+      view.done = j.done;
+      view.running = j.unaccounted;
+      for (const auto &m : machines_)
+        if (m)
+          for (const auto &slot : m->slots)
+            view.running += slot.job == mine->second && slot.phase == TaskPhase::Running;
+      view.reason = j.reason;
+      if (!open->cancelled && view.running) view.state = JobState::Running;
+    }
+    if (as_submit) return reply(req, 200, wire::encode_accepted(id, view.state));
+    if (role_ == Role::Leading || open->cancelled) return reply(req, 200, wire::encode_job_view(view));
+    ++user_ops_;
+    store(StoreGet{"progress/" + id}, kUserDeadline / 2, [this, req, view](const wire::StoreReply &p) {
+      --user_ops_;
+      auto v = view;
+      if (p.status == 200 && p.entries.size() == 1)
+        if (auto progress = wire::progress_from_json(p.entries[0].value)) {
+          std::uint32_t started = 0;
+          for (auto [a, b] : progress->started) started += b - a;
+          for (auto [a, b] : progress->finished) v.done += b - a;
+          v.running = started > v.done ? started - v.done : 0;
+          if (v.running) v.state = JobState::Running;
+        }
+      reply(req, 200, wire::encode_job_view(v));
+    });
+  });
+}
+
+void Core::read_end(RequestId req, const std::string &id, bool as_submit, bool as_abort) {
+  ++user_ops_;
+  store(StoreGet{"end/" + id}, kUserDeadline / 2, [this, req, id, as_submit, as_abort](const wire::StoreReply &r) {
+    --user_ops_;
+    if (r.status == 404 && !as_submit) return reply(req, 404, wire::encode_error("no such job"));
+    auto end = r.status == 200 && r.entries.size() == 1 ? wire::end_from_json(r.entries[0].value)
+                                                        : std::nullopt;
+    if (!end) return refuse(req, "the state service did not answer");
+    remember_end(id, *end);
+    answer_end(req, id, *end, as_submit || as_abort);
+  });
+}
+
+void Core::answer_end(RequestId req, const std::string &id, const EndRecord &end, bool brief) {
+  JobState state = end.cancelled ? JobState::Cancelled : JobState::Done;
+  if (brief) return reply(req, 200, wire::encode_accepted(id, state));
+  JobView view{id, state, end.cancelled ? 0 : end.tasks, 0, end.reason};
+  reply(req, 200, wire::encode_job_view(view));
+}
+
+void Core::remember_end(const std::string &id, EndRecord end) {
+  if (!ends_.emplace(id, std::move(end)).second) return;
+  ends_order_.push_back(id);
+  if (ends_order_.size() > kMaxEnds) {
+    ends_.erase(ends_order_.front());
+    ends_order_.pop_front();
+  }
+}
+
+void Core::on(CmdAbort &&cmd) {
+  const auto &id = cmd.id;
+  if (!wire::valid_job_id(id)) return reply(cmd.req, 404, wire::encode_error("no such job"));
+  if (auto it = ends_.find(id); it != ends_.end()) return answer_end(cmd.req, id, it->second, true);
+  if (user_ops_ >= kMaxUserOps || !user_writes_.take(now())) return refuse(cmd.req, "too many requests at once");
+  ++user_ops_;
+  store(StoreGet{"open/" + id}, kUserDeadline / 2, [this, req = cmd.req, id](const wire::StoreReply &r) {
+    --user_ops_;
+    if (r.status == 404) return read_end(req, id, false, true);
+    auto open = r.status == 200 && r.entries.size() == 1 ? wire::open_from_json(r.entries[0].value)
+                                                         : std::nullopt;
+    if (!open) return refuse(req, "the state service did not answer");
+    if (open->cancelled) return reply(req, 200, wire::encode_accepted(id, JobState::Cancelled));
+    open->cancelled = true;
+    ++user_ops_;
+    store(StoreCommit{{{"open/" + id, r.entries[0].stamp}}, {{"open/" + id, wire::to_json(*open), 0}}},
+          kUserDeadline, [this, req, id](const wire::StoreReply &c) {
+            --user_ops_;
+            if (c.status == 200) return reply(req, 200, wire::encode_accepted(id, JobState::Cancelled));
+            refuse(req, "the state service did not confirm the cancellation");
+          });
+  });
+}
+
+} // namespace loft::core
--- /dev/null
+++ b/src/net/client.cpp
@@ -0,0 +1,151 @@
+#include "loftrouter/net/client.hpp"
+
+#include <algorithm>
+#include <cerrno>
+
+#include <sys/socket.h>
+
+namespace loft::net {
+
+struct HttpClient::Conn {
+  Conn(HttpLimits limits) : parser(HttpParser::Kind::Response, limits) {}
+  Fd fd;
+  HttpParser parser;
+  std::unique_ptr<IoWatch> watch;
+  std::string out;
+  bool busy = false;
+  bool dead = false; // removed at the next sweep, never inside its own callback
+  double deadline = 0;
+  double idle_since = 0;
+  Callback done;
+};
+
+HttpClient::HttpClient(Loop &loop, Address address, Options options)
+    : loop_(loop), address_(std::move(address)), options_(options),
+      sweep_timer_(loop, [this] { sweep(); }) {
+  sweep_timer_.once(0.1);
+}
+
+HttpClient::~HttpClient() = default;
+
+void HttpClient::request(std::string_view method, std::string_view target, std::string_view body,
+                         double deadline_s, Callback done) {
+  if (queue_.size() >= options_.max_queued) {
+    done(0, {});
+    return;
+  }
+  queue_.push_back({format_request(method, target, address_.text, body), mono_now() + deadline_s,
+                    std::move(done)});
+  pump();
+}
+
+void HttpClient::pump() {
+  while (!queue_.empty()) {
+    Conn *free = nullptr;
+    std::size_t live = 0;
+    for (auto &c : conns_) {
+      if (c->dead) continue;
+      ++live;
+      if (!c->busy) free = c.get();
+    }
+    if (!free) {
+      if (live >= options_.max_connections) return;
+      auto conn = std::make_unique<Conn>(HttpLimits{8 * 1024, options_.max_response});
+      conn->fd = connect_to(address_);
+      if (!conn->fd) { // out of descriptors or refused at once
+        auto p = std::move(queue_.front());
+        queue_.pop_front();
+        p.done(0, {});
+        continue;
+      }
+      auto *raw = conn.get();
+      conn->watch = std::make_unique<IoWatch>(loop_, raw->fd.get(),
+                                              [this, raw](int events) { on_io(*raw, events); });
+      conns_.push_back(std::move(conn));
+      free = raw;
+    }
+    auto p = std::move(queue_.front());
+    queue_.pop_front();
+    start(*free, std::move(p));
+  }
+}
+
+void HttpClient::start(Conn &c, Pending p) {
+  c.busy = true;
+  c.out = std::move(p.wire);
+  c.deadline = p.deadline;
+  c.done = std::move(p.done);
+  c.watch->want(EV_READ | EV_WRITE);
+}
+
+void HttpClient::finish(Conn &c, int status, std::string body, bool reuse) {
+  auto done = std::move(c.done);
+  c.done = nullptr;
+  c.busy = false;
+  c.idle_since = mono_now();
+  if (reuse) {
+    c.watch->want(EV_READ); // to notice the far end closing
+  } else {
+    c.dead = true;
+    c.watch->want(0);
+    c.fd.reset();
+  }
+  if (done) done(status, std::move(body));
+}
+
+void HttpClient::on_io(Conn &c, int events) {
+  if (c.dead) return;
+  if ((events & EV_WRITE) && !c.out.empty()) {
+    ssize_t n = ::send(c.fd.get(), c.out.data(), c.out.size(), MSG_NOSIGNAL);
+    if (n < 0 && errno != EAGAIN && errno != EINTR) {
+      finish(c, 0, {}, false);
+      return pump();
+    }
+    if (n > 0) c.out.erase(0, static_cast<std::size_t>(n));
+    if (c.out.empty()) c.watch->want(EV_READ);
+  }
+  if (!(events & EV_READ)) return;
+  char buf[32768];
+  ssize_t n = ::recv(c.fd.get(), buf, sizeof buf, 0);
+  if (n < 0 && (errno == EAGAIN || errno == EINTR)) return;
+  if (n <= 0 || !c.busy) { // closed, or bytes nobody asked for
+    bool whole = c.busy && n == 0 && c.parser.finish_at_close();
+    if (whole) {
+      auto msg = c.parser.take();
+      finish(c, msg.status, std::move(msg.body), false);
+    } else {
+      finish(c, 0, {}, false);
+    }
+    return pump();
+  }
+  c.parser.feed({buf, static_cast<std::size_t>(n)});
+  auto state = c.parser.poll();
+  if (state == HttpParser::State::NeedMore) return;
+  if (state == HttpParser::State::Failed) {
+    finish(c, 0, {}, false);
+  } else {
+    auto msg = c.parser.take();
+    finish(c, msg.status, std::move(msg.body), msg.keep_alive && c.out.empty());
+  }
+  pump();
+}
+
+void HttpClient::sweep() {
+  double now = mono_now();
+  std::erase_if(conns_, [](auto &c) { return c->dead; });
+  for (std::size_t i = 0; i < conns_.size(); ++i) {
+    Conn &c = *conns_[i];
+    if (c.dead) continue;
+    if (c.busy && now > c.deadline) finish(c, 0, {}, false);
+    else if (!c.busy && now - c.idle_since > 30) finish(c, 0, {}, false);
+  }
+  while (!queue_.empty() && now > queue_.front().deadline) {
+    auto p = std::move(queue_.front());
+    queue_.pop_front();
+    p.done(0, {});
+  }
+  pump();
+  sweep_timer_.once(0.1);
+}
+
+} // namespace loft::net
--- /dev/null
+++ b/src/wire/messages.cpp
@@ -0,0 +1,503 @@
+#include "loftrouter/wire/messages.hpp"
+
+#include <algorithm>
+#include <charconv>
+#include <cmath>
+
+#include <fmt/format.h>
+
+namespace loft::wire {
+
+namespace {
+
+// The one table of names that this deployment's platform uses on the wire.
+namespace f {
+constexpr const char *id = "id", *job_class = "jobclass", *team = "crew", *shape = "shape",
+                     *urgency = "urgency", *tasks = "pieces", *cpus = "cores", *gpus = "cards",
+                     *memory = "ram_gb", *image = "bundle", *image_gb = "image_gb", *types = "hulls",
+                     *type = "hull", *zone = "yard", *zones = "yards", *one_zone = "one_zone",
+                     *spread = "apart", *spot = "standby", *estimate = "guess_s",
+                     *checkpoint = "bookmark_s", *save = "stash_s", *deadline = "due_s",
+                     *state = "status", *machine = "box", *machines = "boxes", *address = "address",
+                     *session = "shift", *seq = "tick", *token = "baton", *notice = "warning_s",
+                     *task = "piece", *attempt = "try", *cause = "cause", *saved = "stored",
+                     *orders = "orders", *verb = "verb", *grace = "leeway_s", *redirect = "answer_to",
+                     *revision = "epoch", *stamp = "stamp", *lease = "permit", *key = "k",
+                     *value = "v", *entries = "entries", *more = "truncated", *guards = "guards",
+                     *writes = "writes", *put = "set", *del = "drop", *failed = "failed",
+                     *events = "events", *ttl = "ttl_ms", *request = "hire", *count = "number",
+                     *name = "sku", *cache = "local_gb", *fetch = "pull_gb_per_s", *price = "rate",
+                     *spot_price = "spot_price", *boot = "startup_s", *age = "age_s";
+}
+
+constexpr const char *kShapes[] = {"array", "gang", "service"};
+constexpr const char *kUrgencies[] = {"low", "normal", "urgent", "production"};
+constexpr const char *kPhases[] = {"pulling", "gathering", "running", "saving", "exited"};
+constexpr const char *kCauses[] = {"", "done", "stopped", "mates_gone", "alone",
+                                   "error", "full", "busy", "no_such"};
+constexpr const char *kVerbs[] = {"start", "kill", "reap"};
+constexpr const char *kJobStates[] = {"queued", "running", "done", "aborted"};
+
+template <std::size_t N> std::optional<int> find_name(const char *const (&names)[N], const Json &j) {
+  if (!j.is_string()) return std::nullopt;
+  const auto &s = j.get_ref<const std::string &>();
+  for (std::size_t i = 0; i < N; ++i)
+    if (s == names[i]) return static_cast<int>(i);
+  return std::nullopt;
+}
+
+const Json kNull;
+
+const Json &at(const Json &j, const char *name) {
+  if (!j.is_object()) return kNull;
+  auto it = j.find(name);
+  return it == j.end() ? kNull : *it;
+}
+
+std::optional<std::string> text(const Json &j, std::size_t max = 200) {
+  if (!j.is_string()) return std::nullopt;
+  const auto &s = j.get_ref<const std::string &>();
+  if (s.empty() || s.size() > max) return std::nullopt;
+  return s;
+}
+
+std::optional<double> amount(const Json &j, double max = 1e9) {
+  if (!j.is_number()) return std::nullopt;
+  double v = j.get<double>();
+  if (!std::isfinite(v) || v < 0 || v > max) return std::nullopt;
+  return v;
+}
+
+std::optional<std::uint64_t> count(const Json &j) {
+  if (j.is_number_unsigned()) return j.get<std::uint64_t>();
+  if (j.is_number_integer() && j.get<std::int64_t>() >= 0)
+    return static_cast<std::uint64_t>(j.get<std::int64_t>());
+  return std::nullopt;
+}
+
+std::string task_name(std::string_view job, std::uint32_t index) {
+  return fmt::format("{}/{}", job, index);
+}
+
+bool split_task(const std::string &name, std::string &job, std::uint32_t &index) {
+  auto slash = name.rfind('/');
+  if (slash == std::string::npos) return false;
+  job = name.substr(0, slash);
+  auto [end, err] = std::from_chars(name.data() + slash + 1, name.data() + name.size(), index);
+  return err == std::errc() && end == name.data() + name.size() && valid_job_id(job);
+}
+
+Json ranges_json(const Ranges &r) {
+  Json out = Json::array();
+  for (auto [a, b] : r) {
+    out.push_back(a);
+    out.push_back(b);
+  }
+  return out;
+}
+
+std::optional<Ranges> ranges_from(const Json &j) {
+  if (!j.is_array() || j.size() % 2) return std::nullopt;
+  Ranges out;
+  for (std::size_t i = 0; i < j.size(); i += 2) {
+    auto a = count(j[i]), b = count(j[i + 1]);
+    if (!a || !b || *a >= *b || *b > 1'000'000) return std::nullopt;
+    out.emplace_back(*a, *b);
+  }
+  return out;
+}
+
+} // namespace
+
+bool valid_job_id(std::string_view id) {
+  if (id.size() < 3 || id.size() > 40 || id.substr(0, 2) != "j-") return false;
+  return std::all_of(id.begin() + 2, id.end(), [](char c) { return c >= '0' && c <= '9'; });
+}
+
+std::optional<JobSpec> job_from_json(const Json &j, std::string &problem) {
+  if (!j.is_object()) {
+    problem = "not a map";
+    return std::nullopt;
+  }
+  JobSpec s;
+  auto bad = [&](const char *field) {
+    problem = fmt::format("field {} is missing or invalid", field);
+    return std::nullopt;
+  };
+  auto id = text(at(j, f::id));
+  if (!id || !valid_job_id(*id)) return bad(f::id);
+  s.id = *id;
+  auto get_text = [&](const char *name, std::string &out) {
+    auto t = text(at(j, name));
+    if (t) out = *t;
+    return t.has_value();
+  };
+  if (!get_text(f::job_class, s.job_class)) return bad(f::job_class);
+  if (!get_text(f::team, s.team)) return bad(f::team);
+  if (!get_text(f::image, s.image)) return bad(f::image);
+  auto shape = find_name(kShapes, at(j, f::shape));
+  if (!shape) return bad(f::shape);
+  s.shape = static_cast<Shape>(*shape);
+  auto urgency = find_name(kUrgencies, at(j, f::urgency));
+  if (!urgency) return bad(f::urgency);
+  s.urgency = static_cast<Urgency>(*urgency);
+  auto tasks = count(at(j, f::tasks));
+  if (!tasks || *tasks < 1 || *tasks > 100'000) return bad(f::tasks);
+  s.tasks = static_cast<std::uint32_t>(*tasks);
+  struct Amount {
+    const char *name;
+    double *to;
+  };
+  for (auto [name, to] : {Amount{f::cpus, &s.need.cpus}, Amount{f::gpus, &s.need.gpus},
+                          Amount{f::memory, &s.need.memory}, Amount{f::image_gb, &s.image_gb},
+                          Amount{f::estimate, &s.estimate_s}, Amount{f::checkpoint, &s.checkpoint_s},
+                          Amount{f::save, &s.save_s}}) {
+    auto v = amount(at(j, name));
+    if (!v) return bad(name);
+    *to = *v;
+  }
+  struct Flag {
+    const char *name;
+    bool *to;
+  };
+  for (auto [name, to] : {Flag{f::one_zone, &s.one_zone}, Flag{f::spread, &s.spread},
+                          Flag{f::spot, &s.spot}}) {
+    const Json &v = at(j, name);
+    if (!v.is_boolean()) return bad(name);
+    *to = v.get<bool>();
+  }
+  if (const Json &v = at(j, f::types); !v.is_null()) {
+    if (!v.is_array() || v.size() > 100) return bad(f::types);
+    s.types.emplace();
+    for (const auto &t : v) {
+      auto name = text(t);
+      if (!name) return bad(f::types);
+      s.types->push_back(*name);
+    }
+  }
+  if (const Json &v = at(j, f::zone); !v.is_null()) {
+    auto t = text(v);
+    if (!t) return bad(f::zone);
+    s.zone = *t;
+  }
+  if (const Json &v = at(j, f::deadline); !v.is_null()) {
+    auto d = amount(v);
+    if (!d) return bad(f::deadline);
+    s.deadline_s = *d;
+  }
+  return s;
+}
+
+Json to_json(const JobSpec &s) {
+  Json j = {{f::id, s.id},
+            {f::job_class, s.job_class},
+            {f::team, s.team},
+            {f::shape, kShapes[static_cast<int>(s.shape)]},
+            {f::urgency, kUrgencies[static_cast<int>(s.urgency)]},
+            {f::tasks, s.tasks},
+            {f::cpus, s.need.cpus},
+            {f::gpus, s.need.gpus},
+            {f::memory, s.need.memory},
+            {f::image, s.image},
+            {f::image_gb, s.image_gb},
+            {f::one_zone, s.one_zone},
+            {f::spread, s.spread},
+            {f::spot, s.spot},
+            {f::estimate, s.estimate_s},
+            {f::checkpoint, s.checkpoint_s},
+            {f::save, s.save_s}};
+  if (s.types) j[f::types] = *s.types;
+  if (s.zone) j[f::zone] = *s.zone;
+  if (s.deadline_s) j[f::deadline] = *s.deadline_s;
+  return j;
+}
+
+std::variant<JobSpec, std::string> decode_job(std::string_view body) {
+  auto j = decode(body);
+  if (!j) return std::string("body is not CBOR");
+  std::string problem;
+  auto spec = job_from_json(*j, problem);
+  if (!spec) return problem;
+  return std::move(*spec);
+}
+
+std::string encode_job_view(const JobView &v) {
+  Json j = {{f::id, v.id},
+            {f::state, kJobStates[static_cast<int>(v.state)]},
+            {"done", v.done},
+            {"running", v.running}};
+  if (!v.reason.empty()) j["reason"] = v.reason;
+  return encode(j);
+}
+
+std::string encode_accepted(std::string_view id, JobState state) {
+  return encode({{f::id, id}, {f::state, kJobStates[static_cast<int>(state)]}});
+}
+
+std::string encode_error(std::string_view text) { return encode({{"error", text}}); }
+
+std::optional<WorkerReport> decode_report(std::string_view body) {
+  auto j = decode(body);
+  if (!j || !j->is_object()) return std::nullopt;
+  WorkerReport r;
+  auto machine = text(at(*j, f::machine)), address = text(at(*j, f::address));
+  auto type = text(at(*j, f::type)), zone = text(at(*j, f::zone));
+  auto session = count(at(*j, f::session)), seq = count(at(*j, f::seq));
+  auto token = count(at(*j, f::token));
+  const Json &spot = at(*j, f::spot);
+  if (!machine || !address || !type || !zone || !session || !seq || !token || !spot.is_boolean())
+    return std::nullopt;
+  r.machine = *machine;
+  r.address = *address;
+  r.type = *type;
+  r.zone = *zone;
+  r.session = *session;
+  r.seq = *seq;
+  r.token = *token;
+  r.spot = spot.get<bool>();
+  if (const Json &n = at(*j, f::notice); !n.is_null()) {
+    if (!n.is_number()) return std::nullopt;
+    r.notice_s = std::max(0.0, n.get<double>());
+  }
+  const Json &tasks = at(*j, f::tasks);
+  if (tasks.is_null()) return r;
+  if (!tasks.is_array()) return std::nullopt;
+  for (const auto &t : tasks) {
+    TaskReport tr;
+    auto name = text(at(t, f::task));
+    auto attempt = count(at(t, f::attempt));
+    auto phase = find_name(kPhases, at(t, f::state));
+    if (!name || !attempt || !phase || !split_task(*name, tr.job, tr.index)) return std::nullopt;
+    tr.attempt = *attempt;
+    tr.phase = static_cast<TaskPhase>(*phase);
+    if (auto cause = find_name(kCauses, at(t, f::cause))) tr.cause = static_cast<ExitCause>(*cause);
+    else if (tr.phase == TaskPhase::Exited) tr.cause = ExitCause::Error;
+    const Json &saved = at(t, f::saved);
+    tr.saved = saved.is_boolean() && saved.get<bool>();
+    r.tasks.push_back(std::move(tr));
+  }
+  return r;
+}
+
+std::string encode_orders(std::uint64_t token, const std::vector<TaskOrder> &orders) {
+  Json list = Json::array();
+  for (const auto &o : orders) {
+    Json e = {{f::verb, kVerbs[static_cast<int>(o.verb)]},
+              {f::task, task_name(o.job, o.index)},
+              {f::attempt, o.attempt}};
+    if (o.verb == TaskOrder::Verb::Stop) e[f::grace] = o.grace_s;
+    list.push_back(std::move(e));
+  }
+  return encode({{f::token, token}, {f::orders, std::move(list)}});
+}
+
+std::string encode_redirect(std::string_view node) {
+  if (node.empty()) return encode(Json::object());
+  return encode({{f::redirect, node}});
+}
+
+Json to_json(const OpenRecord &r) {
+  Json j = {{"spec", to_json(r.spec)}, {"at", r.submit_wall}};
+  if (r.cancelled) j["cancelled"] = true;
+  return j;
+}
+
+std::optional<OpenRecord> open_from_json(const Json &j) {
+  std::string problem;
+  auto spec = job_from_json(at(j, "spec"), problem);
+  auto when = amount(at(j, "at"), 1e12);
+  if (!spec || !when) return std::nullopt;
+  return OpenRecord{std::move(*spec), *when, at(j, "cancelled").is_boolean()};
+}
+
+Json to_json(const EndRecord &r) {
+  Json j = {{"cancelled", r.cancelled}, {"tasks", r.tasks},      {"class", r.job_class},
+            {"team", r.team},           {"at", r.submit_wall},   {"end", r.end_wall},
+            {"late", r.late}};
+  if (!r.reason.empty()) j["reason"] = r.reason;
+  return j;
+}
+
+std::optional<EndRecord> end_from_json(const Json &j) {
+  EndRecord r;
+  const Json &cancelled = at(j, "cancelled");
+  auto tasks = count(at(j, "tasks"));
+  if (!cancelled.is_boolean() || !tasks) return std::nullopt;
+  r.cancelled = cancelled.get<bool>();
+  r.tasks = static_cast<std::uint32_t>(*tasks);
+  r.job_class = text(at(j, "class")).value_or("");
+  r.team = text(at(j, "team")).value_or("");
+  r.submit_wall = amount(at(j, "at"), 1e12).value_or(0);
+  r.end_wall = amount(at(j, "end"), 1e12).value_or(0);
+  r.late = at(j, "late").is_boolean() && at(j, "late").get<bool>();
+  r.reason = text(at(j, "reason"), 1000).value_or("");
+  return r;
+}
+
+Json to_json(const ProgressRecord &r) {
+  return {{"s", ranges_json(r.started)}, {"f", ranges_json(r.finished)}};
+}
+
+std::optional<ProgressRecord> progress_from_json(const Json &j) {
+  auto started = ranges_from(at(j, "s")), finished = ranges_from(at(j, "f"));
+  if (!started || !finished) return std::nullopt;
+  return ProgressRecord{std::move(*started), std::move(*finished)};
+}
+
+Json to_json(const LeaderRecord &r) { return {{"node", r.node}, {"nonce", r.nonce}}; }
+
+std::optional<LeaderRecord> leader_from_json(const Json &j) {
+  auto node = text(at(j, "node"));
+  auto nonce = count(at(j, "nonce"));
+  if (!node || !nonce) return std::nullopt;
+  return LeaderRecord{*node, *nonce};
+}
+
+Json to_json(const std::vector<MachineType> &types) {
+  Json list = Json::array();
+  for (const auto &t : types)
+    list.push_back({{f::name, t.name},
+                    {f::cpus, t.size.cpus},
+                    {f::gpus, t.size.gpus},
+                    {f::memory, t.size.memory},
+                    {f::cache, t.cache_gb},
+                    {f::fetch, t.fetch_gb_per_s},
+                    {f::price, t.price},
+                    {f::spot_price, t.spot_price},
+                    {f::boot, t.boot_s},
+                    {f::zones, t.zones}});
+  return {{f::types, std::move(list)}};
+}
+
+std::optional<std::vector<MachineType>> types_from_json(const Json &j) {
+  const Json &list = at(j, f::types);
+  if (!list.is_array()) return std::nullopt;
+  std::vector<MachineType> out;
+  for (const auto &e : list) {
+    MachineType t;
+    auto name = text(at(e, f::name));
+    auto cpus = amount(at(e, f::cpus)), memory = amount(at(e, f::memory));
+    const Json &zones = at(e, f::zones);
+    if (!name || !cpus || !memory || !zones.is_array()) return std::nullopt;
+    t.name = *name;
+    t.size = {*cpus, amount(at(e, f::gpus)).value_or(0), *memory};
+    t.cache_gb = amount(at(e, f::cache)).value_or(0);
+    t.fetch_gb_per_s = amount(at(e, f::fetch)).value_or(0);
+    t.price = amount(at(e, f::price)).value_or(0);
+    t.spot_price = amount(at(e, f::spot_price)).value_or(t.price);
+    t.boot_s = amount(at(e, f::boot)).value_or(60);
+    for (const auto &z : zones)
+      if (auto zone = text(z)) t.zones.push_back(*zone);
+    out.push_back(std::move(t));
+  }
+  return out;
+}
+
+std::string encode_commit(const std::vector<Guard> &guards, const std::vector<Write> &writes) {
+  Json g = Json::array(), w = Json::array();
+  for (const auto &x : guards) g.push_back({{f::key, x.key}, {f::stamp, x.stamp}});
+  for (const auto &x : writes) {
+    if (!x.value) {
+      w.push_back({{f::del, x.key}});
+      continue;
+    }
+    Json e = {{f::put, x.key}, {f::value, *x.value}};
+    if (x.lease) e[f::lease] = x.lease;
+    w.push_back(std::move(e));
+  }
+  return encode({{f::guards, std::move(g)}, {f::writes, std::move(w)}});
+}
+
+std::string encode_ttl(double ttl_s) {
+  return encode({{f::ttl, static_cast<std::int64_t>(ttl_s * 1000)}});
+}
+
+StoreReply decode_store(int status, std::string_view body) {
+  StoreReply r;
+  r.status = status;
+  if (status == 0 || body.empty()) return r;
+  auto j = decode(body, {32, 2'000'000});
+  if (!j || !j->is_object()) {
+    // An answer that cannot be read proves nothing about what was carried out.
+    if (status == 200) r.status = 0;
+    return r;
+  }
+  r.revision = count(at(*j, f::revision)).value_or(0);
+  r.lease = count(at(*j, f::lease)).value_or(0);
+  r.more = at(*j, f::more).is_boolean() && at(*j, f::more).get<bool>();
+  for (const auto &k : at(*j, f::failed))
+    if (k.is_string()) r.failed.push_back(k.get<std::string>());
+  auto entry = [](const Json &e) -> std::optional<Entry> {
+    auto key = text(at(e, f::key));
+    auto stamp = count(at(e, f::stamp));
+    if (!key || !stamp) return std::nullopt;
+    return Entry{*key, at(e, f::value), *stamp, count(at(e, f::lease)).value_or(0)};
+  };
+  if (auto single = entry(*j)) r.entries.push_back(std::move(*single));
+  if (const Json &list = at(*j, f::entries); list.is_array())
+    for (const auto &e : list)
+      if (auto x = entry(e)) r.entries.push_back(std::move(*x));
+  if (const Json &list = at(*j, f::events); list.is_array())
+    for (const auto &e : list) {
+      auto put = text(at(e, f::put)), del = text(at(e, f::del));
+      auto stamp = count(at(e, f::stamp)).value_or(0);
+      if (put) r.events.push_back({*put, at(e, f::value), stamp});
+      else if (del) r.events.push_back({*del, std::nullopt, stamp});
+    }
+  return r;
+}
+
+std::string encode_rent(std::string_view request, std::string_view type, std::string_view zone,
+                        bool spot, int number) {
+  return encode({{f::request, request}, {f::type, type}, {f::zone, zone}, {f::spot, spot},
+                 {f::count, number}});
+}
+
+std::string encode_return(const std::vector<std::string> &names) { return encode({{f::machines, names}}); }
+
+CloudReply decode_cloud(CloudCall call, int status, std::string_view body) {
+  CloudReply r;
+  r.status = status;
+  auto j = body.empty() ? std::nullopt : decode(body, {32, 2'000'000});
+  if (!j || !j->is_object()) {
+    if (status == 200 && call != CloudCall::Return) r.status = 0;
+    return r;
+  }
+  if (status == 503) r.no_capacity = at(*j, "error") == "no capacity";
+  if (status != 200) return r;
+  switch (call) {
+  case CloudCall::Types: {
+    auto types = types_from_json(*j);
+    if (types) r.types = std::move(*types);
+    else r.status = 0;
+    break;
+  }
+  case CloudCall::Rent:
+    for (const auto &n : at(*j, f::machines))
+      if (auto name = text(n)) r.names.push_back(*name);
+    break;
+  case CloudCall::List:
+    for (const auto &e : at(*j, f::machines)) {
+      ListedMachine m;
+      auto id = text(at(e, f::id)), type = text(at(e, f::type)), zone = text(at(e, f::zone));
+      auto state = text(at(e, f::state));
+      if (!id || !type || !zone || !state) continue;
+      m.name = *id;
+      m.type = *type;
+      m.zone = *zone;
+      m.address = text(at(e, f::address)).value_or("");
+      m.spot = at(e, f::spot).is_boolean() && at(e, f::spot).get<bool>();
+      m.status = *state == "failed"    ? MachineStatus::Failed
+                 : *state == "running" ? MachineStatus::Running
+                                       : MachineStatus::Booting;
+      m.age_s = amount(at(e, f::age)).value_or(0);
+      r.machines.push_back(std::move(m));
+    }
+    r.more = at(*j, f::more).is_boolean() && at(*j, f::more).get<bool>();
+    break;
+  case CloudCall::Return: break;
+  }
+  return r;
+}
+
+} // namespace loft::wire
