--- /dev/null
+++ b/tests/placement_test.cpp
@@ -0,0 +1,200 @@
+// The placement rounds compared with a slow, plain model, and their invariants on random cases.
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <random>
+
+#include "loftrouter/core/placement.hpp"
+#include "loftrouter/core/util.hpp"
+
+using namespace loft;
+using namespace loft::core;
+
+namespace {
+
+struct Case {
+  std::vector<PlaceMachine> machines;
+  std::vector<PlaceJob> jobs;
+  std::vector<Resources> room;
+};
+
+Case random_case(std::mt19937 &rng) {
+  auto pick = [&](int n) { return static_cast<int>(rng() % static_cast<unsigned>(n)); };
+  Case c;
+  for (int i = 0, n = 1 + pick(8); i < n; ++i) {
+    PlaceMachine m;
+    m.type = pick(2);
+    m.size = m.type ? Resources{32, 4, 128} : Resources{4, 0, 16};
+    m.free = {m.size.cpus - pick(4), m.size.gpus, m.size.memory - pick(8)};
+    m.zone = pick(2);
+    m.spot = pick(2);
+    m.kept = !m.spot && m.type == 1 && pick(2);
+    m.hourly = 0.1 * (1 + pick(5));
+    if (pick(2)) m.images.push_back(pick(3));
+    c.machines.push_back(m);
+  }
+  for (int i = 0, n = 1 + pick(6); i < n; ++i) {
+    PlaceJob j;
+    j.need = {1.0 + pick(6), static_cast<double>(pick(4) == 0), 1.0 + pick(12)};
+    j.types = {static_cast<char>(pick(4) > 0), static_cast<char>(pick(4) > 0)};
+    j.zone = pick(4) ? -1 : pick(2);
+    j.spot = pick(2);
+    j.gang = pick(3) == 0;
+    j.one_zone = pick(4) == 0;
+    j.ready = static_cast<std::uint32_t>(1 + pick(6));
+    j.limit = j.ready;
+    if (pick(4) == 0) j.zone_cap = static_cast<int>((j.ready + 1) / 2);
+    j.urgency = static_cast<Urgency>(pick(4));
+    j.wait_s = pick(200);
+    j.image = pick(3);
+    j.small = pick(2);
+    j.team = pick(2);
+    if (pick(5) == 0) j.barred.push_back(pick(static_cast<int>(c.machines.size())));
+    c.jobs.push_back(j);
+  }
+  c.room = {{-1, -1, -1}, {static_cast<double>(pick(20)), -1, -1}};
+  return c;
+}
+
+// The design's own words, done the slow way: every task of every waiting job is tried on every machine,
+// for jobs without zone rules, waits or ranks.
+std::vector<std::pair<int, int>> plain_round(std::vector<PlaceMachine> ms, std::vector<PlaceJob> jobs, const PlaceOptions &o) {
+  std::vector<std::pair<int, int>> out;
+  std::vector<char> open(jobs.size(), 1);
+  for (;;) {
+    int best = -1;
+    double best_value = 0;
+    std::vector<int> best_machines;
+    for (std::size_t j = 0; j < jobs.size(); ++j) {
+      if (!open[j]) continue;
+      auto trial = ms;
+      std::vector<int> plan;
+      double sum = 0;
+      for (std::uint32_t t = 0; t < jobs[j].ready; ++t) {
+        int at = -1;
+        double top = -1e18;
+        for (int m = 0; m < static_cast<int>(trial.size()); ++m) {
+          auto &x = trial[static_cast<std::size_t>(m)];
+          if (!allowed(jobs[j], x, m) || !jobs[j].need.fits(x.free)) continue;
+          double f = place_score(jobs[j], x, o);
+          if (f > top) {
+            top = f;
+            at = m;
+          }
+        }
+        if (at < 0) break;
+        trial[static_cast<std::size_t>(at)].free.add(jobs[j].need, -1);
+        plan.push_back(at);
+        sum += top;
+      }
+      if (plan.empty() || (jobs[j].gang && plan.size() < jobs[j].ready)) continue;
+      double value = sum / static_cast<double>(plan.size()) + (plan.size() == jobs[j].ready ? o.whole_bonus : 0) +
+                     o.age_weight * jobs[j].wait_s;
+      if (best < 0 || value > best_value) {
+        best = static_cast<int>(j);
+        best_value = value;
+        best_machines = plan;
+      }
+    }
+    if (best < 0) return out;
+    open[static_cast<std::size_t>(best)] = 0;
+    for (int m : best_machines) {
+      auto &x = ms[static_cast<std::size_t>(m)];
+      x.free.add(jobs[static_cast<std::size_t>(best)].need, -1);
+      int image = jobs[static_cast<std::size_t>(best)].image;
+      if (std::find(x.images.begin(), x.images.end(), image) == x.images.end()) x.images.push_back(image);
+      out.emplace_back(best, m);
+    }
+  }
+}
+
+} // namespace
+
+TEST(Placement, FitScoreIsFreeShareTimesDemand) {
+  PlaceMachine m;
+  m.size = {10, 0, 100};
+  m.free = {5, 0, 50};
+  PlaceJob j;
+  j.need = {2, 0, 10};
+  EXPECT_NEAR(fit_score(j, m), 0.5 * 0.2 + 0.5 * 0.1, 1e-12);
+}
+
+TEST(Placement, AgreesWithThePlainModel) {
+  std::mt19937 rng(11);
+  for (int i = 0; i < 2000; ++i) {
+    auto c = random_case(rng);
+    for (auto &j : c.jobs) {
+      j.one_zone = false;
+      j.zone_cap = -1;
+      j.urgency = Urgency::Normal;
+      j.wait_s = std::min(j.wait_s, 100.0);
+    }
+    std::vector<std::pair<int, int>> got;
+    for (auto a : place_round(c.machines, c.jobs, {}, {})) got.emplace_back(a.job, a.machine);
+    EXPECT_EQ(got, plain_round(c.machines, c.jobs, {})) << "case " << i;
+  }
+}
+
+TEST(Placement, NeverOverfillsNorBreaksALimit) {
+  std::mt19937 rng(5);
+  for (int i = 0; i < 3000; ++i) {
+    auto c = random_case(rng);
+    auto plan = place_round(c.machines, c.jobs, c.room, {});
+    std::vector<int> count(c.jobs.size(), 0);
+    std::vector<std::vector<int>> zones(c.jobs.size(), std::vector<int>(2, 0));
+    double team1 = 0;
+    for (auto a : plan) {
+      auto &j = c.jobs[static_cast<std::size_t>(a.job)];
+      auto &m = c.machines[static_cast<std::size_t>(a.machine)];
+      ASSERT_TRUE(allowed(j, m, a.machine));
+      ASSERT_TRUE(j.need.fits(m.free));
+      m.free.add(j.need, -1);
+      ++count[static_cast<std::size_t>(a.job)];
+      ++zones[static_cast<std::size_t>(a.job)][static_cast<std::size_t>(m.zone)];
+      if (j.team == 1) team1 += j.need.cpus;
+    }
+    EXPECT_LE(team1, c.room[1].cpus + 1e-6);
+    for (std::size_t k = 0; k < c.jobs.size(); ++k) {
+      EXPECT_TRUE(!c.jobs[k].gang || count[k] == 0 || count[k] == static_cast<int>(c.jobs[k].ready));
+      EXPECT_TRUE(!c.jobs[k].one_zone || zones[k][0] == 0 || zones[k][1] == 0);
+      EXPECT_TRUE(c.jobs[k].zone_cap < 0 || std::max(zones[k][0], zones[k][1]) <= c.jobs[k].zone_cap);
+    }
+  }
+}
+
+// Roomy-first scatters small tasks; a job that has waited two minutes must get its machine all the same.
+TEST(Placement, LongWaitReservesAMachine) {
+  PlaceMachine m;
+  m.size = {32, 0, 128};
+  m.free = {20, 0, 100};
+  PlaceJob big, small;
+  big.need = {30, 0, 64};
+  big.types = small.types = {1};
+  big.ready = big.limit = 1;
+  big.gang = true;
+  small.need = {1, 0, 1};
+  small.ready = small.limit = 5;
+  EXPECT_EQ(place_round({m}, {big, small}, {}, {}).size(), 5u);
+  big.wait_s = 121;
+  EXPECT_TRUE(place_round({m}, {big, small}, {}, {}).empty());
+}
+
+TEST(Ranges, WidenCoversMoreAndNarrowCoversLess) {
+  std::mt19937 rng(2);
+  for (int i = 0; i < 500; ++i) {
+    std::vector<char> in(300);
+    for (auto &x : in) x = rng() % 3 == 0;
+    auto r = make_ranges(300, [&](std::uint32_t k) { return in[k]; });
+    auto covers = [](const Ranges &rs, std::uint32_t k) {
+      return std::any_of(rs.begin(), rs.end(), [&](auto x) { return k >= x.first && k < x.second; });
+    };
+    std::size_t max = 1 + rng() % 40;
+    auto wide = widen(r, max), thin = narrow(r, max);
+    EXPECT_LE(wide.size(), max);
+    EXPECT_LE(thin.size(), max);
+    for (std::uint32_t k = 0; k < 300; ++k) {
+      EXPECT_EQ(covers(r, k), static_cast<bool>(in[k]));
+      EXPECT_TRUE(in[k] ? covers(wide, k) : !covers(thin, k));
+    }
+  }
+}
--- /dev/null
+++ b/tests/wire_test.cpp
@@ -0,0 +1,88 @@
+#include <gtest/gtest.h>
+
+#include <random>
+
+#include "loftrouter/wire/messages.hpp"
+
+using namespace loft;
+using namespace loft::wire;
+
+namespace {
+
+Json good_job() {
+  return {{"id", "j-000412"}, {"jobclass", "train"}, {"crew", "vision"}, {"shape", "gang"}, {"urgency", "urgent"},
+          {"pieces", 16}, {"cores", 8.0}, {"cards", 1.0}, {"ram_gb", 64.0}, {"bundle", "img-07"}, {"image_gb", 6.2},
+          {"hulls", {"g8"}}, {"yard", nullptr}, {"one_zone", true}, {"apart", false}, {"standby", true},
+          {"guess_s", 240.0}, {"bookmark_s", 30.0}, {"stash_s", 4.0}, {"due_s", 900.0}};
+}
+
+bool accepted(const Json &j) { return std::holds_alternative<JobSpec>(decode_job(encode(j))); }
+
+} // namespace
+
+TEST(Wire, JobGoesThereAndBack) {
+  auto r = decode_job(encode(good_job()));
+  ASSERT_TRUE(std::holds_alternative<JobSpec>(r));
+  auto &s = std::get<JobSpec>(r);
+  EXPECT_EQ(s.tasks, 16u);
+  EXPECT_EQ(s.urgency, Urgency::High);
+  EXPECT_FALSE(s.zone);
+  std::string problem;
+  auto again = job_from_json(to_json(s), problem);
+  ASSERT_TRUE(again) << problem;
+  EXPECT_EQ(to_json(*again), to_json(s));
+}
+
+TEST(Wire, MalformedJobsAreNamedByTheirField) {
+  for (const char *field : {"id", "jobclass", "crew", "shape", "urgency", "pieces", "cores", "cards", "ram_gb", "bundle",
+                            "image_gb", "one_zone", "apart", "standby", "guess_s", "bookmark_s", "stash_s"}) {
+    for (Json bad : {Json(), Json(Json::array()), Json(-1), Json("?"), Json(1e300)}) {
+      if (bad.is_string() && (std::string(field) == "jobclass" || std::string(field) == "crew" || std::string(field) == "bundle"))
+        continue;
+      auto j = good_job();
+      j[field] = bad;
+      auto r = decode_job(encode(j));
+      ASSERT_TRUE(std::holds_alternative<std::string>(r)) << field << " " << bad;
+      EXPECT_NE(std::get<std::string>(r).find(field), std::string::npos);
+    }
+    auto j = good_job();
+    j.erase(field);
+    EXPECT_FALSE(accepted(j)) << field;
+  }
+  for (const char *nullable : {"hulls", "yard", "due_s"}) {
+    auto j = good_job();
+    j.erase(nullable);
+    EXPECT_TRUE(accepted(j)) << nullable;
+  }
+  auto many = good_job();
+  many["pieces"] = 100001;
+  EXPECT_FALSE(accepted(many));
+}
+
+// Each of these has ended a process somewhere: deep nesting (the decoder recurses), lengths that are
+// not there, trailing bytes, byte strings, non-finite numbers, doubled keys, text that is no text.
+TEST(Wire, HostileBodiesAreRefused) {
+  const std::string inf("\xa1\x61\x61\xf9\x7c\x00", 6), nan("\xa1\x61\x61\xf9\x7e\x00", 6);
+  for (const std::string &body :
+       {std::string(60000, '\x81'), std::string(60000, '\xa1'), std::string("\x9b\x7f\xff\xff\xff\xff\xff\xff\xff"),
+        std::string("\x7b\x7f\xff\xff\xff\xff\xff\xff\xff"), std::string("\xbb\x7f\xff\xff\xff\xff\xff\xff\xff"),
+        encode(good_job()) + "x", std::string("\xa1\x61\x61\x41\x00", 5), inf, nan,
+        std::string("\xa2\x61\x61\x01\x61\x61\x02"), std::string("\xa1\x61\x61\x62\xc3\x28"), std::string()})
+    EXPECT_FALSE(decode(body)) << body.substr(0, 12);
+}
+
+TEST(Wire, MutatedBodiesNeverCrash) {
+  std::mt19937 rng(3);
+  const std::string report = encode(
+      {{"box", "n-1"}, {"address", "1.2.3.4:5"}, {"hull", "g8"}, {"yard", "a"}, {"standby", true}, {"shift", 1},
+       {"tick", 88}, {"baton", 41}, {"pieces", {{{"piece", "j-000412/3"}, {"try", 2}, {"status", "running"}}}}});
+  ASSERT_TRUE(decode_report(report));
+  int read = 0;
+  for (int i = 0; i < 20000; ++i) {
+    std::string s = i % 2 ? report : encode(good_job());
+    for (unsigned n = 1 + rng() % 3; n-- > 0;) s[rng() % s.size()] = static_cast<char>(rng());
+    if (i % 5 == 0) s.resize(rng() % s.size());
+    read += decode_report(s).has_value() || std::holds_alternative<JobSpec>(decode_job(s));
+  }
+  EXPECT_GT(read, 0);
+}
--- /dev/null
+++ b/tests/world.hpp
@@ -0,0 +1,163 @@
+// A simulated world around the pure core: state service, cloud, workers and users with seeded loss,
+// delay, crashes, cuts and outages. After every step the protocol's rules are checked.
+#pragma once
+
+#include <cmath>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <queue>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "loftrouter/core/core.hpp"
+
+namespace loft::test {
+
+struct WorldOptions {
+  int nodes = 3;
+  double lease_s = 10, report_s = 1, cancel_s = 40;
+  double core_lease_s = 0; // what the cores believe, if not 0: a bug to be caught
+  double loss = 0;         // of requests, answers, or late by minutes
+  double sick = 0;         // share of machines that fail every task
+  double boot_fail = 0;
+  double die_per_hour = 0; // machines
+  double hang_per_hour = 0;
+  std::vector<Team> teams{{"red", 0, 0, 0, 0}, {"blue", 0, 12, 0, 0}};
+};
+
+class World {
+public:
+  World(std::uint64_t seed, WorldOptions o);
+
+  // Troubles, to be called at the moment they begin.
+  void crash(int node, double back_after);
+  void outage(double for_s);
+  void cut_state(int node, double for_s, bool hold);
+  void cut_workers(int node, double for_s, bool hold);
+  void cut_boxes(double share, double for_s); // workers that reach nobody
+  void at(double t, std::function<void()> fn) { schedule(t, std::move(fn)); }
+
+  std::string submit(JobSpec spec); // returns the id; retried until accepted
+  void cancel(const std::string &id);
+  JobSpec job(Shape shape, std::uint32_t tasks, double cpus, double run_s, const std::string &team = "red");
+  void run(double until);
+
+  std::vector<std::string> broken; // rules broken, in words
+  int starts = 0, finished_jobs = 0, accepted_jobs = 0, cancelled_jobs = 0;
+  double now() const { return t_; }
+  int leaders() const;
+  int leader() const;
+  std::string where(const std::string &id) const;
+  bool all_over() const;
+  int machines_up() const;
+
+private:
+  struct Event {
+    double t;
+    std::uint64_t n;
+    std::function<void()> fn;
+    bool operator<(const Event &o) const { return t != o.t ? t > o.t : n > o.n; }
+  };
+  struct Node {
+    std::unique_ptr<core::Core> core;
+    int life = 0;
+    std::vector<core::Command> queue;
+    bool scheduled = false;
+    double state_cut_until = -1, worker_cut_until = -1;
+    bool state_hold = false, worker_hold = false;
+    std::map<core::OpId, bool> waiting;
+    std::map<core::RequestId, std::function<void(const core::Reply &)>> answers;
+  };
+  struct Key {
+    nlohmann::json value;
+    std::uint64_t stamp, lease;
+  };
+  struct Follower {
+    int node, life;
+    core::OpId op;
+    std::string prefix;
+    std::uint64_t from;
+  };
+  struct Run {
+    std::string job;
+    std::uint32_t index;
+    std::uint64_t attempt;
+    TaskPhase phase;
+    ExitCause cause = ExitCause::None;
+    bool on = false; // counts as being on its machine
+    std::uint64_t serial;
+  };
+  struct Box {
+    std::string name, type, zone;
+    bool spot = false, up = false, gone = false, sick = false, failed = false;
+    double rented = 0, hang_until = -1, cut_until = -1;
+    std::uint64_t session = 1, seq = 0, token = 0;
+    double lease_from = 0;
+    int node = 0;
+    bool in_flight = false;
+    std::uint64_t report_no = 0;
+    double next_report = 0;
+    std::set<std::string> images;
+    std::vector<Run> runs;
+  };
+  struct Told {
+    bool accepted = false, done = false, cancelled = false, cancel_asked = false;
+    double cancelled_at = -1;
+    JobSpec spec;
+    std::vector<char> finished;
+  };
+
+  double uniform(double a, double b) { return std::uniform_real_distribution<double>(a, b)(rng_); }
+  bool chance(double p) { return uniform(0, 1) < p; }
+  void schedule(double t, std::function<void()> fn) { events_.push({t, ++event_n_, std::move(fn)}); }
+  void start_node(int i);
+  void tick(int i, int life);
+  void push(int i, core::Command c);
+  void drain(int i, int life);
+  void ask(int i, std::function<core::Command(core::RequestId)> make, std::function<void(const core::Reply &)> fn);
+  void store_op(int i, const core::StoreOp &op);
+  wire::StoreReply execute(const core::StoreOp &op);
+  void change(const std::string &key, std::optional<nlohmann::json> value, std::uint64_t lease);
+  void notify();
+  void expire_leases();
+  void cloud_op(int i, const core::CloudOp &op);
+  void boot(Box &b);
+  void kill_box(Box &b);
+  void worker_tick(std::size_t b);
+  void report(std::size_t b);
+  WorkerReport make_report(Box &b);
+  void take_response(std::size_t b, std::uint64_t session, double sent, const nlohmann::json &body);
+  void start_task(std::size_t b, const std::string &job, std::uint32_t index, std::uint64_t attempt);
+  void progress(std::size_t b, std::uint64_t serial);
+  void try_gang(const std::string &job, std::uint64_t attempt);
+  void end_run(Box &b, std::uint64_t serial, ExitCause cause);
+  void placed_check(const Box &b, const Run &r);
+  void periodic_check();
+  void poll(const std::string &id);
+  void break_rule(std::string what) { broken.push_back("t=" + std::to_string(t_) + " " + std::move(what)); }
+
+  WorldOptions o_;
+  std::mt19937_64 rng_;
+  double t_ = 0;
+  std::uint64_t event_n_ = 0, serial_ = 0;
+  std::priority_queue<Event> events_;
+  std::vector<Node> nodes_;
+  core::RequestId next_req_ = 1;
+  std::map<std::string, Key> keys_;
+  std::map<std::uint64_t, std::pair<double, double>> leases_; // ttl, end
+  std::uint64_t epoch_ = 1, next_lease_ = 1;
+  std::deque<wire::Event> history_;
+  std::vector<Follower> followers_;
+  double outage_until_ = -1;
+  std::vector<MachineType> types_;
+  std::deque<Box> boxes_;
+  std::map<std::string, std::vector<std::string>> rents_;
+  std::map<std::string, Told> told_;
+  int next_job_ = 1;
+};
+
+} // namespace loft::test
