--- a/tests/world.cpp
+++ b/tests/world.cpp
@@ -428,7 +428,7 @@
           schedule(t_ + uniform(0.001, 0.005), [this, i, no, sent, session, next_node, answer] {
             Box &x = boxes_[i];
             // A response that the worker no longer waits for is dropped.
-            if (x.gone || x.report_no != no || !x.in_flight || t_ < x.hang_until) return;
+            if (x.gone || !x.up || x.report_no != no || !x.in_flight || t_ < x.hang_until) return;
             auto body = wire::decode(answer.body).value_or(json::object());
             if (answer.status == 421 && body.contains("answer_to")) {
               auto name = body["answer_to"].get<std::string>();
