--- a/include/loftrouter/core/core.hpp
+++ b/include/loftrouter/core/core.hpp
@@ -192,6 +192,7 @@
   std::list<int> images; // most recent first
   std::vector<std::string> error_jobs;
   int errors = 0, successes = 0;
+  double busy_cpu_s = 0; // CPU seconds of tasks that ran to their end here
 };
 
 class Core {
--- a/src/core/autoscaler.cpp
+++ b/src/core/autoscaler.cpp
@@ -162,7 +162,6 @@
     if (r.status != 200) return; // asked again: a machine is gone only when the cloud has said so
     for (const auto &name : names)
       if (auto it = machine_index_.find(name); it != machine_index_.end()) remove_machine(it->second);
-    log(LogLevel::Info, fmt::format("gave back {} machines", names.size()));
   });
 }
 
--- a/src/core/fleet.cpp
+++ b/src/core/fleet.cpp
@@ -83,7 +83,11 @@
       in_report[s] = 1;
       slot.seen = slot.sent = true;
       slot.phase = t.phase;
-      if (t.phase == TaskPhase::Running && slot.running_since < 0) slot.running_since = now();
+      if (t.phase == TaskPhase::Running && slot.running_since < 0) {
+        slot.running_since = now();
+        log(LogLevel::Debug, fmt::format("task {}/{} runs on {}, {:.1f} s after it was placed", slot.job_id, slot.index,
+                                         n.name, now() - slot.placed_at));
+      }
       if (t.phase == TaskPhase::Exited) exits.emplace_back(s, &t);
     }
     if (!found) unknown.push_back(&t);
@@ -196,6 +200,7 @@
     n.used.add(slot.need, -1);
     set_task(j, slot.index, TaskState::Done);
     ++n.successes;
+    if (slot.running_since >= 0) n.busy_cpu_s += (now() - slot.running_since) * slot.need.cpus;
     n.errors = 0;
     k.errors = 0;
     mark_dirty(j, finishable(k));
@@ -262,6 +267,15 @@
 
 void Core::remove_machine(int m) {
   lose_machine(m, "given back");
+  const Machine &n = machine(m);
+  if (n.type >= 0) {
+    double lived = now() - n.rented_at;
+    log(LogLevel::Info,
+        fmt::format("gave back {} ({}{}, {}) after {:.0f} s, up for {:.0f} s, {:.0f}% of its CPU time used", n.name,
+                    type_names_.name(n.type), n.spot ? ", spot" : "", zone_names_.name(n.zone), lived,
+                    n.first_heard >= 0 ? now() - n.first_heard : 0.0,
+                    lived > 0 && n.size.cpus > 0 ? 100 * n.busy_cpu_s / lived / n.size.cpus : 0.0));
+  }
   gone_[machine(m).name] = now();
   machine_index_.erase(machine(m).name);
   for (auto &j : jobs_)
@@ -424,6 +438,9 @@
     machine(m).idle_since = -1;
     touch_image(machine(m), n.image, n.spec.image_gb);
     if (!slot.durable) mark_dirty(j, true);
+    if (n.placed == 1)
+      log(LogLevel::Debug, fmt::format("job {} ({}): first task to {} ({}) after {:.1f} s", n.spec.id, n.spec.job_class,
+                                       machine(m).name, type_names_.name(machine(m).type), now_.wall - n.submit_wall));
     machine(m).slots.push_back(std::move(slot));
     ++placed[p];
   }
