--- a/include/loftrouter/core/core.hpp
+++ b/include/loftrouter/core/core.hpp
@@ -133,7 +133,8 @@
 struct Task {
   TaskState state = TaskState::Pending;
   bool started = false;  // a start may have been sent by some leader; never taken back
-  bool recorded = false; // and the state service says so
+  bool covered = false;  // by the transaction under way
+  bool recorded = false; // the state service says that it may have been started
   std::int32_t machine = -1;
 };
 struct Job {
@@ -172,7 +173,7 @@
   double placed_at = 0, running_since = -1;
   bool finished = false; // exited with success
   bool recorded = false; // and the state service says so: the worker may forget it
-  std::uint64_t start_flush = 0, done_flush = 0; // the transactions that cover them
+  std::uint64_t done_flush = 0; // the transaction that says so
   Resources need;
 };
 struct Machine {
@@ -253,6 +254,7 @@
   void flush();
   void resync(int j);
   bool finishable(const Job &job) const;
+  void record_ahead(Job &job);
   void set_task(int j, std::uint32_t i, TaskState state, int machine = -1);
   void age_unaccounted();
   void tend_gang(int j);
@@ -343,7 +345,7 @@
   std::vector<std::unique_ptr<Machine>> machines_;
   std::unordered_map<std::string, int> machine_index_;
   std::unordered_map<std::string, double> gone_; // names given back, and when
-  double next_round_ = 0, next_scale_ = 0, next_list_ = 0;
+  double last_round_ = -1e9, next_round_ = 0, next_scale_ = 0, next_list_ = 0;
   bool round_wanted_ = false;
 
   // cloud
--- a/src/core/fleet.cpp
+++ b/src/core/fleet.cpp
@@ -10,6 +10,7 @@
 namespace {
 constexpr double kDrift = 0.002;
 constexpr double kRound = 0.25;
+constexpr double kReportRound = 0.01; // least time between rounds that reports ask for
 constexpr std::size_t kMaxStartsPerReply = 400; // keeps a response below the protocol's 64 KiB
 } // namespace
 
@@ -58,9 +59,9 @@
   n.session = r.session;
   n.seq = r.seq;
   n.taken_at = r.notice_s ? std::optional(now() + *r.notice_s) : std::nullopt;
+  n.last_answer = now();
   std::vector<TaskOrder> orders;
   take_report(m, r, orders);
-  n.last_answer = now();
   if (n.slots.empty()) {
     if (n.idle_since < 0) n.idle_since = now();
   } else {
@@ -176,6 +177,9 @@
       stop_slot(m, n.slots[s], 0);
     }
   }
+  // Room has appeared: a round right now lets the next start leave with this very answer, if the task
+  // is recorded ahead. Otherwise the machine would stay empty for a whole report interval.
+  if (round_wanted_ && !n.returning && now() >= last_round_ + kReportRound) round();
   std::size_t starts = 0;
   for (auto &slot : n.slots) {
     if (slot.finished) continue;
@@ -373,6 +377,7 @@
 
 void Core::round() {
   next_round_ = now() + kRound;
+  last_round_ = now();
   round_wanted_ = false;
   if (!active()) return;
   std::vector<int> index;
--- a/src/core/jobs.cpp
+++ b/src/core/jobs.cpp
@@ -46,6 +46,7 @@
   }
   if (n.cancelled) cancel_job(j);
   if (finishable(n)) mark_dirty(j, true);
+  mark_dirty(j, false);
   note_whole_machine_job(n);
   round_wanted_ = true;
   return j;
@@ -150,6 +151,18 @@
   n.urgent |= urgent;
 }
 
+// The next tasks in line count as started before they are placed, so that their starts need no write
+// of their own. Too many "started" are safe: after a takeover they wait until leases have run out.
+void Core::record_ahead(Job &n) {
+  if (n.cancelled) return;
+  std::uint32_t ahead = n.spec.shape == Shape::Gang ? (n.spec.tasks <= 64 ? n.spec.tasks : 0) : std::max(4u, n.placed / 4);
+  for (std::uint32_t i = 0; i < n.spec.tasks && ahead > 0; ++i)
+    if (n.tasks[i].state == TaskState::Pending) {
+      n.tasks[i].started = true;
+      --ahead;
+    }
+}
+
 // One transaction at a time. Each is guarded by the leader key's revision and by every record's own.
 void Core::flush() {
   if (flushing_ || dirty_.empty() || !active() || now() < flush_after_) return;
@@ -195,6 +208,7 @@
       ended.push_back(j);
       bytes += 600;
     } else {
+      record_ahead(n);
       ProgressRecord p;
       p.started = widen(make_ranges(n.spec.tasks, [&](std::uint32_t i) { return n.tasks[i].started; }), kMaxRanges);
       p.finished = narrow(
@@ -211,6 +225,7 @@
   leader_writes_.take(now(), static_cast<double>(writes.size()));
   // What the transaction covers: slots placed from here on wait for the next one.
   for (int j : jobs) {
+    for (auto &t : job(j).tasks) t.covered = t.started;
     job(j).dirty = job(j).urgent = false;
     std::erase(dirty_, j);
   }
@@ -219,7 +234,6 @@
     if (m)
       for (auto &slot : m->slots) {
         if (slot.job < 0 || std::find(jobs.begin(), jobs.end(), slot.job) == jobs.end()) continue;
-        if (!slot.durable) slot.start_flush = id;
         if (slot.finished && !slot.recorded) slot.done_flush = id;
       }
   std::vector<std::string> ids;
@@ -236,12 +250,15 @@
               if (auto it = job_index_.find(name); it != job_index_.end()) fn(it->second);
           };
           if (r.status == 200) {
-            each(ids, [&](int j) { job(j).progress_stamp = r.revision; });
+            each(ids, [&](int j) {
+              job(j).progress_stamp = r.revision;
+              for (auto &t : job(j).tasks) t.recorded |= t.covered;
+            });
             for (auto &m : machines_)
               if (m)
                 for (auto &slot : m->slots) {
                   if (slot.job < 0) continue;
-                  if (slot.start_flush == id) slot.durable = job(slot.job).tasks[slot.index].recorded = true;
+                  if (job(slot.job).tasks[slot.index].recorded) slot.durable = true;
                   if (slot.done_flush == id) slot.recorded = true;
                 }
             each(end_ids, [&](int j) {
