Drain surplus machines, hold idle ones by price, give up slow boots sooner

Cause: roomy-first keeps every rented machine in use, so a 32-CPU spot machine ran at 10% for nine minutes; machines that never boot blocked scarce types 90 s. Dear machines are now rented for low work only where a deadline is in danger.

--- a/include/loftrouter/core/core.hpp
+++ b/include/loftrouter/core/core.hpp
@@ -184,6 +184,7 @@
   bool lost = false;      // its lease ran out, or it failed
   bool returning = false; // no new tasks; given back
   bool listed_failed = false;
+  bool draining = false; // surplus: takes no new tasks and goes back once empty
   std::uint64_t session = 0, seq = 0;
   double known_since = 0, last_answer = -1, idle_since = -1, first_heard = -1;
   double rented_at = 0;
@@ -282,6 +283,9 @@
   void list_machines(std::string from);
   void merge_list(const wire::CloudReply &r);
   void scale();
+  double due_after(const Job &job) const;
+  void drain_surplus(bool pending);
+  static bool is_small(const Job &j) { return j.spec.urgency == Urgency::Low && j.spec.spot; }
   void rent(int type, int zone, bool spot, int count);
   void send_rent(CloudRent call, std::tuple<int, int, bool> key, int tries);
   void load_types();
@@ -356,7 +360,11 @@
   std::map<std::tuple<int, int, bool>, int> rents_open_;
   std::map<std::tuple<int, int, bool>, double> no_capacity_until_;
   bool returning_ = false;
-  std::unordered_map<int, double> kept_types_; // machine type -> last wanted by such a class
+  struct Kept {
+    double seen = 0; // when a job last wanted it
+    Resources need;  // the largest such job's
+  };
+  std::unordered_map<int, Kept> kept_types_; // machine types that some job class needs whole
 };
 
 } // namespace loft::core
--- a/include/loftrouter/core/placement.hpp
+++ b/include/loftrouter/core/placement.hpp
@@ -14,6 +14,7 @@
   int type = 0, zone = 0;
   bool spot = false;
   bool kept = false;            // wanted whole by a job class that fits nowhere else
+  Resources spare;              // kept: what small work may still take without being in the way
   double hourly = 0;            // price now
   std::vector<int> images;      // held or being fetched
   double speed_gb_s = 1;
@@ -54,6 +55,7 @@
 
 // What a task of `job` scores on `m`; nothing where it may not go or does not fit.
 bool allowed(const PlaceJob &job, const PlaceMachine &m, int machine_index);
+bool has_room(const PlaceJob &job, const PlaceMachine &m);
 double fit_score(const PlaceJob &job, const PlaceMachine &m); // F of the paper
 double place_score(const PlaceJob &job, const PlaceMachine &m, const PlaceOptions &o);
 
--- a/src/core/autoscaler.cpp
+++ b/src/core/autoscaler.cpp
@@ -14,8 +14,13 @@
 constexpr double kTypesEvery = 60.0;
 constexpr double kNoCapacityPause = 12.0;
 constexpr double kMinimumCharge = 60.0; // a returned machine costs at least this long
-constexpr double kIdleReturn = 10.0;
-constexpr double kIdleReturnKept = 120.0;
+constexpr double kHoldBoots = 2.5;     // an idle machine of the cheapest kind is held for so many boot times,
+constexpr double kHoldBootsKept = 3.0; // one that some job class needs whole for so many
+constexpr double kBootGiveUp = 2.0;    // boot times after which a machine is taken for one that never comes up
+constexpr double kDrainBelow = 0.6;    // drain a machine if the rest would be used less than this
+constexpr double kDear = 1.5;          // dearer than the cheapest place by more than this: only to save a deadline
+constexpr double kSlackShare = 0.7;    // of the time left, what the queue may take
+constexpr double kDefaultDue = 300.0;  // for jobs without a deadline or an objective
 constexpr double kLowWaves = 2.0; // how often a rented machine's place may be used for one backlog
 const char *const kTypesKey = "conf/types";
 } // namespace
@@ -75,7 +80,12 @@
   }
   if (only < 0) return;
   const auto &size = types_[static_cast<std::size_t>(only)].size;
-  if (j.spec.need.cpus * 2 > size.cpus || j.spec.need.memory * 2 > size.memory) kept_types_[only] = now();
+  if (j.spec.need.cpus * 2 > size.cpus || j.spec.need.memory * 2 > size.memory) {
+    Kept &k = kept_types_[only];
+    k.seen = now();
+    k.need = {std::max(k.need.cpus, j.spec.need.cpus), std::max(k.need.gpus, j.spec.need.gpus),
+              std::max(k.need.memory, j.spec.need.memory)};
+  }
 }
 
 void Core::tick_cloud() {
@@ -131,19 +141,28 @@
   int live = 0, lost = 0;
   for (const auto &m : machines_)
     if (m && m->heard) ++(m->lost ? lost : live);
+  double cheapest = std::numeric_limits<double>::infinity();
+  for (const auto &t : types_)
+    if (t.size.cpus > 0) cheapest = std::min({cheapest, t.spot_price / t.size.cpus, t.price / t.size.cpus});
   for (auto &p : machines_) {
     if (!p) continue;
     Machine &n = *p;
     double age = now() - n.rented_at;
     double boot = n.type >= 0 ? types_[static_cast<std::size_t>(n.type)].boot_s : 60;
-    if (!n.heard && now() - n.known_since > 10 && age > 3 * boot + 15) n.returning = true;
+    if (!n.heard && now() - n.known_since > 10 && age > kBootGiveUp * boot + 10) n.returning = true;
     // Many machines silent at once points at this node's network rather than at them.
     if (n.heard && n.lost && (lost <= live || now() - n.last_answer > settings_.lease_s + 30)) n.returning = true;
     if (n.taken_at && now() > *n.taken_at + 1 && now() - n.last_answer > settings_.report_s * 1.5 + 1) n.returning = true;
     if (n.heard && !n.lost && n.slots.empty() && n.idle_since >= 0 && age >= kMinimumCharge - 2) {
       auto kept = kept_types_.find(n.type);
-      bool keep = !n.spot && kept != kept_types_.end() && now() - kept->second < 300;
-      if (now() - n.idle_since > (keep ? kIdleReturnKept : kIdleReturn)) n.returning = true;
+      bool keep = !n.spot && kept != kept_types_.end() && now() - kept->second.seen < 300;
+      double hold = boot * (keep ? kHoldBootsKept : kHoldBoots);
+      if (!keep && n.type >= 0 && n.size.cpus > 0) {
+        const auto &type = types_[static_cast<std::size_t>(n.type)];
+        hold *= std::min(1.0, cheapest * n.size.cpus / std::max(1e-9, n.spot ? type.spot_price : type.price));
+      }
+      if (n.draining) hold = std::min(hold, 3.0);
+      if (now() - n.idle_since > hold) n.returning = true;
     }
     if (n.returning && names.size() < 100) names.push_back(n.name);
   }
@@ -165,6 +184,43 @@
   });
 }
 
+// When a job should be complete, in seconds after its submission.
+double Core::due_after(const Job &j) const {
+  if (j.spec.deadline_s) return *j.spec.deadline_s;
+  for (const auto &o : settings_.objectives)
+    if (o.kind == "finished" && o.job_class == j.spec.job_class) return o.within_s;
+  return kDefaultDue;
+}
+
+// Roomy-first placement spreads work over every machine there is, so none would ever become idle.
+// While nothing waits, the machine whose unused part costs most is emptied, one at a time, as long as
+// the others have room to spare for all that runs.
+void Core::drain_surplus(bool pending) {
+  double used = 0, size = 0;
+  Machine *worst = nullptr;
+  double worst_waste = 0;
+  bool draining = false;
+  for (auto &p : machines_) {
+    if (!p || p->returning || p->lost || p->type < 0) continue;
+    Machine &n = *p;
+    auto kept = kept_types_.find(n.type);
+    if (!n.spot && kept != kept_types_.end() && now() - kept->second.seen < 600) continue;
+    if (pending) n.draining = false;
+    if (!n.heard) return; // room on its way was wanted a moment ago
+    draining |= n.draining;
+    used += n.used.cpus;
+    size += n.size.cpus;
+    const auto &type = types_[static_cast<std::size_t>(n.type)];
+    double waste = (n.size.cpus - n.used.cpus) / std::max(0.01, n.size.cpus) * (n.spot ? type.spot_price : type.price);
+    if (now() - n.rented_at >= kMinimumCharge && waste > worst_waste && n.used.cpus < 0.5 * n.size.cpus) {
+      worst_waste = waste;
+      worst = &n;
+    }
+  }
+  if (pending || draining || !worst) return;
+  if (used < kDrainBelow * (size - worst->size.cpus)) worst->draining = true;
+}
+
 void Core::scale() {
   if (listed_once_at_ < 0 || now() - listed_once_at_ < 1.0) return;
   struct Place {
@@ -198,18 +254,20 @@
       double ran = s.running_since >= 0 ? now() - s.running_since : 0;
       busy[i] += std::max(5.0, n.spec.estimate_s - ran) * s.need.cpus;
     }
+  bool pending = false;
   int budget = 3;
   for (int j : order) {
     Job &n = job(j);
     PlaceJob p = place_job(j, {});
     if (p.limit == 0 || now() < n.retry_at) continue;
+    pending |= p.ready > 0;
     double waiting = p.ready;
     for (auto &b : booting) { // what is on its way takes them first
       PlaceMachine pm;
       pm.type = b.type;
       pm.zone = b.zone;
       pm.spot = b.spot;
-      if (!allowed(p, pm, -1)) continue;
+      if (!allowed(p, pm, -1) || (p.small && !b.spot && kept_types_.contains(b.type))) continue;
       while (waiting >= 1 && p.need.fits(b.free)) {
         b.free.add(p.need, -1);
         waiting -= p.urgency == Urgency::Low ? kLowWaves : 1;
@@ -223,28 +281,24 @@
       int count = 0;
       double cost = std::numeric_limits<double>::infinity();
     } best;
-    for (int t = 0; t < static_cast<int>(types_.size()); ++t) {
-      const auto &type = types_[static_cast<std::size_t>(t)];
-      if (!p.types[static_cast<std::size_t>(t)] || !p.need.fits(type.size)) continue;
+    auto places_on = [&](const MachineType &type) {
       double per = p.need.cpus > 0 ? std::floor(type.size.cpus / p.need.cpus + 1e-6) : 100;
       if (p.need.memory > 0) per = std::min(per, std::floor(type.size.memory / p.need.memory + 1e-6));
       if (p.need.gpus > 0) per = std::min(per, std::floor(type.size.gpus / p.need.gpus + 1e-6));
-      per = std::max(1.0, per);
-      double horizon = type.boot_s + (p.urgency == Urgency::Low ? est : 0.0);
-      double carried = 0; // tasks that machines already up get to within the horizon
-      for (std::size_t i = 0; i < up.size(); ++i) {
-        if (!allowed(p, up[i], -1) || !p.need.fits(up[i].size)) continue;
-        double cpus = std::max(p.need.cpus, 0.01);
-        carried += std::max(0.0, std::floor(up[i].size.cpus / cpus + 1e-6) * cpus * horizon - busy[i]) / (cpus * est);
-      }
-      double rest = waiting - carried;
-      if (p.urgency != Urgency::Low) rest = waiting - std::floor(carried);
-      if (rest < 0.5) {
-        best = {};
-        break;
-      }
-      double places = p.urgency == Urgency::Low ? std::ceil(rest / kLowWaves) : std::ceil(rest);
-      int count = static_cast<int>(std::ceil(places / per));
+      return std::max(1.0, per);
+    };
+    double cheapest = std::numeric_limits<double>::infinity();
+    for (int t = 0; t < static_cast<int>(types_.size()); ++t) {
+      const auto &type = types_[static_cast<std::size_t>(t)];
+      if (!p.types[static_cast<std::size_t>(t)] || !p.need.fits(type.size)) continue;
+      cheapest = std::min(cheapest, (p.spot ? std::min(type.spot_price, type.price) : type.price) / places_on(type));
+    }
+    const bool low = p.urgency == Urgency::Low;
+    const double due = due_after(n), left = due - p.wait_s;
+    for (int t = 0; t < static_cast<int>(types_.size()); ++t) {
+      const auto &type = types_[static_cast<std::size_t>(t)];
+      if (!p.types[static_cast<std::size_t>(t)] || !p.need.fits(type.size)) continue;
+      const double per = places_on(type);
       for (const auto &zone : type.zones) {
         int z = zone_names_.get(zone);
         if (p.zone >= 0 && p.zone != z) continue;
@@ -254,19 +308,35 @@
           auto key = std::tuple(t, z, spot);
           if (auto it = no_capacity_until_.find(key); it != no_capacity_until_.end() && now() < it->second) continue;
           if (rents_open_[key] > 0) continue;
-          double cost = (spot ? type.spot_price : type.price) * count * (1 + 0.003 * type.boot_s);
+          // Cheap places are rented for whatever would wait longer than their boot. Dear ones only if the
+          // queue endangers the deadline, or, where they would come too late for that, makes it very late.
+          double price = spot ? type.spot_price : type.price;
+          double horizon = type.boot_s + (low ? est : 0.0);
+          if (low && price / per > kDear * cheapest)
+            horizon = std::max(horizon, kSlackShare * (left > horizon ? left : 3 * due - p.wait_s));
+          double carried = 0; // tasks that machines already up get to within the horizon
+          for (std::size_t i = 0; i < up.size(); ++i) {
+            if (!allowed(p, up[i], -1) || !p.need.fits(up[i].size) || (up[i].kept && p.small)) continue;
+            double cpus = std::max(p.need.cpus, 0.01);
+            carried += std::max(0.0, std::floor(up[i].size.cpus / cpus + 1e-6) * cpus * horizon - busy[i]) / (cpus * est);
+          }
+          double rest = waiting - (low ? carried : std::floor(carried));
+          if (rest < 0.5) continue;
+          int count = static_cast<int>(std::ceil(std::ceil(low ? rest / kLowWaves : rest) / per));
+          double cost = price * count * (1 + 0.003 * type.boot_s);
           if (cost < best.cost) best = {t, z, spot, std::min(count, 50), cost};
         }
       }
     }
     // Work counted here is not counted again for later jobs.
     for (std::size_t i = 0; i < up.size(); ++i)
-      if (allowed(p, up[i], -1) && p.need.fits(up[i].size)) {
+      if (allowed(p, up[i], -1) && p.need.fits(up[i].size) && !(up[i].kept && p.small)) {
         busy[i] += waiting * est * p.need.cpus / std::max<double>(1, static_cast<double>(up.size()));
       }
     if (best.type < 0 || budget-- <= 0) continue;
     rent(best.type, best.zone, best.spot, best.count);
   }
+  drain_surplus(pending);
 }
 
 void Core::rent(int type, int zone, bool spot, int count) {
--- a/src/core/fleet.cpp
+++ b/src/core/fleet.cpp
@@ -316,7 +316,7 @@
   std::vector<PlaceMachine> out;
   for (std::size_t i = 0; i < machines_.size(); ++i) {
     const auto &p = machines_[i];
-    if (!p || !p->heard || p->lost || p->returning || p->taken_at || p->type < 0) continue;
+    if (!p || !p->heard || p->lost || p->returning || p->taken_at || p->draining || p->type < 0) continue;
     // Silent for a while: probably dead, hanging or cut off.
     if (now() - p->last_answer > 2.5 * settings_.report_s + 1) continue;
     PlaceMachine pm;
@@ -331,7 +331,13 @@
     pm.speed_gb_s = type.fetch_gb_per_s;
     pm.images.assign(p->images.begin(), p->images.end());
     auto kept = kept_types_.find(p->type);
-    pm.kept = !p->spot && kept != kept_types_.end() && now() - kept->second < 600;
+    pm.kept = !p->spot && kept != kept_types_.end() && now() - kept->second.seen < 600;
+    if (pm.kept) {
+      pm.spare = p->size;
+      pm.spare.add(kept->second.need, -1);
+      for (const auto &s : p->slots)
+        if (s.job >= 0 && !s.finished && is_small(*jobs_[static_cast<std::size_t>(s.job)])) pm.spare.add(s.need, -1);
+    }
     out.push_back(std::move(pm));
     index.push_back(static_cast<int>(i));
   }
@@ -370,7 +376,7 @@
   p.wait_s = std::max(0.0, now_.wall - n.submit_wall);
   p.image = n.image;
   p.image_gb = n.spec.image_gb;
-  p.small = n.spec.urgency == Urgency::Low && n.spec.spot;
+  p.small = is_small(n);
   p.team = std::max(0, n.team);
   return p;
 }
--- a/src/core/placement.cpp
+++ b/src/core/placement.cpp
@@ -12,10 +12,18 @@
     return false;
   if (job.zone >= 0 && job.zone != m.zone) return false;
   if (m.spot && !job.spot) return false;
-  if (m.kept && job.small) return false;
   return std::find(job.barred.begin(), job.barred.end(), index) == job.barred.end();
 }
 
+bool has_room(const PlaceJob &job, const PlaceMachine &m) {
+  return job.need.fits(m.free) && !(m.kept && job.small && !job.need.fits(m.spare));
+}
+
+static void occupy(const PlaceJob &job, PlaceMachine &m, double times) {
+  m.free.add(job.need, -times);
+  if (m.kept && job.small) m.spare.add(job.need, -times);
+}
+
 double fit_score(const PlaceJob &job, const PlaceMachine &m) {
   auto part = [](double free, double size, double need) {
     return size > 0 ? std::max(0.0, free / size) * (need / size) : 0.0;
@@ -59,7 +67,7 @@
     double best_score = -std::numeric_limits<double>::infinity();
     for (int i : candidates) {
       const auto &m = machines[static_cast<std::size_t>(i)];
-      if (!job.need.fits(m.free)) continue;
+      if (!has_room(job, m)) continue;
       if (job.zone_cap >= 0 && used(m.zone) >= job.zone_cap) continue;
       double s = place_score(job, m, o);
       if (s > best_score) {
@@ -69,12 +77,12 @@
     }
     if (best < 0) break;
     auto &m = machines[static_cast<std::size_t>(best)];
-    m.free.add(job.need, -1);
+    occupy(job, m, 1);
     ++used(m.zone);
     plan.machines.push_back(best);
     plan.score += best_score;
   }
-  for (int i : plan.machines) machines[static_cast<std::size_t>(i)].free.add(job.need);
+  for (int i : plan.machines) occupy(job, machines[static_cast<std::size_t>(i)], -1);
   plan.whole = plan.machines.size() == job.ready && job.ready > 0;
   return plan;
 }
@@ -179,7 +187,7 @@
     left[static_cast<std::size_t>(best)] = 0;
     for (int m : best_plan.machines) {
       auto &machine = machines[static_cast<std::size_t>(m)];
-      machine.free.add(job.need, -1);
+      occupy(job, machine, 1);
       if (job.image >= 0 &&
           std::find(machine.images.begin(), machine.images.end(), job.image) == machine.images.end())
         machine.images.push_back(job.image);
--- a/tests/placement_test.cpp
+++ b/tests/placement_test.cpp
@@ -29,6 +29,7 @@
     m.zone = pick(2);
     m.spot = pick(2);
     m.kept = !m.spot && m.type == 1 && pick(2);
+    m.spare = {2.0 + pick(6), 1, 40};
     m.hourly = 0.1 * (1 + pick(5));
     if (pick(2)) m.images.push_back(pick(3));
     c.machines.push_back(m);
@@ -76,6 +77,7 @@
         for (int m = 0; m < static_cast<int>(trial.size()); ++m) {
           auto &x = trial[static_cast<std::size_t>(m)];
           if (!allowed(jobs[j], x, m) || !jobs[j].need.fits(x.free)) continue;
+          if (x.kept && jobs[j].small && !jobs[j].need.fits(x.spare)) continue;
           double f = place_score(jobs[j], x, o);
           if (f > top) {
             top = f;
@@ -84,6 +86,7 @@
         }
         if (at < 0) break;
         trial[static_cast<std::size_t>(at)].free.add(jobs[j].need, -1);
+        if (jobs[j].small) trial[static_cast<std::size_t>(at)].spare.add(jobs[j].need, -1);
         plan.push_back(at);
         sum += top;
       }
@@ -101,6 +104,7 @@
     for (int m : best_machines) {
       auto &x = ms[static_cast<std::size_t>(m)];
       x.free.add(jobs[static_cast<std::size_t>(best)].need, -1);
+      if (jobs[static_cast<std::size_t>(best)].small) x.spare.add(jobs[static_cast<std::size_t>(best)].need, -1);
       int image = jobs[static_cast<std::size_t>(best)].image;
       if (std::find(x.images.begin(), x.images.end(), image) == x.images.end()) x.images.push_back(image);
       out.emplace_back(best, m);
