Sibling links with packed frames; the leader keeps workers alive in a common outage

Cause: in an outage longer than the workers' lease a paused leader lost all work. Siblings now tell each other whether they are cut off; argued in docs/safety.md. The simulated world covers it (25 s outage, 10 s lease: no task killed).

--- a/include/loftrouter/core/core.hpp
+++ b/include/loftrouter/core/core.hpp
@@ -20,6 +20,7 @@
 #include "loftrouter/core/types.hpp"
 #include "loftrouter/core/util.hpp"
 #include "loftrouter/wire/messages.hpp"
+#include "loftrouter/wire/peer.hpp"
 
 namespace loft::core {
 
@@ -58,8 +59,13 @@
   OpId op;
   wire::CloudReply reply;
 };
+struct CmdPeer {
+  int sibling;        // the one that was asked, or -1
+  std::uint64_t link; // where an answer goes
+  wire::PeerMessage message;
+};
 using Command = std::variant<CmdTick, CmdSubmit, CmdLookup, CmdAbort, CmdUp, CmdReport, CmdStoreReply,
-                             CmdCloudReply>;
+                             CmdCloudReply, CmdPeer>;
 
 // ---- effects ----
 struct Reply {
@@ -121,7 +127,15 @@
   LogLevel level;
   std::string text;
 };
+struct PeerSend {
+  int sibling;        // -1: on `link`
+  std::uint64_t link;
+  wire::PeerMessage message;
+};
+// How old a sibling's word may be that it is cut off. A leader elected since has waited as long.
+constexpr double kStatementLife = 1.5;
 struct Effects {
+  std::vector<PeerSend> peers;
   std::vector<Reply> replies;
   std::vector<StoreOp> store;
   std::vector<CloudOp> cloud;
@@ -246,6 +260,14 @@
   bool lease_valid() const { return now() < lease_valid_until_; }
   bool active() const { return role_ == Role::Leading && lease_valid(); }
 
+  // peers.cpp
+  void on(CmdPeer &&);
+  void tick_peers();
+  bool cut_off() const;
+  bool common_outage() const;
+  bool extended() const;
+  bool answering() const { return active() || extended(); }
+
   // jobs.cpp
   int add_job(OpenRecord record, std::uint64_t stamp);
   void remove_job(int j);
@@ -325,6 +347,17 @@
   bool following_ = false;
   bool relisting_ = false;
 
+  // siblings
+  struct SiblingState {
+    std::uint64_t nonce = 0;
+    double sent_at = -1e9, stated_at = -1e9, uptime_s = 0;
+    bool cut_off = false;
+  };
+  std::vector<SiblingState> siblings_;
+  std::uint64_t ping_nonce_ = 0;
+  double next_ping_ = 0;
+  std::deque<std::pair<std::string, double>> confirmed_cancels_;
+
   // types and names
   std::vector<MachineType> types_;
   bool types_known_ = false, types_loading_ = false;
--- /dev/null
+++ b/include/loftrouter/net/peers.hpp
@@ -0,0 +1,47 @@
+// Links between controllers: each dials every sibling and asks; answers come on the same link.
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <unordered_map>
+#include <vector>
+
+#include "loftrouter/net/loop.hpp"
+
+namespace loft::net {
+
+using LinkId = std::uint64_t;
+
+class PeerLinks {
+public:
+  // Called with what has arrived; takes whole frames off the buffer, false closes the link. `sibling` is
+  // the index of the one dialled, or -1 on links that others opened.
+  using Reader = std::function<bool(LinkId, int sibling, std::string &buffer)>;
+
+  PeerLinks(Loop &loop, Fd listener, std::vector<Address> siblings, Reader reader);
+  ~PeerLinks();
+  void send_to_sibling(int sibling, std::string_view bytes); // dials if need be; drops what cannot be sent
+  void send_on(LinkId link, std::string_view bytes);
+
+private:
+  struct Link;
+  void accept_ready();
+  Link *open(Fd fd, int sibling);
+  void on_io(Link &l, int events);
+  void flush(Link &l);
+  void close(Link &l);
+  void sweep();
+
+  Loop &loop_;
+  Fd listener_;
+  std::vector<Address> siblings_;
+  std::vector<LinkId> dialled_;
+  Reader reader_;
+  IoWatch accept_watch_;
+  Timer sweep_timer_;
+  LinkId next_ = 1;
+  std::unordered_map<LinkId, std::unique_ptr<Link>> links_;
+  std::vector<std::unique_ptr<Link>> graveyard_;
+};
+
+} // namespace loft::net
--- /dev/null
+++ b/include/loftrouter/wire/peer.hpp
@@ -0,0 +1,29 @@
+// Frames between controllers: packed by hand, little-endian, versioned and length-checked. Whatever
+// does not decode closes the link.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace loft::wire {
+
+struct PeerMessage {
+  enum class Kind : std::uint16_t { Ping = 1, Pong = 2 } kind = Kind::Ping;
+  std::uint64_t nonce = 0;     // a pong repeats its ping's
+  std::uint64_t term = 0;      // highest term the sender knows of
+  bool cut_off = false;        // the sender gets no answers from the state service
+  std::uint32_t uptime_ms = 0; // capped
+  std::vector<std::string> cancelled; // jobs whose cancellation the sender has confirmed lately
+};
+
+constexpr std::size_t kPeerHeader = 12, kPeerMaxBody = 4096, kPeerMaxCancelled = 64;
+
+std::string encode_peer(const PeerMessage &m);
+enum class PeerRead { NeedMore, Frame, Garbage };
+// Takes one frame off the front of `buffer`.
+PeerRead read_peer(std::string &buffer, PeerMessage &out);
+
+} // namespace loft::wire
--- a/src/app/daemon.cpp
+++ b/src/app/daemon.cpp
@@ -9,6 +9,7 @@
 #include "loftrouter/cloud/cloud.hpp"
 #include "loftrouter/core/core.hpp"
 #include "loftrouter/net/loop.hpp"
+#include "loftrouter/net/peers.hpp"
 #include "loftrouter/net/server.hpp"
 #include "loftrouter/store/store.hpp"
 
@@ -20,7 +21,7 @@
 
 class Daemon {
 public:
-  Daemon(const Settings &s, net::Fd api)
+  Daemon(const Settings &s, net::Fd api, net::Fd peers)
       : core_(s, std::random_device{}()),
         server_(loop_, std::move(api), server_options(s),
                 [this](net::ConnId id, net::HttpMessage &&m) { on_request(id, std::move(m)); }),
@@ -28,6 +29,8 @@
                [this](core::OpId op, wire::StoreReply &&r) { push(core::CmdStoreReply{op, std::move(r)}); }),
         cloud_(loop_, *net::parse_address(s.cloud_address),
                [this](core::OpId op, wire::CloudReply &&r) { push(core::CmdCloudReply{op, std::move(r)}); }),
+        peers_(loop_, std::move(peers), sibling_addresses(s),
+               [this](net::LinkId link, int sibling, std::string &buffer) { return on_peer(link, sibling, buffer); }),
         tick_(loop_, [this] {
           tick_.once(kTick);
           push(core::CmdTick{});
@@ -47,6 +50,23 @@
     return o;
   }
 
+  static std::vector<net::Address> sibling_addresses(const Settings &s) {
+    std::vector<net::Address> out;
+    for (const auto &x : s.siblings) out.push_back(*net::parse_address(x.address));
+    return out;
+  }
+
+  bool on_peer(net::LinkId link, int sibling, std::string &buffer) {
+    for (;;) {
+      wire::PeerMessage m;
+      switch (wire::read_peer(buffer, m)) {
+      case wire::PeerRead::NeedMore: return true;
+      case wire::PeerRead::Garbage: return false;
+      case wire::PeerRead::Frame: push(core::CmdPeer{sibling, link, std::move(m)});
+      }
+    }
+  }
+
   void push(core::Command c) {
     queue_.push_back(std::move(c));
     if (queue_.size() == 1) work_.once(0);
@@ -60,6 +80,11 @@
     for (const auto &r : effects.replies) server_.respond(r.req, r.status, r.body, r.retry_after);
     for (const auto &op : effects.store) store_.send(op);
     for (const auto &op : effects.cloud) cloud_.send(op);
+    for (const auto &p : effects.peers) {
+      auto frame = wire::encode_peer(p.message);
+      if (p.sibling >= 0) peers_.send_to_sibling(p.sibling, frame);
+      else peers_.send_on(p.link, frame);
+    }
   }
 
   void write_log(const core::LogLine &l) {
@@ -129,6 +154,7 @@
   net::HttpServer server_;
   store::StoreClient store_;
   cloud::CloudClient cloud_;
+  net::PeerLinks peers_;
   net::Timer tick_, work_;
   double log_level_ = kLogBurst, log_at_ = 0;
   std::size_t log_dropped_ = 0;
@@ -151,7 +177,9 @@
   std::string error;
   auto api = net::listen_on(*net::parse_address(s.listen), error);
   if (!api) return "api_addr: cannot listen: " + error;
-  Daemon(s, std::move(api)).run();
+  auto peers = net::listen_on(*net::parse_address(s.peer_listen), error);
+  if (!peers) return "peer_listen: cannot listen: " + error;
+  Daemon(s, std::move(api), std::move(peers)).run();
   return {};
 }
 
--- a/src/core/core.cpp
+++ b/src/core/core.cpp
@@ -13,6 +13,9 @@
   leader_writes_ = TokenBucket(0.55 * w, std::max<double>(0.5 * w, 3));
   user_reads_ = TokenBucket(0.75 * r / nodes, std::max(2.0, 0.7 * r / nodes));
   cloud_calls_ = TokenBucket(0.7 * settings_.cloud_rps, std::max(1.0, 0.7 * settings_.cloud_rps));
+  siblings_.resize(settings_.siblings.size());
+  // A restarted node must not take an answer to its former self's question for its own.
+  ping_nonce_ = static_cast<std::uint64_t>(random() * 9e15);
   for (const auto &t : settings_.teams) team_names_.get(t.name);
   for (const auto &z : settings_.zones) zone_names_.get(z);
 }
@@ -39,6 +42,7 @@
 
 void Core::on(CmdTick &&) {
   tick_term();
+  tick_peers();
   tick_cloud();
   if (role_ != Role::Leading) return;
   age_unaccounted();
@@ -47,7 +51,7 @@
 }
 
 void Core::on(CmdUp &&cmd) {
-  bool ok = types_known_ && now() - store_ok_at_ < 3.0;
+  bool ok = types_known_ && (now() - store_ok_at_ < 3.0 || common_outage());
   if (ok) reply(cmd.req, 200, "");
   else refuse(cmd.req, types_known_ ? "state service out of reach" : "starting up");
 }
--- a/src/core/fleet.cpp
+++ b/src/core/fleet.cpp
@@ -45,7 +45,7 @@
     bool fresh = !leader_name_.empty() && now() - leader_seen_ < 3.0;
     return reply(cmd.req, 421, wire::encode_redirect(fresh ? leader_name_ : ""));
   }
-  if (!active()) return refuse(cmd.req, "leadership is being renewed");
+  if (!answering()) return refuse(cmd.req, "leadership is being renewed");
   // A machine that was given back can only speak through packets held up on the way.
   if (gone_.contains(r.machine)) return refuse(cmd.req, "this machine was given back");
   int m = machine_index(r.machine, r.type, r.zone, r.spot);
@@ -186,7 +186,7 @@
     if (slot.stop) {
       if (slot.seen && slot.phase != TaskPhase::Exited)
         orders.push_back({TaskOrder::Verb::Stop, slot.job_id, slot.index, slot.attempt, slot.grace_s});
-    } else if (!slot.seen && slot.durable && slot.job >= 0 && !n.returning && starts < kMaxStartsPerReply) {
+    } else if (active() && !slot.seen && slot.durable && slot.job >= 0 && !n.returning && starts < kMaxStartsPerReply) {
       slot.sent = true;
       ++starts;
       orders.push_back({TaskOrder::Verb::Start, slot.job_id, slot.index, slot.attempt, 0});
@@ -199,6 +199,8 @@
   if (slot.job < 0) return;
   int j = slot.job;
   Job &k = job(j);
+  log(LogLevel::Debug, fmt::format("task {}/{} ended on {}: cause {}, {:.1f} s after it was placed", slot.job_id,
+                                   slot.index, n.name, static_cast<int>(t.cause), now() - slot.placed_at));
   if (t.cause == ExitCause::Done && k.spec.shape != Shape::Service) {
     slot.finished = true;
     n.used.add(slot.need, -1);
--- /dev/null
+++ b/src/core/peers.cpp
@@ -0,0 +1,79 @@
+// What siblings tell each other, and what follows from it: whether an outage of the state service is
+// everybody's. See docs/safety.md, "Outages".
+#include "loftrouter/core/core.hpp"
+
+namespace loft::core {
+
+namespace {
+constexpr double kPingEvery = 0.5;
+constexpr double kCutOffAfter = 1.5; // without any answer from the state service
+} // namespace
+
+bool Core::cut_off() const { return now() - store_ok_at_ > kCutOffAfter; }
+
+void Core::tick_peers() {
+  if (now() < next_ping_) return;
+  next_ping_ = now() + kPingEvery;
+  std::erase_if(confirmed_cancels_, [this](const auto &c) { return now() - c.second > settings_.cancel_s; });
+  for (std::size_t i = 0; i < siblings_.size(); ++i) {
+    wire::PeerMessage m;
+    m.kind = wire::PeerMessage::Kind::Ping;
+    m.nonce = ++ping_nonce_;
+    m.term = highest_term_;
+    siblings_[i].nonce = m.nonce;
+    siblings_[i].sent_at = now();
+    effects_.peers.push_back({static_cast<int>(i), 0, std::move(m)});
+  }
+}
+
+void Core::on(CmdPeer &&cmd) {
+  const auto &m = cmd.message;
+  highest_term_ = std::max(highest_term_, m.term);
+  if ((role_ == Role::Leading || role_ == Role::Loading) && m.term > term_) step_down("a sibling knows a higher term");
+  if (m.kind == wire::PeerMessage::Kind::Ping) {
+    wire::PeerMessage r;
+    r.kind = wire::PeerMessage::Kind::Pong;
+    r.nonce = m.nonce;
+    r.term = highest_term_;
+    r.cut_off = cut_off();
+    r.uptime_ms = static_cast<std::uint32_t>(std::min(4e9, (now() - started_at_) * 1000));
+    for (auto it = confirmed_cancels_.rbegin(); it != confirmed_cancels_.rend() && r.cancelled.size() < wire::kPeerMaxCancelled; ++it)
+      r.cancelled.push_back(it->first);
+    effects_.peers.push_back({-1, cmd.link, std::move(r)});
+    return;
+  }
+  if (cmd.sibling < 0 || static_cast<std::size_t>(cmd.sibling) >= siblings_.size()) return;
+  auto &s = siblings_[static_cast<std::size_t>(cmd.sibling)];
+  if (m.nonce != s.nonce) return; // an old answer, perhaps held up on the way
+  s.stated_at = s.sent_at;        // it cannot be older than the question
+  s.cut_off = m.cut_off;
+  s.uptime_s = m.uptime_ms / 1000.0;
+  if (role_ != Role::Leading) return;
+  for (const auto &id : m.cancelled)
+    if (auto it = job_index_.find(id); it != job_index_.end() && !job(it->second).cancelled) {
+      job(it->second).cancelled = true;
+      cancel_job(it->second);
+    }
+}
+
+// Everybody's outage: nobody can be elected, so the leader may go on answering reports for as long as
+// every sibling keeps saying so. It starts nothing.
+bool Core::common_outage() const {
+  if (!cut_off() || siblings_.empty()) return false;
+  for (const auto &s : siblings_)
+    if (!s.cut_off || now() - s.stated_at > kStatementLife) return false;
+  return true;
+}
+
+bool Core::extended() const {
+  if (role_ != Role::Leading || lease_valid() || highest_term_ > term_ || !common_outage()) return false;
+  // A sibling that has restarted since may have confirmed a cancellation that nobody remembers. Its tasks
+  // must not be kept alive beyond the time a cancellation has.
+  double age = now() - store_ok_at_;
+  if (age < settings_.cancel_s - settings_.lease_s * 1.01 - 5) return true;
+  for (const auto &s : siblings_)
+    if (s.uptime_s < age + 1) return false;
+  return confirmed_cancels_.size() <= wire::kPeerMaxCancelled;
+}
+
+} // namespace loft::core
--- a/src/core/term.cpp
+++ b/src/core/term.cpp
@@ -22,8 +22,8 @@
   if (role_ != Role::Acquiring && now() >= next_renew_ && !renewing_) renew();
   if (role_ == Role::Leading && !following_) follow_open();
   if (role_ == Role::Loading && !lease_valid()) step_down("lease ran out while loading");
-  // A leader whose lease ran out by its own clock only pauses: it answers nothing and starts
-  // nothing, and goes on if the state service still knows the lease (after an outage it does).
+  // A leader whose lease ran out by its own clock only pauses: it starts nothing, answers reports only
+  // while every sibling says that it is cut off too, and goes on if the state service still knows the lease (after an outage it does).
 }
 
 void Core::poll_leader() {
@@ -76,9 +76,10 @@
             highest_term_ = std::max(highest_term_, term_);
             lease_valid_until_ = sent + kTtl * (1 - kDrift) - 0.02;
             next_renew_ = now();
-            // By now the last leader's lease has run out by its own clock too, so its last answer
-            // lies behind us, and every worker it kept alive is heard or dead by this time.
-            unaccounted_until_ = now() + settings_.lease_s * (1 + kDrift) + 0.7;
+            // By now the last leader's lease has run out by its own clock too, and our last word that we
+            // are cut off lies behind us: it may have prolonged that leader by a statement's life at most.
+            // Every worker it kept alive is heard or dead by this time.
+            unaccounted_until_ = now() + kStatementLife * (1 + kDrift) + settings_.lease_s * (1 + kDrift) + 0.7;
             log(LogLevel::Info, fmt::format("elected: term {}", term_));
             loaded_progress_.clear();
             loaded_stamps_.clear();
--- a/src/core/users.cpp
+++ b/src/core/users.cpp
@@ -161,7 +161,10 @@
     store(StoreCommit{{{"open/" + id, r.entries[0].stamp}}, {{"open/" + id, wire::to_json(*open), 0}}},
           kUserDeadline, [this, req, id](const wire::StoreReply &c) {
             --user_ops_;
-            if (c.status == 200) return reply(req, 200, wire::encode_accepted(id, JobState::Cancelled));
+            if (c.status == 200) {
+              confirmed_cancels_.emplace_back(id, now());
+              return reply(req, 200, wire::encode_accepted(id, JobState::Cancelled));
+            }
             refuse(req, "the state service did not confirm the cancellation");
           });
   });
--- /dev/null
+++ b/src/net/peers.cpp
@@ -0,0 +1,117 @@
+#include "loftrouter/net/peers.hpp"
+
+#include <cerrno>
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+namespace loft::net {
+
+namespace {
+constexpr std::size_t kMaxIncoming = 16, kMaxBuffered = 16 * 1024;
+constexpr double kSilence = 3.0; // after which a link is closed and dialled anew
+} // namespace
+
+struct PeerLinks::Link {
+  LinkId id = 0;
+  int sibling = -1;
+  Fd fd;
+  std::string in, out;
+  std::unique_ptr<IoWatch> watch;
+  double heard = 0;
+};
+
+PeerLinks::PeerLinks(Loop &loop, Fd listener, std::vector<Address> siblings, Reader reader)
+    : loop_(loop), listener_(std::move(listener)), siblings_(std::move(siblings)), dialled_(siblings_.size(), 0),
+      reader_(std::move(reader)), accept_watch_(loop, listener_.get(), [this](int) { accept_ready(); }),
+      sweep_timer_(loop, [this] { sweep(); }) {
+  accept_watch_.want(EV_READ);
+  sweep_timer_.once(0.5);
+}
+
+PeerLinks::~PeerLinks() = default;
+
+PeerLinks::Link *PeerLinks::open(Fd fd, int sibling) {
+  auto link = std::make_unique<Link>();
+  link->id = next_++;
+  link->sibling = sibling;
+  link->fd = std::move(fd);
+  link->heard = mono_now();
+  auto *raw = link.get();
+  link->watch = std::make_unique<IoWatch>(loop_, raw->fd.get(), [this, raw](int events) { on_io(*raw, events); });
+  link->watch->want(EV_READ);
+  links_.emplace(raw->id, std::move(link));
+  return raw;
+}
+
+void PeerLinks::accept_ready() {
+  Fd fd(::accept4(listener_.get(), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC));
+  if (!fd || links_.size() >= kMaxIncoming + siblings_.size()) return;
+  int one = 1;
+  ::setsockopt(fd.get(), IPPROTO_TCP, TCP_NODELAY, &one, sizeof one);
+  open(std::move(fd), -1);
+}
+
+void PeerLinks::send_to_sibling(int sibling, std::string_view bytes) {
+  auto &id = dialled_[static_cast<std::size_t>(sibling)];
+  if (!links_.contains(id)) {
+    Fd fd = connect_to(siblings_[static_cast<std::size_t>(sibling)]);
+    if (!fd) return;
+    auto *l = open(std::move(fd), sibling);
+    l->watch->want(EV_READ | EV_WRITE);
+    id = l->id;
+  }
+  send_on(id, bytes);
+}
+
+void PeerLinks::send_on(LinkId id, std::string_view bytes) {
+  auto it = links_.find(id);
+  if (it == links_.end() || it->second->out.size() + bytes.size() > kMaxBuffered) return;
+  it->second->out.append(bytes);
+  it->second->watch->want(EV_READ | EV_WRITE);
+}
+
+void PeerLinks::on_io(Link &l, int events) {
+  if (!l.fd) return;
+  if (events & EV_WRITE) flush(l);
+  if (!l.fd || !(events & EV_READ)) return;
+  char buf[4096];
+  ssize_t n = ::recv(l.fd.get(), buf, sizeof buf, 0);
+  if (n < 0 && (errno == EAGAIN || errno == EINTR)) return;
+  if (n <= 0) return close(l);
+  l.heard = mono_now();
+  l.in.append(buf, static_cast<std::size_t>(n));
+  if (!reader_(l.id, l.sibling, l.in) || l.in.size() > kMaxBuffered) close(l);
+}
+
+void PeerLinks::flush(Link &l) {
+  while (!l.out.empty()) {
+    ssize_t n = ::send(l.fd.get(), l.out.data(), l.out.size(), MSG_NOSIGNAL);
+    if (n < 0 && (errno == EAGAIN || errno == EINTR || errno == ENOTCONN)) return;
+    if (n <= 0) return close(l);
+    l.out.erase(0, static_cast<std::size_t>(n));
+  }
+  l.watch->want(EV_READ);
+}
+
+// The link's watcher may be running right now, so it is destroyed at the next sweep.
+void PeerLinks::close(Link &l) {
+  l.watch->want(0);
+  l.fd.reset();
+  auto it = links_.find(l.id);
+  if (it == links_.end()) return;
+  graveyard_.push_back(std::move(it->second));
+  links_.erase(it);
+}
+
+void PeerLinks::sweep() {
+  graveyard_.clear();
+  std::vector<Link *> silent;
+  for (auto &[id, l] : links_)
+    if (mono_now() - l->heard > kSilence) silent.push_back(l.get());
+  for (auto *l : silent) close(*l);
+  sweep_timer_.once(0.5);
+}
+
+} // namespace loft::net
--- a/tests/wire_test.cpp
+++ b/tests/wire_test.cpp
@@ -3,6 +3,7 @@
 #include <random>
 
 #include "loftrouter/wire/messages.hpp"
+#include "loftrouter/wire/peer.hpp"
 
 using namespace loft;
 using namespace loft::wire;
@@ -86,3 +87,55 @@
   }
   EXPECT_GT(read, 0);
 }
+
+TEST(Peer, FramesGoThereAndBackInAnySplit) {
+  PeerMessage m;
+  m.kind = PeerMessage::Kind::Pong;
+  m.nonce = 0x1122334455667788;
+  m.term = 77;
+  m.cut_off = true;
+  m.uptime_ms = 123456;
+  m.cancelled = {"j-000001", "j-99"};
+  auto bytes = encode_peer(m) + encode_peer(m);
+  std::string buffer;
+  int frames = 0;
+  for (char c : bytes) {
+    buffer.push_back(c);
+    PeerMessage r;
+    auto got = read_peer(buffer, r);
+    ASSERT_NE(got, PeerRead::Garbage);
+    if (got != PeerRead::Frame) continue;
+    ++frames;
+    EXPECT_EQ(r.nonce, m.nonce);
+    EXPECT_EQ(r.term, m.term);
+    EXPECT_EQ(r.uptime_ms, m.uptime_ms);
+    EXPECT_TRUE(r.cut_off);
+    EXPECT_EQ(r.cancelled, m.cancelled);
+  }
+  EXPECT_EQ(frames, 2);
+  EXPECT_TRUE(buffer.empty());
+}
+
+// A link must not hang or misread on anything a stray client may send.
+TEST(Peer, GarbageClosesTheLink) {
+  PeerMessage r, m;
+  m.cancelled = {"j-000001"};
+  const auto good = encode_peer(m);
+  for (std::size_t i : {0, 1, 2, 3, 4, 5, 6, 7, 9, 10, 11}) { // all of the header but a length that may be true
+    auto s = good;
+    s[i] = static_cast<char>(0xee);
+    EXPECT_EQ(read_peer(s, r), PeerRead::Garbage) << i;
+  }
+  auto s = good;
+  s[s.size() - 3] = '/';
+  EXPECT_EQ(read_peer(s, r), PeerRead::Garbage);
+  s = "GET /up HTTP/1.1\r\n\r\n";
+  EXPECT_EQ(read_peer(s, r), PeerRead::Garbage);
+  std::mt19937 rng(1);
+  for (int i = 0; i < 5000; ++i) {
+    s = good;
+    s[rng() % s.size()] = static_cast<char>(rng());
+    s.resize(1 + rng() % s.size());
+    read_peer(s, r);
+  }
+}
--- a/tests/world.cpp
+++ b/tests/world.cpp
@@ -128,6 +128,18 @@
   }
   for (const auto &op : effects.store) store_op(i, op);
   for (const auto &op : effects.cloud) cloud_op(i, op);
+  for (const auto &p : effects.peers) {
+    if (chance(o_.loss)) continue;
+    // Link ids in this world: the asker's index.
+    int to = p.sibling >= 0 ? (p.sibling < i ? p.sibling : p.sibling + 1) : static_cast<int>(p.link);
+    double there = t_ + (chance(o_.loss) ? uniform(0.1, 30) : uniform(0.001, 0.005));
+    schedule(there, [this, to, i, pong = p.sibling < 0, m = p.message] {
+      wire::PeerMessage read;
+      auto bytes = wire::encode_peer(m);
+      if (wire::read_peer(bytes, read) != wire::PeerRead::Frame) return break_rule("a peer frame did not survive");
+      push(to, core::CmdPeer{pong ? (i < to ? i : i - 1) : -1, static_cast<std::uint64_t>(i), std::move(read)});
+    });
+  }
 }
 
 void World::ask(int i, std::function<core::Command(core::RequestId)> make,
@@ -369,6 +381,7 @@
   Box &b = boxes_[i];
   if (b.gone || !b.up) return;
   if (t_ - b.lease_from > o_.lease_s) { // also while it hangs: nothing runs past its lease
+    lease_kills += static_cast<int>(b.runs.size());
     b.runs.clear();
     ++b.session;
     b.lease_from = t_;
--- a/tests/world_test.cpp
+++ b/tests/world_test.cpp
@@ -73,6 +73,26 @@
   EXPECT_TRUE(caught);
 }
 
+// In an outage longer than the workers' lease the leader keeps their tasks alive, as long as every
+// sibling says that it is cut off too; nothing is started, and afterwards the work goes on.
+TEST(World, LongOutageKillsNoTask) {
+  for (std::uint64_t seed = 1; seed <= 4; ++seed) {
+    World w(seed, {});
+    w.at(2, [&w] { w.submit(w.job(Shape::Array, 6, 1, 60)); });
+    int before = 0;
+    w.at(40, [&w, &before] {
+      before = w.starts;
+      w.outage(25);
+    });
+    w.run(64);
+    EXPECT_EQ(w.starts, before);
+    EXPECT_EQ(w.lease_kills, 0);
+    w.run(200);
+    EXPECT_TRUE(w.broken.empty()) << all(w);
+    EXPECT_TRUE(w.all_over());
+  }
+}
+
 class Seeds : public ::testing::TestWithParam<int> {};
 
 // Everything at once: lost and late messages, crashes, cuts that hold packets, outages, sick machines.
