--- a/include/loftrouter/core/core.hpp
+++ b/include/loftrouter/core/core.hpp
@@ -198,6 +198,8 @@
   bool lost = false;      // its lease ran out, or it failed
   bool returning = false; // no new tasks; given back
   bool listed_failed = false;
+  std::string held_for; // id of the job that it is being emptied for
+  double held_until = -1;
   bool draining = false; // surplus: takes no new tasks and goes back once empty
   std::uint64_t session = 0, seq = 0;
   double known_since = 0, last_answer = -1, idle_since = -1, first_heard = -1;
--- a/include/loftrouter/core/placement.hpp
+++ b/include/loftrouter/core/placement.hpp
@@ -15,12 +15,14 @@
   bool spot = false;
   bool kept = false;            // wanted whole by a job class that fits nowhere else
   Resources spare;              // kept: what small work may still take without being in the way
+  int held_for = -1;            // being emptied for this job (`PlaceJob::self`): takes nothing else
   double hourly = 0;            // price now
   std::vector<int> images;      // held or being fetched
   double speed_gb_s = 1;
 };
 
 struct PlaceJob {
+  int self = -2; // compared with `PlaceMachine::held_for`
   Resources need;
   std::vector<char> types; // by type index: allowed
   int zone = -1;           // only this zone, or -1
--- a/src/core/fleet.cpp
+++ b/src/core/fleet.cpp
@@ -11,6 +11,7 @@
 constexpr double kDrift = 0.002;
 constexpr double kRound = 0.25;
 constexpr double kReportRound = 0.01; // least time between rounds that reports ask for
+constexpr double kHoldForJob = 15.0;   // a machine emptied for a job stays free for it
 constexpr std::size_t kMaxStartsPerReply = 400; // keeps a response below the protocol's 64 KiB
 } // namespace
 
@@ -330,6 +331,8 @@
     pm.spot = p->spot;
     const auto &type = types_[static_cast<std::size_t>(p->type)];
     pm.hourly = p->spot ? type.spot_price : type.price;
+    if (now() < p->held_until)
+      if (auto it = job_index_.find(p->held_for); it != job_index_.end()) pm.held_for = it->second;
     pm.speed_gb_s = type.fetch_gb_per_s;
     pm.images.assign(p->images.begin(), p->images.end());
     auto kept = kept_types_.find(p->type);
@@ -343,12 +346,35 @@
     out.push_back(std::move(pm));
     index.push_back(static_cast<int>(i));
   }
+  // Of the kept machines that hold no large task one a type, the one with least small work, is reserved
+  // for the next; the others are open to small work rather than paid for nothing.
+  std::unordered_map<int, int> reserved;
+  auto small_only = [&](int k) {
+    const auto &slots = machines_[static_cast<std::size_t>(index[static_cast<std::size_t>(k)])]->slots;
+    return std::all_of(slots.begin(), slots.end(), [&](const Slot &s) {
+      return s.finished || (s.job >= 0 && is_small(*jobs_[static_cast<std::size_t>(s.job)]));
+    });
+  };
+  for (int k = 0; k < static_cast<int>(out.size()); ++k) {
+    auto &m = out[static_cast<std::size_t>(k)];
+    if (!m.kept || m.held_for >= 0 || !small_only(k)) continue;
+    auto [it, first] = reserved.try_emplace(m.type, k);
+    if (first) continue;
+    auto &other = out[static_cast<std::size_t>(it->second)];
+    if (m.free.cpus > other.free.cpus) {
+      other.kept = false;
+      it->second = k;
+    } else {
+      m.kept = false;
+    }
+  }
   return out;
 }
 
 PlaceJob Core::place_job(int j, const std::unordered_map<int, int> &position) const {
   const Job &n = *jobs_[static_cast<std::size_t>(j)];
   PlaceJob p;
+  p.self = j;
   p.need = n.spec.need;
   p.types.assign(types_.size(), 1);
   if (n.spec.types)
@@ -497,7 +523,7 @@
         }
       }
       if (!p.need.fits(free)) continue;
-      if (taken[i] && waiting) { // one machine is being emptied: that is enough
+      if (machines[i].held_for == j || (taken[i] && waiting)) { // one machine is being emptied: that is enough
         best = -2;
         break;
       }
@@ -508,6 +534,9 @@
     }
     if (best < 0) continue;
     taken[static_cast<std::size_t>(best)] = 1;
+    // Without this, other small work moves in while the last tasks are still being stopped.
+    machine(index[static_cast<std::size_t>(best)]).held_for = n.spec.id;
+    machine(index[static_cast<std::size_t>(best)]).held_until = now() + kHoldForJob;
     int m = index[static_cast<std::size_t>(best)];
     log(LogLevel::Info, fmt::format("job {} takes machine {} from work of lower priority", n.spec.id, machine(m).name));
     for (std::size_t s = machine(m).slots.size(); s-- > 0;) {
--- a/tests/placement_test.cpp
+++ b/tests/placement_test.cpp
@@ -183,6 +183,30 @@
   EXPECT_TRUE(place_round({m}, {big, small}, {}, {}).empty());
 }
 
+// A machine being emptied for an urgent job was refilled with small work round after round, and its
+// place taken again each time (1560 times on one day).
+TEST(Placement, MachineBeingEmptiedTakesNothingElse) {
+  PlaceMachine m;
+  m.size = {32, 0, 128};
+  m.free = {20, 0, 100};
+  m.held_for = 7;
+  PlaceJob big, small;
+  big.need = {30, 0, 64};
+  small.need = {1, 0, 1};
+  big.types = small.types = {1};
+  big.self = 7;
+  small.self = 3;
+  big.ready = big.limit = 1;
+  small.ready = small.limit = 5;
+  EXPECT_TRUE(place_round({m}, {big, small}, {}, {}).empty());
+  m.free = m.size;
+  auto plan = place_round({m}, {big, small}, {}, {});
+  ASSERT_EQ(plan.size(), 1u);
+  EXPECT_EQ(plan[0].job, 0);
+  m.held_for = -1;
+  EXPECT_EQ(place_round({m}, {big, small}, {}, {}).size(), 3u);
+}
+
 TEST(Ranges, WidenCoversMoreAndNarrowCoversLess) {
   std::mt19937 rng(2);
   for (int i = 0; i < 500; ++i) {
