--- a/src/core/autoscaler.cpp
+++ b/src/core/autoscaler.cpp
@@ -21,7 +21,8 @@
 constexpr double kDear = 1.5;          // dearer than the cheapest place by more than this: only to save a deadline
 constexpr double kSlackShare = 0.7;    // of the time left, what the queue may take
 constexpr double kDefaultDue = 300.0;  // for jobs without a deadline or an objective
-constexpr double kLowWaves = 2.0; // how often a rented machine's place may be used for one backlog
+// How often a rented machine's place may be used for one backlog: as often as the time left allows.
+constexpr double kWavesShare = 0.5, kMinWaves = 2.0, kMaxWaves = 6.0;
 const char *const kTypesKey = "conf/types";
 } // namespace
 
@@ -261,6 +262,10 @@
     PlaceJob p = place_job(j, {});
     if (p.limit == 0 || now() < n.retry_at) continue;
     pending |= p.ready > 0;
+    const bool low = p.urgency == Urgency::Low;
+    const double est = std::max(8.0, n.spec.estimate_s);
+    const double due = due_after(n), left = due - p.wait_s;
+    const double waves = low ? std::clamp(kWavesShare * left / est, kMinWaves, kMaxWaves) : 1.0;
     double waiting = p.ready;
     for (auto &b : booting) { // what is on its way takes them first
       PlaceMachine pm;
@@ -270,11 +275,10 @@
       if (!allowed(p, pm, -1) || (p.small && !b.spot && kept_types_.contains(b.type))) continue;
       while (waiting >= 1 && p.need.fits(b.free)) {
         b.free.add(p.need, -1);
-        waiting -= p.urgency == Urgency::Low ? kLowWaves : 1;
+        waiting -= waves;
       }
     }
     if (waiting < 1) continue;
-    double est = std::max(8.0, n.spec.estimate_s);
     struct Choice {
       int type = -1, zone = -1;
       bool spot = false;
@@ -293,8 +297,6 @@
       if (!p.types[static_cast<std::size_t>(t)] || !p.need.fits(type.size)) continue;
       cheapest = std::min(cheapest, (p.spot ? std::min(type.spot_price, type.price) : type.price) / places_on(type));
     }
-    const bool low = p.urgency == Urgency::Low;
-    const double due = due_after(n), left = due - p.wait_s;
     for (int t = 0; t < static_cast<int>(types_.size()); ++t) {
       const auto &type = types_[static_cast<std::size_t>(t)];
       if (!p.types[static_cast<std::size_t>(t)] || !p.need.fits(type.size)) continue;
@@ -322,7 +324,7 @@
           }
           double rest = waiting - (low ? carried : std::floor(carried));
           if (rest < 0.5) continue;
-          int count = static_cast<int>(std::ceil(std::ceil(low ? rest / kLowWaves : rest) / per));
+          int count = static_cast<int>(std::ceil(std::ceil(rest / waves) / per));
           double cost = price * count * (1 + 0.003 * type.boot_s);
           if (cost < best.cost) best = {t, z, spot, std::min(count, 50), cost};
         }
