--- a/include/loftrouter/core/core.hpp
+++ b/include/loftrouter/core/core.hpp
@@ -64,8 +64,8 @@
   std::uint64_t link; // where an answer goes
   wire::PeerMessage message;
 };
-using Command = std::variant<CmdTick, CmdSubmit, CmdLookup, CmdAbort, CmdUp, CmdReport, CmdStoreReply,
-                             CmdCloudReply, CmdPeer>;
+using Command =
+    std::variant<CmdTick, CmdSubmit, CmdLookup, CmdAbort, CmdUp, CmdReport, CmdStoreReply, CmdCloudReply, CmdPeer>;
 
 // ---- effects ----
 struct Reply {
@@ -101,9 +101,7 @@
 struct StoreOp {
   OpId op;
   double deadline_s;
-  std::variant<StoreGet, StoreList, StoreCommit, StoreLeaseNew, StoreLeaseTouch, StoreLeaseDrop,
-               StoreFollow>
-      what;
+  std::variant<StoreGet, StoreList, StoreCommit, StoreLeaseNew, StoreLeaseTouch, StoreLeaseDrop, StoreFollow> what;
 };
 struct CloudTypes {};
 struct CloudList {
@@ -128,7 +126,7 @@
   std::string text;
 };
 struct PeerSend {
-  int sibling;        // -1: on `link`
+  int sibling; // -1: on `link`
   std::uint64_t link;
   wire::PeerMessage message;
 };
@@ -185,8 +183,8 @@
   bool stop = false;
   double grace_s = 0;
   double placed_at = 0, running_since = -1;
-  bool finished = false; // exited with success
-  bool recorded = false; // and the state service says so: the worker may forget it
+  bool finished = false;        // exited with success
+  bool recorded = false;        // and the state service says so: the worker may forget it
   std::uint64_t done_flush = 0; // the transaction that says so
   Resources need;
 };
--- a/include/loftrouter/core/placement.hpp
+++ b/include/loftrouter/core/placement.hpp
@@ -13,11 +13,11 @@
   Resources size, free;
   int type = 0, zone = 0;
   bool spot = false;
-  bool kept = false;            // wanted whole by a job class that fits nowhere else
-  Resources spare;              // kept: what small work may still take without being in the way
-  int held_for = -1;            // being emptied for this job (`PlaceJob::self`): takes nothing else
-  double hourly = 0;            // price now
-  std::vector<int> images;      // held or being fetched
+  bool kept = false;       // wanted whole by a job class that fits nowhere else
+  Resources spare;         // kept: what small work may still take without being in the way
+  int held_for = -1;       // being emptied for this job (`PlaceJob::self`): takes nothing else
+  double hourly = 0;       // price now
+  std::vector<int> images; // held or being fetched
   double speed_gb_s = 1;
 };
 
@@ -29,13 +29,13 @@
   bool spot = false;       // may use spot machines
   bool gang = false;       // all of `ready` or nothing
   bool one_zone = false;
-  int zone_cap = -1;                  // most tasks in a zone (spread), or -1
-  std::vector<int> zone_used;         // tasks of the job on machines, by zone
-  std::vector<int> barred;            // machines not to be used
-  std::uint32_t ready = 0;            // tasks to place
-  std::uint32_t limit = 0;            // most of them allowed by the team's limit
+  int zone_cap = -1;          // most tasks in a zone (spread), or -1
+  std::vector<int> zone_used; // tasks of the job on machines, by zone
+  std::vector<int> barred;    // machines not to be used
+  std::uint32_t ready = 0;    // tasks to place
+  std::uint32_t limit = 0;    // most of them allowed by the team's limit
   Urgency urgency = Urgency::Normal;
-  bool guaranteed = false;            // within its team's guarantee
+  bool guaranteed = false; // within its team's guarantee
   double wait_s = 0;
   int image = -1;
   double image_gb = 0;
@@ -44,10 +44,10 @@
 };
 
 struct PlaceOptions {
-  double whole_bonus = 10;    // the plan fits whole
-  double age_weight = 0.05;   // per second waited
-  double image_weight = 0.3;  // beside F: the machine holds the image
-  double price_weight = 0.5;  // beside F: dearer than the cheapest
+  double whole_bonus = 10;   // the plan fits whole
+  double age_weight = 0.05;  // per second waited
+  double image_weight = 0.3; // beside F: the machine holds the image
+  double price_weight = 0.5; // beside F: dearer than the cheapest
   double reserve_after_s = 120;
 };
 
@@ -63,8 +63,7 @@
 
 // Rounds until nothing more fits. `team_room` (CPUs and GPUs left under each team's limit, or
 // negative for none) is used up along the way.
-std::vector<Assignment> place_round(std::vector<PlaceMachine> machines,
-                                    const std::vector<PlaceJob> &jobs,
+std::vector<Assignment> place_round(std::vector<PlaceMachine> machines, const std::vector<PlaceJob> &jobs,
                                     std::vector<Resources> team_room, const PlaceOptions &options);
 
 } // namespace loft::core
--- a/include/loftrouter/core/util.hpp
+++ b/include/loftrouter/core/util.hpp
@@ -55,8 +55,10 @@
   Ranges out;
   for (std::uint32_t i = 0; i < count; ++i) {
     if (!pick(i)) continue;
-    if (!out.empty() && out.back().second == i) out.back().second = i + 1;
-    else out.emplace_back(i, i + 1);
+    if (!out.empty() && out.back().second == i)
+      out.back().second = i + 1;
+    else
+      out.emplace_back(i, i + 1);
   }
   return out;
 }
--- a/include/loftrouter/net/client.hpp
+++ b/include/loftrouter/net/client.hpp
@@ -26,8 +26,8 @@
   HttpClient(Loop &loop, Address address, Options options);
   ~HttpClient();
 
-  void request(std::string_view method, std::string_view target, std::string_view body,
-               double deadline_s, Callback done);
+  void request(std::string_view method, std::string_view target, std::string_view body, double deadline_s,
+               Callback done);
 
 private:
   struct Conn;
--- a/include/loftrouter/net/http.hpp
+++ b/include/loftrouter/net/http.hpp
@@ -10,9 +10,9 @@
 namespace loft::net {
 
 struct HttpMessage {
-  std::string method;  // requests
-  std::string target;  // requests
-  int status = 0;      // responses
+  std::string method; // requests
+  std::string target; // requests
+  int status = 0;     // responses
   bool keep_alive = true;
   std::optional<int> retry_after;
   std::string body;
@@ -34,7 +34,7 @@
   void feed(std::string_view bytes) { buffer_.append(bytes); }
   State poll();
 
-  HttpMessage take();  // after Complete; the parser is ready for the next message
+  HttpMessage take(); // after Complete; the parser is ready for the next message
   int error_status() const { return error_; }
   const char *error_text() const { return error_text_; }
   std::size_t buffered() const { return buffer_.size(); }
@@ -65,7 +65,7 @@
 
 std::string format_request(std::string_view method, std::string_view target, std::string_view host,
                            std::string_view body);
-std::string format_response(int status, std::string_view body, std::optional<int> retry_after,
-                            bool keep_alive, std::string_view content_type = "application/cbor");
+std::string format_response(int status, std::string_view body, std::optional<int> retry_after, bool keep_alive,
+                            std::string_view content_type = "application/cbor");
 
 } // namespace loft::net
--- a/include/loftrouter/net/loop.hpp
+++ b/include/loftrouter/net/loop.hpp
@@ -22,7 +22,9 @@
   ~Loop();
   Loop(const Loop &) = delete;
   Loop &operator=(const Loop &) = delete;
-  struct ev_loop *raw() { return loop_; }
+  struct ev_loop *raw() {
+    return loop_;
+  }
   void run();
   void stop();
 
--- a/include/loftrouter/wire/messages.hpp
+++ b/include/loftrouter/wire/messages.hpp
@@ -82,8 +82,7 @@
   std::vector<ListedMachine> machines;
   bool more = false;
 };
-std::string encode_rent(std::string_view request, std::string_view type, std::string_view zone,
-                        bool spot, int count);
+std::string encode_rent(std::string_view request, std::string_view type, std::string_view zone, bool spot, int count);
 std::string encode_return(const std::vector<std::string> &names);
 enum class CloudCall : std::uint8_t { Types, List, Rent, Return };
 CloudReply decode_cloud(CloudCall call, int status, std::string_view body);
--- a/include/loftrouter/wire/peer.hpp
+++ b/include/loftrouter/wire/peer.hpp
@@ -12,11 +12,11 @@
 
 struct PeerMessage {
   enum class Kind : std::uint16_t { Ping = 1, Pong = 2 } kind = Kind::Ping;
-  std::uint64_t nonce = 0;     // a pong repeats its ping's
-  std::uint64_t term = 0;      // highest term the sender knows of
-  bool cut_off = false;        // the sender gets no answers from the state service
-  bool hears_workers = false;  // workers have reported to the sender lately
-  std::uint32_t uptime_ms = 0; // capped
+  std::uint64_t nonce = 0;            // a pong repeats its ping's
+  std::uint64_t term = 0;             // highest term the sender knows of
+  bool cut_off = false;               // the sender gets no answers from the state service
+  bool hears_workers = false;         // workers have reported to the sender lately
+  std::uint32_t uptime_ms = 0;        // capped
   std::vector<std::string> cancelled; // jobs whose cancellation the sender has confirmed lately
 };
 
--- a/src/app/daemon.cpp
+++ b/src/app/daemon.cpp
@@ -26,15 +26,20 @@
         server_(loop_, std::move(api), server_options(s),
                 [this](net::ConnId id, net::HttpMessage &&m) { on_request(id, std::move(m)); }),
         store_(loop_, *net::parse_address(s.state_address),
-               [this](core::OpId op, wire::StoreReply &&r) { push(core::CmdStoreReply{op, std::move(r)}); }),
+               [this](core::OpId op, wire::StoreReply &&r) {
+                 push(core::CmdStoreReply{op, std::move(r)});
+               }),
         cloud_(loop_, *net::parse_address(s.cloud_address),
-               [this](core::OpId op, wire::CloudReply &&r) { push(core::CmdCloudReply{op, std::move(r)}); }),
+               [this](core::OpId op, wire::CloudReply &&r) {
+                 push(core::CmdCloudReply{op, std::move(r)});
+               }),
         peers_(loop_, std::move(peers), sibling_addresses(s),
                [this](net::LinkId link, int sibling, std::string &buffer) { return on_peer(link, sibling, buffer); }),
-        tick_(loop_, [this] {
-          tick_.once(kTick);
-          push(core::CmdTick{});
-        }),
+        tick_(loop_,
+              [this] {
+                tick_.once(kTick);
+                push(core::CmdTick{});
+              }),
         work_(loop_, [this] { drain(); }) {}
 
   void run() {
@@ -52,7 +57,8 @@
 
   static std::vector<net::Address> sibling_addresses(const Settings &s) {
     std::vector<net::Address> out;
-    for (const auto &x : s.siblings) out.push_back(*net::parse_address(x.address));
+    for (const auto &x : s.siblings)
+      out.push_back(*net::parse_address(x.address));
     return out;
   }
 
@@ -60,9 +66,12 @@
     for (;;) {
       wire::PeerMessage m;
       switch (wire::read_peer(buffer, m)) {
-      case wire::PeerRead::NeedMore: return true;
-      case wire::PeerRead::Garbage: return false;
-      case wire::PeerRead::Frame: push(core::CmdPeer{sibling, link, std::move(m)});
+      case wire::PeerRead::NeedMore:
+        return true;
+      case wire::PeerRead::Garbage:
+        return false;
+      case wire::PeerRead::Frame:
+        push(core::CmdPeer{sibling, link, std::move(m)});
       }
     }
   }
@@ -76,14 +85,20 @@
     auto batch = std::move(queue_);
     queue_.clear();
     auto effects = core_.apply(std::move(batch), {net::mono_now(), net::wall_now()});
-    for (const auto &l : effects.logs) write_log(l);
-    for (const auto &r : effects.replies) server_.respond(r.req, r.status, r.body, r.retry_after);
-    for (const auto &op : effects.store) store_.send(op);
-    for (const auto &op : effects.cloud) cloud_.send(op);
+    for (const auto &l : effects.logs)
+      write_log(l);
+    for (const auto &r : effects.replies)
+      server_.respond(r.req, r.status, r.body, r.retry_after);
+    for (const auto &op : effects.store)
+      store_.send(op);
+    for (const auto &op : effects.cloud)
+      cloud_.send(op);
     for (const auto &p : effects.peers) {
       auto frame = wire::encode_peer(p.message);
-      if (p.sibling >= 0) peers_.send_to_sibling(p.sibling, frame);
-      else peers_.send_on(p.link, frame);
+      if (p.sibling >= 0)
+        peers_.send_to_sibling(p.sibling, frame);
+      else
+        peers_.send_on(p.link, frame);
     }
   }
 
--- a/src/app/settings.cpp
+++ b/src/app/settings.cpp
@@ -49,7 +49,8 @@
   }
   template <class F> void each(F f) const {
     if (!j.is_array()) throw Bad(fmt::format("{}: must be a list", path));
-    for (std::size_t i = 0; i < j.size(); ++i) f(At{j[i], fmt::format("{}[{}]", path, i)});
+    for (std::size_t i = 0; i < j.size(); ++i)
+      f(At{j[i], fmt::format("{}[{}]", path, i)});
   }
 };
 
--- a/src/cloud/cloud.cpp
+++ b/src/cloud/cloud.cpp
@@ -18,7 +18,7 @@
     void operator()(const core::CloudTypes &) { call(wire::CloudCall::Types, "GET", "/machine_types", ""); }
     void operator()(const core::CloudList &x) {
       call(wire::CloudCall::List, "GET",
-         fmt::format("/machines?{}most=500", x.from.empty() ? "" : "from=" + x.from + "&"), "");
+           fmt::format("/machines?{}most=500", x.from.empty() ? "" : "from=" + x.from + "&"), "");
     }
     void operator()(const core::CloudRent &x) {
       call(wire::CloudCall::Rent, "POST", "/machines", wire::encode_rent(x.request, x.type, x.zone, x.spot, x.count));
--- a/src/core/autoscaler.cpp
+++ b/src/core/autoscaler.cpp
@@ -14,13 +14,13 @@
 constexpr double kTypesEvery = 60.0;
 constexpr double kNoCapacityPause = 12.0;
 constexpr double kMinimumCharge = 60.0; // a returned machine costs at least this long
-constexpr double kHoldBoots = 2.5;     // an idle machine of the cheapest kind is held for so many boot times,
-constexpr double kHoldBootsKept = 3.0; // one that some job class needs whole for so many
-constexpr double kBootGiveUp = 2.0;    // boot times after which a machine is taken for one that never comes up
-constexpr double kDrainBelow = 0.6;    // drain a machine if the rest would be used less than this
-constexpr double kDear = 1.5;          // dearer than the cheapest place by more than this: only to save a deadline
-constexpr double kSlackShare = 0.7;    // of the time left, what the queue may take
-constexpr double kDefaultDue = 300.0;  // for jobs without a deadline or an objective
+constexpr double kHoldBoots = 2.5;      // an idle machine of the cheapest kind is held for so many boot times,
+constexpr double kHoldBootsKept = 3.0;  // one that some job class needs whole for so many
+constexpr double kBootGiveUp = 2.0;     // boot times after which a machine is taken for one that never comes up
+constexpr double kDrainBelow = 0.6;     // drain a machine if the rest would be used less than this
+constexpr double kDear = 1.5;           // dearer than the cheapest place by more than this: only to save a deadline
+constexpr double kSlackShare = 0.7;     // of the time left, what the queue may take
+constexpr double kDefaultDue = 300.0;   // for jobs without a deadline or an objective
 // How often a rented machine's place may be used for one backlog: as often as the time left allows.
 constexpr double kWavesShare = 0.5, kMinWaves = 2.0, kMaxWaves = 6.0;
 const char *const kTypesKey = "conf/types";
@@ -75,7 +75,8 @@
   for (int t = 0; t < static_cast<int>(types_.size()); ++t) {
     const auto &type = types_[static_cast<std::size_t>(t)];
     if (!j.spec.need.fits(type.size)) continue;
-    if (j.spec.types && std::find(j.spec.types->begin(), j.spec.types->end(), type.name) == j.spec.types->end()) continue;
+    if (j.spec.types && std::find(j.spec.types->begin(), j.spec.types->end(), type.name) == j.spec.types->end())
+      continue;
     if (only >= 0) return;
     only = t;
   }
@@ -122,7 +123,7 @@
   for (const auto &l : r.machines) {
     if (auto it = gone_.find(l.name); it != gone_.end()) {
       if (now() - it->second < 4 * settings_.cloud_list_lag_s + 5) continue; // the list lags
-      gone_.erase(it); // still there: give it back again
+      gone_.erase(it);                                                       // still there: give it back again
       machine(machine_index(l.name, l.type, l.zone, l.spot)).returning = true;
       continue;
     }
@@ -153,7 +154,8 @@
     if (!n.heard && now() - n.known_since > 10 && age > kBootGiveUp * boot + 10) n.returning = true;
     // Many machines silent at once points at this node's network rather than at them.
     if (n.heard && n.lost && (lost <= live || now() - n.last_answer > settings_.lease_s + 30)) n.returning = true;
-    if (n.taken_at && now() > *n.taken_at + 1 && now() - n.last_answer > settings_.report_s * 1.5 + 1) n.returning = true;
+    if (n.taken_at && now() > *n.taken_at + 1 && now() - n.last_answer > settings_.report_s * 1.5 + 1)
+      n.returning = true;
     if (n.heard && !n.lost && n.slots.empty() && n.idle_since >= 0 && age >= kMinimumCharge - 2) {
       auto kept = kept_types_.find(n.type);
       bool keep = !n.spot && kept != kept_types_.end() && now() - kept->second.seen < 300;
@@ -320,7 +322,8 @@
           for (std::size_t i = 0; i < up.size(); ++i) {
             if (!allowed(p, up[i], -1) || !p.need.fits(up[i].size) || (up[i].kept && p.small)) continue;
             double cpus = std::max(p.need.cpus, 0.01);
-            carried += std::max(0.0, std::floor(up[i].size.cpus / cpus + 1e-6) * cpus * horizon - busy[i]) / (cpus * est);
+            carried +=
+                std::max(0.0, std::floor(up[i].size.cpus / cpus + 1e-6) * cpus * horizon - busy[i]) / (cpus * est);
           }
           double rest = waiting - (low ? carried : std::floor(carried));
           if (rest < 0.5) continue;
--- a/src/core/core.cpp
+++ b/src/core/core.cpp
@@ -8,7 +8,8 @@
   double nodes = static_cast<double>(settings_.siblings.size() + 1);
   const double w = settings_.state_write_rps, r = settings_.state_rps;
   // The state service counts all nodes together: the leader's lease is outside these budgets, users'
-  // writes come next, and progress has the rest. Bursts may add up to a little more than one second's worth; a refusal by rate is retried.
+  // writes come next, and progress has the rest. Bursts may add up to a little more than one second's worth; a refusal
+  // by rate is retried.
   user_writes_ = TokenBucket(0.4 * w / nodes, std::max(1.0, 0.25 * w));
   leader_writes_ = TokenBucket(0.55 * w, std::max<double>(0.5 * w, 3));
   user_reads_ = TokenBucket(0.75 * r / nodes, std::max(2.0, 0.7 * r / nodes));
@@ -16,8 +17,10 @@
   siblings_.resize(settings_.siblings.size());
   // A restarted node must not take an answer to its former self's question for its own.
   ping_nonce_ = static_cast<std::uint64_t>(random() * 9e15);
-  for (const auto &t : settings_.teams) team_names_.get(t.name);
-  for (const auto &z : settings_.zones) zone_names_.get(z);
+  for (const auto &t : settings_.teams)
+    team_names_.get(t.name);
+  for (const auto &z : settings_.zones)
+    zone_names_.get(z);
 }
 
 double Core::random() { // xorshift64*: only spreads retries, so quality does not matter
@@ -52,8 +55,10 @@
 
 void Core::on(CmdUp &&cmd) {
   bool ok = types_known_ && (now() - store_ok_at_ < 3.0 || common_outage());
-  if (ok) reply(cmd.req, 200, "");
-  else refuse(cmd.req, types_known_ ? "state service out of reach" : "starting up");
+  if (ok)
+    reply(cmd.req, 200, "");
+  else
+    refuse(cmd.req, types_known_ ? "state service out of reach" : "starting up");
 }
 
 void Core::on(CmdStoreReply &&cmd) {
@@ -96,6 +101,8 @@
   reply(req, 503, wire::encode_error(why), retry);
 }
 
-void Core::log(LogLevel level, std::string text) { effects_.logs.push_back({level, std::move(text)}); }
+void Core::log(LogLevel level, std::string text) {
+  effects_.logs.push_back({level, std::move(text)});
+}
 
 } // namespace loft::core
--- a/src/core/fleet.cpp
+++ b/src/core/fleet.cpp
@@ -10,8 +10,8 @@
 namespace {
 constexpr double kDrift = 0.002;
 constexpr double kRound = 0.25;
-constexpr double kReportRound = 0.01; // least time between rounds that reports ask for
-constexpr double kHoldForJob = 15.0;   // a machine emptied for a job stays free for it
+constexpr double kReportRound = 0.01;           // least time between rounds that reports ask for
+constexpr double kHoldForJob = 15.0;            // a machine emptied for a job stays free for it
 constexpr std::size_t kMaxStartsPerReply = 400; // keeps a response below the protocol's 64 KiB
 } // namespace
 
@@ -131,8 +131,10 @@
       TaskState state = j->tasks[t->index].state;
       adopt = state == TaskState::Unaccounted || state == TaskState::Pending;
       if (adopt && j->spec.shape == Shape::Gang) {
-        if (j->gang_attempt < t->attempt) j->gang_attempt = t->attempt;
-        else if (j->gang_attempt > t->attempt) adopt = t->phase == TaskPhase::Exited;
+        if (j->gang_attempt < t->attempt)
+          j->gang_attempt = t->attempt;
+        else if (j->gang_attempt > t->attempt)
+          adopt = t->phase == TaskPhase::Exited;
       }
     }
     if (!adopt) { // ended, or a duplicate: it has to go
@@ -418,7 +420,8 @@
   std::vector<int> index;
   auto machines = snapshot(index);
   std::unordered_map<int, int> position;
-  for (std::size_t i = 0; i < index.size(); ++i) position[index[i]] = static_cast<int>(i);
+  for (std::size_t i = 0; i < index.size(); ++i)
+    position[index[i]] = static_cast<int>(i);
   std::vector<Resources> room;
   std::vector<Resources> wanted(settings_.teams.size());
   for (const auto &t : settings_.teams)
@@ -454,7 +457,8 @@
     int m = index[static_cast<std::size_t>(a.machine)];
     Job &n = job(j);
     auto &i = cursor[p];
-    while (i < n.spec.tasks && n.tasks[i].state != TaskState::Pending) ++i;
+    while (i < n.spec.tasks && n.tasks[i].state != TaskState::Pending)
+      ++i;
     if (i >= n.spec.tasks) continue;
     Slot slot;
     slot.job = j;
@@ -497,7 +501,8 @@
   std::vector<int> index;
   auto machines = snapshot(index);
   std::unordered_map<int, int> position;
-  for (std::size_t i = 0; i < index.size(); ++i) position[index[i]] = static_cast<int>(i);
+  for (std::size_t i = 0; i < index.size(); ++i)
+    position[index[i]] = static_cast<int>(i);
   std::vector<char> taken(machines.size(), 0);
   for (std::size_t i = 0; i < index.size(); ++i)
     for (const auto &s : machine(index[i]).slots)
@@ -544,8 +549,10 @@
       Slot &slot = machine(m).slots[s];
       if (slot.job < 0 || slot.finished || job(slot.job).spec.urgency >= n.spec.urgency) continue;
       job(slot.job).reason = fmt::format("a task was stopped to make room for job {} of higher priority", n.spec.id);
-      if (!slot.sent && !slot.seen) drop_slot(m, s, true);
-      else stop_slot(m, slot, job(slot.job).spec.checkpoint_s > 0 ? job(slot.job).spec.save_s + 1 : 0);
+      if (!slot.sent && !slot.seen)
+        drop_slot(m, s, true);
+      else
+        stop_slot(m, slot, job(slot.job).spec.checkpoint_s > 0 ? job(slot.job).spec.save_s + 1 : 0);
     }
   }
 }
--- a/src/core/jobs.cpp
+++ b/src/core/jobs.cpp
@@ -42,7 +42,8 @@
         ++n.unaccounted;
       }
     for (auto [a, b] : it->second.finished)
-      for (auto i = a; i < b && i < n.spec.tasks; ++i) set_task(j, i, TaskState::Done);
+      for (auto i = a; i < b && i < n.spec.tasks; ++i)
+        set_task(j, i, TaskState::Done);
   }
   if (n.cancelled) cancel_job(j);
   if (finishable(n)) mark_dirty(j, true);
@@ -98,8 +99,10 @@
     for (std::size_t s = machine(m).slots.size(); s-- > 0;) {
       Slot &slot = machine(m).slots[s];
       if (slot.job != j) continue;
-      if (!slot.sent && !slot.seen) drop_slot(m, s, true);
-      else stop_slot(m, slot, 0);
+      if (!slot.sent && !slot.seen)
+        drop_slot(m, s, true);
+      else
+        stop_slot(m, slot, 0);
     }
   }
   if (finishable(n)) mark_dirty(j, true);
@@ -118,9 +121,14 @@
     --n.placed;
     --zone(t.machine);
     break;
-  case TaskState::Unaccounted: --n.unaccounted; break;
-  case TaskState::Done: --n.done; break;
-  case TaskState::Pending: break;
+  case TaskState::Unaccounted:
+    --n.unaccounted;
+    break;
+  case TaskState::Done:
+    --n.done;
+    break;
+  case TaskState::Pending:
+    break;
   }
   t.state = state;
   t.machine = m;
@@ -129,9 +137,15 @@
     ++n.placed;
     ++zone(m);
     break;
-  case TaskState::Unaccounted: ++n.unaccounted; break;
-  case TaskState::Done: ++n.done; break;
-  case TaskState::Pending: round_wanted_ = true; break;
+  case TaskState::Unaccounted:
+    ++n.unaccounted;
+    break;
+  case TaskState::Done:
+    ++n.done;
+    break;
+  case TaskState::Pending:
+    round_wanted_ = true;
+    break;
   }
 }
 
@@ -155,7 +169,8 @@
 // of their own. Too many "started" are safe: after a takeover they wait until leases have run out.
 void Core::record_ahead(Job &n) {
   if (n.cancelled) return;
-  std::uint32_t ahead = n.spec.shape == Shape::Gang ? (n.spec.tasks <= 64 ? n.spec.tasks : 0) : std::max(4u, n.placed / 4);
+  std::uint32_t ahead =
+      n.spec.shape == Shape::Gang ? (n.spec.tasks <= 64 ? n.spec.tasks : 0) : std::max(4u, n.placed / 4);
   for (std::uint32_t i = 0; i < n.spec.tasks && ahead > 0; ++i)
     if (n.tasks[i].state == TaskState::Pending) {
       n.tasks[i].started = true;
@@ -166,8 +181,7 @@
 // One transaction at a time. Each is guarded by the leader key's revision and by every record's own.
 void Core::flush() {
   if (flushing_ || dirty_.empty() || !active() || now() < flush_after_) return;
-  std::stable_sort(dirty_.begin(), dirty_.end(),
-                   [this](int a, int b) { return job(a).urgent > job(b).urgent; });
+  std::stable_sort(dirty_.begin(), dirty_.end(), [this](int a, int b) { return job(a).urgent > job(b).urgent; });
   std::vector<wire::Guard> guards{{"leader", term_}};
   std::vector<wire::Write> writes;
   std::vector<int> jobs, ended;
@@ -225,7 +239,8 @@
   leader_writes_.take(now(), static_cast<double>(writes.size()));
   // What the transaction covers: slots placed from here on wait for the next one.
   for (int j : jobs) {
-    for (auto &t : job(j).tasks) t.covered = t.started;
+    for (auto &t : job(j).tasks)
+      t.covered = t.started;
     job(j).dirty = job(j).urgent = false;
     std::erase(dirty_, j);
   }
@@ -237,9 +252,11 @@
         if (slot.finished && !slot.recorded) slot.done_flush = id;
       }
   std::vector<std::string> ids;
-  for (int j : jobs) ids.push_back(job(j).spec.id);
+  for (int j : jobs)
+    ids.push_back(job(j).spec.id);
   std::vector<std::string> end_ids;
-  for (int j : ended) end_ids.push_back(job(j).spec.id);
+  for (int j : ended)
+    end_ids.push_back(job(j).spec.id);
   flushing_ = true;
   store(StoreCommit{std::move(guards), std::move(writes)}, 1.5,
         [this, ids, end_ids, id, guard = epoch_guard_](const wire::StoreReply &r) {
@@ -252,7 +269,8 @@
           if (r.status == 200) {
             each(ids, [&](int j) {
               job(j).progress_stamp = r.revision;
-              for (auto &t : job(j).tasks) t.recorded |= t.covered;
+              for (auto &t : job(j).tasks)
+                t.recorded |= t.covered;
             });
             for (auto &m : machines_)
               if (m)
@@ -311,8 +329,10 @@
         if (jj < 0) return;
         Job &n2 = job(jj);
         n2.resyncing = false;
-        if (p.status == 200 && p.entries.size() == 1) n2.progress_stamp = p.entries[0].stamp;
-        else if (p.status == 404) n2.progress_stamp = 0;
+        if (p.status == 200 && p.entries.size() == 1)
+          n2.progress_stamp = p.entries[0].stamp;
+        else if (p.status == 404)
+          n2.progress_stamp = 0;
         else {
           flush_after_ = now() + 0.2;
           return;
@@ -378,8 +398,10 @@
       for (std::size_t s = machine(m).slots.size(); s-- > 0;) {
         Slot &slot = machine(m).slots[s];
         if (slot.job != j || slot.finished) continue;
-        if (!slot.sent && !slot.seen) drop_slot(m, s, true);
-        else stop_slot(m, slot, n.spec.save_s + 1);
+        if (!slot.sent && !slot.seen)
+          drop_slot(m, s, true);
+        else
+          stop_slot(m, slot, n.spec.save_s + 1);
       }
 }
 
--- a/src/core/peers.cpp
+++ b/src/core/peers.cpp
@@ -11,7 +11,9 @@
 constexpr double kDeafPause = 15.0; // before a node that has stepped down as deaf stands again
 } // namespace
 
-bool Core::cut_off() const { return now() - store_ok_at_ > kCutOffAfter; }
+bool Core::cut_off() const {
+  return now() - store_ok_at_ > kCutOffAfter;
+}
 
 void Core::tick_peers() {
   abdicate_if_deaf();
@@ -41,7 +43,8 @@
     r.cut_off = cut_off();
     r.hears_workers = now() - last_report_at_ < kLately;
     r.uptime_ms = static_cast<std::uint32_t>(std::min(4e9, (now() - started_at_) * 1000));
-    for (auto it = confirmed_cancels_.rbegin(); it != confirmed_cancels_.rend() && r.cancelled.size() < wire::kPeerMaxCancelled; ++it)
+    for (auto it = confirmed_cancels_.rbegin();
+         it != confirmed_cancels_.rend() && r.cancelled.size() < wire::kPeerMaxCancelled; ++it)
       r.cancelled.push_back(it->first);
     effects_.peers.push_back({-1, cmd.link, std::move(r)});
     return;
--- a/src/core/placement.cpp
+++ b/src/core/placement.cpp
@@ -29,8 +29,7 @@
   auto part = [](double free, double size, double need) {
     return size > 0 ? std::max(0.0, free / size) * (need / size) : 0.0;
   };
-  return part(m.free.cpus, m.size.cpus, job.need.cpus) +
-         part(m.free.gpus, m.size.gpus, job.need.gpus) +
+  return part(m.free.cpus, m.size.cpus, job.need.cpus) + part(m.free.gpus, m.size.gpus, job.need.gpus) +
          part(m.free.memory, m.size.memory, job.need.memory);
 }
 
@@ -83,13 +82,13 @@
     plan.machines.push_back(best);
     plan.score += best_score;
   }
-  for (int i : plan.machines) occupy(job, machines[static_cast<std::size_t>(i)], -1);
+  for (int i : plan.machines)
+    occupy(job, machines[static_cast<std::size_t>(i)], -1);
   plan.whole = plan.machines.size() == job.ready && job.ready > 0;
   return plan;
 }
 
-Plan plan_job(const PlaceJob &job, std::vector<PlaceMachine> &machines, const Resources &room,
-              const PlaceOptions &o) {
+Plan plan_job(const PlaceJob &job, std::vector<PlaceMachine> &machines, const Resources &room, const PlaceOptions &o) {
   std::uint32_t want = std::min(job.ready, job.limit);
   auto cap = [&](double left, double need) {
     if (left < 0 || need <= 0) return;
@@ -104,7 +103,8 @@
     for (std::size_t z = 0; z < job.zone_used.size(); ++z)
       if (job.zone_used[z] > 0) fixed = static_cast<int>(z);
     std::vector<int> zones;
-    if (fixed >= 0) zones.push_back(fixed);
+    if (fixed >= 0)
+      zones.push_back(fixed);
     else
       for (const auto &m : machines)
         if (std::find(zones.begin(), zones.end(), m.zone) == zones.end()) zones.push_back(m.zone);
@@ -146,14 +146,12 @@
 
 } // namespace
 
-std::vector<Assignment> place_round(std::vector<PlaceMachine> machines,
-                                    const std::vector<PlaceJob> &jobs,
+std::vector<Assignment> place_round(std::vector<PlaceMachine> machines, const std::vector<PlaceJob> &jobs,
                                     std::vector<Resources> team_room, const PlaceOptions &o) {
   std::vector<Assignment> out;
   std::vector<char> left(jobs.size(), 1);
   auto rank = [&](const PlaceJob &j) {
-    return (j.wait_s > o.reserve_after_s ? 100 : 0) + static_cast<int>(j.urgency) * 2 +
-           (j.guaranteed ? 1 : 0);
+    return (j.wait_s > o.reserve_after_s ? 100 : 0) + static_cast<int>(j.urgency) * 2 + (j.guaranteed ? 1 : 0);
   };
   auto none = Resources{-1, -1, -1};
   for (;;) {
@@ -175,8 +173,8 @@
         left[i] = 0;
         continue;
       }
-      double value = p.score / static_cast<double>(p.machines.size()) + (p.whole ? o.whole_bonus : 0) +
-                     o.age_weight * job.wait_s;
+      double value =
+          p.score / static_cast<double>(p.machines.size()) + (p.whole ? o.whole_bonus : 0) + o.age_weight * job.wait_s;
       if (best < 0 || value > best_value) {
         best = static_cast<int>(i);
         best_value = value;
@@ -189,8 +187,7 @@
     for (int m : best_plan.machines) {
       auto &machine = machines[static_cast<std::size_t>(m)];
       occupy(job, machine, 1);
-      if (job.image >= 0 &&
-          std::find(machine.images.begin(), machine.images.end(), job.image) == machine.images.end())
+      if (job.image >= 0 && std::find(machine.images.begin(), machine.images.end(), job.image) == machine.images.end())
         machine.images.push_back(job.image);
       out.push_back({best, m});
       auto team = static_cast<std::size_t>(job.team);
--- a/src/core/term.cpp
+++ b/src/core/term.cpp
@@ -23,7 +23,8 @@
   if (role_ == Role::Leading && !following_) follow_open();
   if (role_ == Role::Loading && !lease_valid()) step_down("lease ran out while loading");
   // A leader whose lease ran out by its own clock only pauses: it starts nothing, answers reports only
-  // while every sibling says that it is cut off too, and goes on if the state service still knows the lease (after an outage it does).
+  // while every sibling says that it is cut off too, and goes on if the state service still knows the lease (after an
+  // outage it does).
 }
 
 void Core::poll_leader() {
@@ -63,8 +64,7 @@
     if (r.status != 200 || !r.lease) return back(0);
     auto lease = r.lease;
     nonce_ = static_cast<std::uint64_t>(random() * 9e15);
-    store(StoreCommit{{{kLeaderKey, 0}},
-                      {{kLeaderKey, wire::to_json(LeaderRecord{settings_.node, nonce_}), lease}}},
+    store(StoreCommit{{{kLeaderKey, 0}}, {{kLeaderKey, wire::to_json(LeaderRecord{settings_.node, nonce_}), lease}}},
           1.0, [this, guard, lease, sent, back](const wire::StoreReply &c) {
             if (guard != epoch_guard_) return;
             // An unknown outcome is given up with its lease: a commit that arrives later finds no lease.
@@ -96,9 +96,12 @@
   store(StoreLeaseTouch{lease_}, 1.0, [this, sent, guard = epoch_guard_](const wire::StoreReply &r) {
     renewing_ = false;
     if (guard != epoch_guard_ || role_ == Role::Follower) return;
-    if (r.status == 200) lease_valid_until_ = std::max(lease_valid_until_, sent + kTtl * (1 - kDrift) - 0.02);
-    else if (r.status == 404) step_down("lease is gone");
-    else next_renew_ = now() + 0.3;
+    if (r.status == 200)
+      lease_valid_until_ = std::max(lease_valid_until_, sent + kTtl * (1 - kDrift) - 0.02);
+    else if (r.status == 404)
+      step_down("lease is gone");
+    else
+      next_renew_ = now() + 0.3;
   });
 }
 
@@ -145,7 +148,8 @@
     if (guard != epoch_guard_) return;
     if (r.status != 200) return load_open(from);
     if (from.empty()) follow_from_ = r.revision;
-    for (const auto &e : r.entries) update_open(e.key, e.value, e.stamp);
+    for (const auto &e : r.entries)
+      update_open(e.key, e.value, e.stamp);
     if (r.more && !r.entries.empty()) return load_open(r.entries.back().key);
     if (relisting_) {
       relisting_ = false;
@@ -169,8 +173,8 @@
   std::uint32_t suspects = 0;
   for (const auto &j : jobs_)
     if (j) suspects += j->unaccounted;
-  log(LogLevel::Info, fmt::format("leading: term {}, {} open jobs, {} tasks unaccounted for", term_,
-                                  job_index_.size(), suspects));
+  log(LogLevel::Info,
+      fmt::format("leading: term {}, {} open jobs, {} tasks unaccounted for", term_, job_index_.size(), suspects));
   follow_open();
 }
 
--- a/src/core/users.cpp
+++ b/src/core/users.cpp
@@ -30,10 +30,8 @@
   }
   if (!types_known_) return Verdict::Unknown;
   for (const auto &type : types_) {
-    if (spec.types && std::find(spec.types->begin(), spec.types->end(), type.name) == spec.types->end())
-      continue;
-    if (spec.zone && std::find(type.zones.begin(), type.zones.end(), *spec.zone) == type.zones.end())
-      continue;
+    if (spec.types && std::find(spec.types->begin(), spec.types->end(), type.name) == spec.types->end()) continue;
+    if (spec.zone && std::find(type.zones.begin(), type.zones.end(), *spec.zone) == type.zones.end()) continue;
     if (spec.need.fits(type.size)) return Verdict::Ok;
   }
   why = "a task fits no machine type that the job allows";
@@ -41,24 +39,25 @@
 }
 
 void Core::on(CmdSubmit &&cmd) {
-  if (auto it = ends_.find(cmd.spec.id); it != ends_.end())
-    return answer_end(cmd.req, cmd.spec.id, it->second, true);
+  if (auto it = ends_.find(cmd.spec.id); it != ends_.end()) return answer_end(cmd.req, cmd.spec.id, it->second, true);
   std::string why;
   switch (judge(cmd.spec, why)) {
-  case Verdict::Never: return reply(cmd.req, 422, wire::encode_error(why));
-  case Verdict::Unknown: return refuse(cmd.req, "machine types are not known yet");
-  case Verdict::Ok: break;
+  case Verdict::Never:
+    return reply(cmd.req, 422, wire::encode_error(why));
+  case Verdict::Unknown:
+    return refuse(cmd.req, "machine types are not known yet");
+  case Verdict::Ok:
+    break;
   }
   OpenRecord record{cmd.spec, now_.wall, false};
   auto value = wire::to_json(record);
   if (static_cast<double>(value.dump().size()) > settings_.state_value_kb * 1024 - 64)
     return reply(cmd.req, 422, wire::encode_error("the job's description is too long to be kept"));
-  if (user_ops_ >= kMaxUserOps || !user_writes_.take(now()))
-    return refuse(cmd.req, "too many submissions at once");
+  if (user_ops_ >= kMaxUserOps || !user_writes_.take(now())) return refuse(cmd.req, "too many submissions at once");
   ++user_ops_;
   std::string id = cmd.spec.id;
-  store(StoreCommit{{{"open/" + id, 0}, {"end/" + id, 0}}, {{"open/" + id, std::move(value), 0}}},
-        kUserDeadline, [this, req = cmd.req, id](const wire::StoreReply &r) {
+  store(StoreCommit{{{"open/" + id, 0}, {"end/" + id, 0}}, {{"open/" + id, std::move(value), 0}}}, kUserDeadline,
+        [this, req = cmd.req, id](const wire::StoreReply &r) {
           --user_ops_;
           if (r.status == 200) return reply(req, 201, wire::encode_accepted(id, JobState::Queued));
           if (r.status == 409) return answer_state(req, id, true);
@@ -78,8 +77,7 @@
   store(StoreGet{"open/" + id}, kUserDeadline / 2, [this, req, id, as_submit](const wire::StoreReply &r) {
     --user_ops_;
     if (r.status == 404) return read_end(req, id, as_submit, false);
-    auto open = r.status == 200 && r.entries.size() == 1 ? wire::open_from_json(r.entries[0].value)
-                                                         : std::nullopt;
+    auto open = r.status == 200 && r.entries.size() == 1 ? wire::open_from_json(r.entries[0].value) : std::nullopt;
     if (!open) return refuse(req, "the state service did not answer");
     JobView view{id, JobState::Queued, 0, 0, {}};
     if (open->cancelled) view.state = JobState::Cancelled;
@@ -104,8 +102,10 @@
       if (p.status == 200 && p.entries.size() == 1)
         if (auto progress = wire::progress_from_json(p.entries[0].value)) {
           std::uint32_t started = 0;
-          for (auto [a, b] : progress->started) started += b - a;
-          for (auto [a, b] : progress->finished) v.done += b - a;
+          for (auto [a, b] : progress->started)
+            started += b - a;
+          for (auto [a, b] : progress->finished)
+            v.done += b - a;
           v.running = started > v.done ? started - v.done : 0;
           if (v.running) v.state = JobState::Running;
         }
@@ -119,8 +119,7 @@
   store(StoreGet{"end/" + id}, kUserDeadline / 2, [this, req, id, as_submit, as_abort](const wire::StoreReply &r) {
     --user_ops_;
     if (r.status == 404 && !as_submit) return reply(req, 404, wire::encode_error("no such job"));
-    auto end = r.status == 200 && r.entries.size() == 1 ? wire::end_from_json(r.entries[0].value)
-                                                        : std::nullopt;
+    auto end = r.status == 200 && r.entries.size() == 1 ? wire::end_from_json(r.entries[0].value) : std::nullopt;
     if (!end) return refuse(req, "the state service did not answer");
     remember_end(id, *end);
     answer_end(req, id, *end, as_submit || as_abort);
@@ -152,14 +151,13 @@
   store(StoreGet{"open/" + id}, kUserDeadline / 2, [this, req = cmd.req, id](const wire::StoreReply &r) {
     --user_ops_;
     if (r.status == 404) return read_end(req, id, false, true);
-    auto open = r.status == 200 && r.entries.size() == 1 ? wire::open_from_json(r.entries[0].value)
-                                                         : std::nullopt;
+    auto open = r.status == 200 && r.entries.size() == 1 ? wire::open_from_json(r.entries[0].value) : std::nullopt;
     if (!open) return refuse(req, "the state service did not answer");
     if (open->cancelled) return reply(req, 200, wire::encode_accepted(id, JobState::Cancelled));
     open->cancelled = true;
     ++user_ops_;
-    store(StoreCommit{{{"open/" + id, r.entries[0].stamp}}, {{"open/" + id, wire::to_json(*open), 0}}},
-          kUserDeadline, [this, req, id](const wire::StoreReply &c) {
+    store(StoreCommit{{{"open/" + id, r.entries[0].stamp}}, {{"open/" + id, wire::to_json(*open), 0}}}, kUserDeadline,
+          [this, req, id](const wire::StoreReply &c) {
             --user_ops_;
             if (c.status == 200) {
               confirmed_cancels_.emplace_back(id, now());
--- a/src/net/client.cpp
+++ b/src/net/client.cpp
@@ -21,21 +21,19 @@
 };
 
 HttpClient::HttpClient(Loop &loop, Address address, Options options)
-    : loop_(loop), address_(std::move(address)), options_(options),
-      sweep_timer_(loop, [this] { sweep(); }) {
+    : loop_(loop), address_(std::move(address)), options_(options), sweep_timer_(loop, [this] { sweep(); }) {
   sweep_timer_.once(0.1);
 }
 
 HttpClient::~HttpClient() = default;
 
-void HttpClient::request(std::string_view method, std::string_view target, std::string_view body,
-                         double deadline_s, Callback done) {
+void HttpClient::request(std::string_view method, std::string_view target, std::string_view body, double deadline_s,
+                         Callback done) {
   if (queue_.size() >= options_.max_queued) {
     done(0, {});
     return;
   }
-  queue_.push_back({format_request(method, target, address_.text, body), mono_now() + deadline_s,
-                    std::move(done)});
+  queue_.push_back({format_request(method, target, address_.text, body), mono_now() + deadline_s, std::move(done)});
   pump();
 }
 
@@ -59,8 +57,7 @@
         continue;
       }
       auto *raw = conn.get();
-      conn->watch = std::make_unique<IoWatch>(loop_, raw->fd.get(),
-                                              [this, raw](int events) { on_io(*raw, events); });
+      conn->watch = std::make_unique<IoWatch>(loop_, raw->fd.get(), [this, raw](int events) { on_io(*raw, events); });
       conns_.push_back(std::move(conn));
       free = raw;
     }
@@ -136,8 +133,10 @@
   for (std::size_t i = 0; i < conns_.size(); ++i) {
     Conn &c = *conns_[i];
     if (c.dead) continue;
-    if (c.busy && now > c.deadline) finish(c, 0, {}, false);
-    else if (!c.busy && now - c.idle_since > 30) finish(c, 0, {}, false);
+    if (c.busy && now > c.deadline)
+      finish(c, 0, {}, false);
+    else if (!c.busy && now - c.idle_since > 30)
+      finish(c, 0, {}, false);
   }
   while (!queue_.empty() && now > queue_.front().deadline) {
     auto p = std::move(queue_.front());
--- a/src/net/http.cpp
+++ b/src/net/http.cpp
@@ -20,13 +20,14 @@
 
 bool iequals(std::string_view a, std::string_view b) {
   auto low = [](char c) { return c >= 'A' && c <= 'Z' ? static_cast<char>(c + 32) : c; };
-  return std::equal(a.begin(), a.end(), b.begin(), b.end(),
-                    [&](char x, char y) { return low(x) == low(y); });
+  return std::equal(a.begin(), a.end(), b.begin(), b.end(), [&](char x, char y) { return low(x) == low(y); });
 }
 
 std::string_view trim(std::string_view s) {
-  while (!s.empty() && (s.front() == ' ' || s.front() == '\t')) s.remove_prefix(1);
-  while (!s.empty() && (s.back() == ' ' || s.back() == '\t')) s.remove_suffix(1);
+  while (!s.empty() && (s.front() == ' ' || s.front() == '\t'))
+    s.remove_prefix(1);
+  while (!s.empty() && (s.back() == ' ' || s.back() == '\t'))
+    s.remove_suffix(1);
   return s;
 }
 
@@ -41,21 +42,36 @@
 
 const char *reason(int status) {
   switch (status) {
-  case 200: return "OK";
-  case 201: return "Created";
-  case 400: return "Bad Request";
-  case 404: return "Not Found";
-  case 405: return "Method Not Allowed";
-  case 408: return "Request Timeout";
-  case 409: return "Conflict";
-  case 413: return "Content Too Large";
-  case 421: return "Misdirected Request";
-  case 422: return "Unprocessable Content";
-  case 429: return "Too Many Requests";
-  case 431: return "Request Header Fields Too Large";
-  case 501: return "Not Implemented";
-  case 503: return "Service Unavailable";
-  default: return "Status";
+  case 200:
+    return "OK";
+  case 201:
+    return "Created";
+  case 400:
+    return "Bad Request";
+  case 404:
+    return "Not Found";
+  case 405:
+    return "Method Not Allowed";
+  case 408:
+    return "Request Timeout";
+  case 409:
+    return "Conflict";
+  case 413:
+    return "Content Too Large";
+  case 421:
+    return "Misdirected Request";
+  case 422:
+    return "Unprocessable Content";
+  case 429:
+    return "Too Many Requests";
+  case 431:
+    return "Request Header Fields Too Large";
+  case 501:
+    return "Not Implemented";
+  case 503:
+    return "Service Unavailable";
+  default:
+    return "Status";
   }
 }
 
@@ -77,8 +93,7 @@
     auto method = line.substr(0, a), target = line.substr(a + 1, b - a - 1);
     auto version = line.substr(b + 1);
     if (!is_token(method) || target.empty() || target[0] != '/') return false;
-    if (std::any_of(target.begin(), target.end(), [](char c) { return c <= ' ' || c > '~'; }))
-      return false;
+    if (std::any_of(target.begin(), target.end(), [](char c) { return c <= ' ' || c > '~'; })) return false;
     if (version != "HTTP/1.1" && version != "HTTP/1.0") return false;
     msg_.keep_alive = version == "HTTP/1.1";
     msg_.method = method;
@@ -99,9 +114,8 @@
   if (colon == std::string_view::npos || !is_token(line.substr(0, colon))) return false;
   auto name = line.substr(0, colon);
   auto value = trim(line.substr(colon + 1));
-  if (std::any_of(value.begin(), value.end(), [](char c) {
-        return (static_cast<unsigned char>(c) < ' ' && c != '\t') || c == 127;
-      }))
+  if (std::any_of(value.begin(), value.end(),
+                  [](char c) { return (static_cast<unsigned char>(c) < ' ' && c != '\t') || c == 127; }))
     return false;
   if (iequals(name, "content-length")) {
     auto n = parse_number(value, 10);
@@ -111,8 +125,10 @@
     if (chunked_ || !iequals(value, "chunked")) return false;
     chunked_ = true;
   } else if (iequals(name, "connection")) {
-    if (iequals(value, "close")) msg_.keep_alive = false;
-    else if (iequals(value, "keep-alive")) msg_.keep_alive = true;
+    if (iequals(value, "close"))
+      msg_.keep_alive = false;
+    else if (iequals(value, "keep-alive"))
+      msg_.keep_alive = true;
   } else if (iequals(name, "host")) {
     if (host_seen_) return false;
     host_seen_ = true;
@@ -125,7 +141,8 @@
 HttpParser::State HttpParser::parse_head() {
   // Blank lines before a request are tolerated, as other servers do.
   std::size_t skip = 0;
-  while (buffer_.compare(skip, 2, "\r\n") == 0) skip += 2;
+  while (buffer_.compare(skip, 2, "\r\n") == 0)
+    skip += 2;
   if (skip) buffer_.erase(0, skip);
   auto end = buffer_.find("\r\n\r\n");
   if (end == std::string::npos) {
@@ -189,8 +206,7 @@
     }
     case Phase::ChunkSize: {
       auto eol = buffer_.find("\r\n");
-      if (eol == std::string::npos)
-        return buffer_.size() > 64 ? fail(400, "bad chunk size") : State::NeedMore;
+      if (eol == std::string::npos) return buffer_.size() > 64 ? fail(400, "bad chunk size") : State::NeedMore;
       auto n = parse_number(std::string_view(buffer_).substr(0, eol), 16);
       if (!n) return fail(400, "bad chunk size");
       if (msg_.body.size() + *n > limits_.body_bytes) return fail(413, "body too large");
@@ -208,8 +224,7 @@
     case Phase::Trailer: {
       auto eol = buffer_.find("\r\n");
       if (eol == std::string::npos)
-        return buffer_.size() > limits_.header_bytes ? fail(431, "trailer too large")
-                                                     : State::NeedMore;
+        return buffer_.size() > limits_.header_bytes ? fail(431, "trailer too large") : State::NeedMore;
       trailer_bytes_ += eol + 2;
       if (trailer_bytes_ > limits_.header_bytes) return fail(431, "trailer too large");
       bool last = eol == 0;
@@ -222,7 +237,8 @@
       buffer_.clear();
       if (msg_.body.size() > limits_.body_bytes) return fail(413, "body too large");
       return State::NeedMore;
-    case Phase::Done: return State::Complete;
+    case Phase::Done:
+      return State::Complete;
     }
   }
 }
@@ -253,10 +269,9 @@
   return out;
 }
 
-std::string format_response(int status, std::string_view body, std::optional<int> retry_after,
-                            bool keep_alive, std::string_view content_type) {
-  std::string out = fmt::format("HTTP/1.1 {} {}\r\nContent-Length: {}\r\n", status, reason(status),
-                                body.size());
+std::string format_response(int status, std::string_view body, std::optional<int> retry_after, bool keep_alive,
+                            std::string_view content_type) {
+  std::string out = fmt::format("HTTP/1.1 {} {}\r\nContent-Length: {}\r\n", status, reason(status), body.size());
   if (!body.empty()) out += fmt::format("Content-Type: {}\r\n", content_type);
   if (retry_after) out += fmt::format("Retry-After: {}\r\n", *retry_after);
   if (!keep_alive) out += "Connection: close\r\n";
--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -25,29 +25,40 @@
 Loop::Loop() : loop_(ev_loop_new(static_cast<unsigned>(EVBACKEND_EPOLL) | EVFLAG_NOENV)) {
   if (!loop_) loop_ = ev_loop_new(EVFLAG_AUTO);
 }
-Loop::~Loop() { ev_loop_destroy(loop_); }
-void Loop::run() { ev_run(loop_, 0); }
-void Loop::stop() { ev_break(loop_, EVBREAK_ALL); }
+Loop::~Loop() {
+  ev_loop_destroy(loop_);
+}
+void Loop::run() {
+  ev_run(loop_, 0);
+}
+void Loop::stop() {
+  ev_break(loop_, EVBREAK_ALL);
+}
 
 Timer::Timer(Loop &loop, std::function<void()> fn) : loop_(loop), fn_(std::move(fn)) {
   ev_init(&timer_, [](struct ev_loop *, ev_timer *w, int) { static_cast<Timer *>(w->data)->fn_(); });
   timer_.data = this;
 }
-Timer::~Timer() { stop(); }
+Timer::~Timer() {
+  stop();
+}
 void Timer::once(double after) {
   ev_timer_stop(loop_.raw(), &timer_);
   ev_timer_set(&timer_, after > 0 ? after : 0, 0);
   ev_timer_start(loop_.raw(), &timer_);
 }
-void Timer::stop() { ev_timer_stop(loop_.raw(), &timer_); }
+void Timer::stop() {
+  ev_timer_stop(loop_.raw(), &timer_);
+}
 
 IoWatch::IoWatch(Loop &loop, int fd, std::function<void(int)> fn) : loop_(loop), fn_(std::move(fn)) {
   ev_io_init(
-      &io_, [](struct ev_loop *, ev_io *w, int events) { static_cast<IoWatch *>(w->data)->fn_(events); },
-      fd, 0);
+      &io_, [](struct ev_loop *, ev_io *w, int events) { static_cast<IoWatch *>(w->data)->fn_(events); }, fd, 0);
   io_.data = this;
 }
-IoWatch::~IoWatch() { ev_io_stop(loop_.raw(), &io_); }
+IoWatch::~IoWatch() {
+  ev_io_stop(loop_.raw(), &io_);
+}
 void IoWatch::want(int events) {
   if (events == events_) return;
   ev_io_stop(loop_.raw(), &io_);
@@ -100,8 +111,7 @@
   int one = 1;
   ::setsockopt(fd.get(), SOL_SOCKET, SO_REUSEADDR, &one, sizeof one);
   auto sa = to_sockaddr(addr);
-  if (::bind(fd.get(), reinterpret_cast<sockaddr *>(&sa), sizeof sa) != 0 ||
-      ::listen(fd.get(), 256) != 0) {
+  if (::bind(fd.get(), reinterpret_cast<sockaddr *>(&sa), sizeof sa) != 0 || ::listen(fd.get(), 256) != 0) {
     error = std::strerror(errno);
     return {};
   }
@@ -114,8 +124,7 @@
   int one = 1;
   ::setsockopt(fd.get(), IPPROTO_TCP, TCP_NODELAY, &one, sizeof one);
   auto sa = to_sockaddr(addr);
-  if (::connect(fd.get(), reinterpret_cast<sockaddr *>(&sa), sizeof sa) != 0 && errno != EINPROGRESS)
-    return {};
+  if (::connect(fd.get(), reinterpret_cast<sockaddr *>(&sa), sizeof sa) != 0 && errno != EINPROGRESS) return {};
   return fd;
 }
 
--- a/src/net/peers.cpp
+++ b/src/net/peers.cpp
@@ -110,7 +110,8 @@
   std::vector<Link *> silent;
   for (auto &[id, l] : links_)
     if (mono_now() - l->heard > kSilence) silent.push_back(l.get());
-  for (auto *l : silent) close(*l);
+  for (auto *l : silent)
+    close(*l);
   sweep_timer_.once(0.5);
 }
 
--- a/src/net/server.cpp
+++ b/src/net/server.cpp
@@ -24,9 +24,8 @@
 };
 
 HttpServer::HttpServer(Loop &loop, Fd listener, Options options, Handler handler)
-    : loop_(loop), listener_(std::move(listener)), spare_(::open("/dev/null", O_RDONLY | O_CLOEXEC)),
-      options_(options), handler_(std::move(handler)),
-      accept_watch_(loop, listener_.get(), [this](int) { accept_ready(); }),
+    : loop_(loop), listener_(std::move(listener)), spare_(::open("/dev/null", O_RDONLY | O_CLOEXEC)), options_(options),
+      handler_(std::move(handler)), accept_watch_(loop, listener_.get(), [this](int) { accept_ready(); }),
       sweep_timer_(loop, [this] { sweep(); }) {
   accept_watch_.want(EV_READ);
   sweep_timer_.once(0.5);
@@ -56,8 +55,7 @@
     auto conn = std::make_unique<Conn>(id, std::move(fd));
     conn->since = mono_now();
     auto *raw = conn.get();
-    conn->watch = std::make_unique<IoWatch>(loop_, raw->fd.get(),
-                                            [this, raw](int events) { on_io(*raw, events); });
+    conn->watch = std::make_unique<IoWatch>(loop_, raw->fd.get(), [this, raw](int events) { on_io(*raw, events); });
     conn->watch->want(EV_READ);
     conns_.emplace(id, std::move(conn));
   }
@@ -67,8 +65,7 @@
 void HttpServer::make_room() {
   Conn *oldest = nullptr;
   for (auto &[id, c] : conns_)
-    if (!c->waiting && c->parser.idle() && c->out.empty() && (!oldest || c->since < oldest->since))
-      oldest = c.get();
+    if (!c->waiting && c->parser.idle() && c->out.empty() && (!oldest || c->since < oldest->since)) oldest = c.get();
   if (oldest) close(oldest->id);
 }
 
@@ -99,13 +96,15 @@
 void HttpServer::drive(Conn &c) {
   if (c.waiting || c.closing || !c.out.empty()) return;
   switch (c.parser.poll()) {
-  case HttpParser::State::NeedMore: return;
+  case HttpParser::State::NeedMore:
+    return;
   case HttpParser::State::Failed:
     c.closing = true;
     c.out = format_response(c.parser.error_status(), c.parser.error_text(), {}, false, "text/plain");
     flush(c);
     return;
-  case HttpParser::State::Complete: break;
+  case HttpParser::State::Complete:
+    break;
   }
   auto msg = c.parser.take();
   c.waiting = true;
@@ -165,13 +164,14 @@
   std::vector<ConnId> late;
   for (auto &[id, c] : conns_) {
     double age = now - c->since;
-    double limit = !c->out.empty()     ? options_.write_timeout_s
-                   : c->waiting        ? 60.0
-                   : c->parser.idle()  ? options_.idle_timeout_s
-                                       : options_.request_timeout_s;
+    double limit = !c->out.empty()    ? options_.write_timeout_s
+                   : c->waiting       ? 60.0
+                   : c->parser.idle() ? options_.idle_timeout_s
+                                      : options_.request_timeout_s;
     if (age > limit) late.push_back(id);
   }
-  for (auto id : late) close(id);
+  for (auto id : late)
+    close(id);
   sweep_timer_.once(0.5);
 }
 
--- a/src/store/store.cpp
+++ b/src/store/store.cpp
@@ -19,7 +19,7 @@
     void operator()(const core::StoreGet &x) { call(c.requests_, "GET", "/store/" + x.key); }
     void operator()(const core::StoreList &x) {
       call(c.requests_, "GET",
-         fmt::format("/store?under={}{}&most=200", x.prefix, x.from.empty() ? "" : "&from=" + x.from));
+           fmt::format("/store?under={}{}&most=200", x.prefix, x.from.empty() ? "" : "&from=" + x.from));
     }
     void operator()(const core::StoreCommit &x) {
       call(c.requests_, "POST", "/commit", wire::encode_commit(x.guards, x.writes));
@@ -31,7 +31,7 @@
     void operator()(const core::StoreLeaseDrop &x) { call(c.leases_, "DELETE", fmt::format("/leases/{}", x.lease)); }
     void operator()(const core::StoreFollow &x) {
       call(c.follows_, "GET",
-         fmt::format("/follow?under={}&from={}&hold_ms={}", x.prefix, x.from, static_cast<int>(x.hold_s * 1000)));
+           fmt::format("/follow?under={}&from={}&hold_ms={}", x.prefix, x.from, static_cast<int>(x.hold_s * 1000)));
     }
   };
   std::visit(Visitor{go, *this}, op.what);
--- a/src/wire/cbor.cpp
+++ b/src/wire/cbor.cpp
@@ -6,9 +6,7 @@
 
 bool valid_utf8(std::string_view s) {
   std::size_t i = 0;
-  auto cont = [&](std::size_t k) {
-    return k < s.size() && (static_cast<unsigned char>(s[k]) & 0xC0) == 0x80;
-  };
+  auto cont = [&](std::size_t k) { return k < s.size() && (static_cast<unsigned char>(s[k]) & 0xC0) == 0x80; };
   while (i < s.size()) {
     unsigned c = static_cast<unsigned char>(s[i]);
     if (c < 0x80) {
@@ -55,9 +53,7 @@
     key_ = std::move(v);
     return true;
   }
-  bool parse_error(std::size_t, const std::string &, const nlohmann::detail::exception &) override {
-    return false;
-  }
+  bool parse_error(std::size_t, const std::string &, const nlohmann::detail::exception &) override { return false; }
 
 private:
   template <class T> bool put(T &&v) { return add(Json(std::forward<T>(v))) != nullptr; }
@@ -98,8 +94,7 @@
 std::optional<Json> decode(std::string_view bytes, DecodeLimits limits) {
   Json root;
   BoundedDom dom(root, limits);
-  if (!Json::sax_parse(bytes.begin(), bytes.end(), &dom, Json::input_format_t::cbor, true))
-    return std::nullopt;
+  if (!Json::sax_parse(bytes.begin(), bytes.end(), &dom, Json::input_format_t::cbor, true)) return std::nullopt;
   return root;
 }
 
--- a/src/wire/messages.cpp
+++ b/src/wire/messages.cpp
@@ -12,29 +12,25 @@
 
 // The one table of names that this deployment's platform uses on the wire.
 namespace f {
-constexpr const char *id = "id", *job_class = "jobclass", *team = "crew", *shape = "shape",
-                     *urgency = "urgency", *tasks = "pieces", *cpus = "cores", *gpus = "cards",
-                     *memory = "ram_gb", *image = "bundle", *image_gb = "image_gb", *types = "hulls",
-                     *type = "hull", *zone = "yard", *zones = "yards", *one_zone = "one_zone",
-                     *spread = "apart", *spot = "standby", *estimate = "guess_s",
-                     *checkpoint = "bookmark_s", *save = "stash_s", *deadline = "due_s",
-                     *state = "status", *machine = "box", *machines = "boxes", *address = "address",
-                     *session = "shift", *seq = "tick", *token = "baton", *notice = "warning_s",
-                     *task = "piece", *attempt = "try", *cause = "cause", *saved = "stored",
-                     *orders = "orders", *verb = "verb", *grace = "leeway_s", *redirect = "answer_to",
-                     *revision = "epoch", *stamp = "stamp", *lease = "permit", *key = "k",
-                     *value = "v", *entries = "entries", *more = "truncated", *guards = "guards",
-                     *writes = "writes", *put = "set", *del = "drop", *failed = "failed",
-                     *events = "events", *ttl = "ttl_ms", *request = "hire", *count = "number",
-                     *name = "sku", *cache = "local_gb", *fetch = "pull_gb_per_s", *price = "rate",
-                     *spot_price = "spot_price", *boot = "startup_s", *age = "age_s";
+constexpr const char *id = "id", *job_class = "jobclass", *team = "crew", *shape = "shape", *urgency = "urgency",
+                     *tasks = "pieces", *cpus = "cores", *gpus = "cards", *memory = "ram_gb", *image = "bundle",
+                     *image_gb = "image_gb", *types = "hulls", *type = "hull", *zone = "yard", *zones = "yards",
+                     *one_zone = "one_zone", *spread = "apart", *spot = "standby", *estimate = "guess_s",
+                     *checkpoint = "bookmark_s", *save = "stash_s", *deadline = "due_s", *state = "status",
+                     *machine = "box", *machines = "boxes", *address = "address", *session = "shift", *seq = "tick",
+                     *token = "baton", *notice = "warning_s", *task = "piece", *attempt = "try", *cause = "cause",
+                     *saved = "stored", *orders = "orders", *verb = "verb", *grace = "leeway_s",
+                     *redirect = "answer_to", *revision = "epoch", *stamp = "stamp", *lease = "permit", *key = "k",
+                     *value = "v", *entries = "entries", *more = "truncated", *guards = "guards", *writes = "writes",
+                     *put = "set", *del = "drop", *failed = "failed", *events = "events", *ttl = "ttl_ms",
+                     *request = "hire", *count = "number", *name = "sku", *cache = "local_gb", *fetch = "pull_gb_per_s",
+                     *price = "rate", *spot_price = "spot_price", *boot = "startup_s", *age = "age_s";
 }
 
 constexpr const char *kShapes[] = {"array", "gang", "service"};
 constexpr const char *kUrgencies[] = {"low", "normal", "urgent", "production"};
 constexpr const char *kPhases[] = {"pulling", "gathering", "running", "saving", "exited"};
-constexpr const char *kCauses[] = {"", "done", "stopped", "mates_gone", "alone",
-                                   "error", "full", "busy", "no_such"};
+constexpr const char *kCauses[] = {"", "done", "stopped", "mates_gone", "alone", "error", "full", "busy", "no_such"};
 constexpr const char *kVerbs[] = {"start", "kill", "reap"};
 constexpr const char *kJobStates[] = {"queued", "running", "done", "aborted"};
 
@@ -70,8 +66,7 @@
 
 std::optional<std::uint64_t> count(const Json &j) {
   if (j.is_number_unsigned()) return j.get<std::uint64_t>();
-  if (j.is_number_integer() && j.get<std::int64_t>() >= 0)
-    return static_cast<std::uint64_t>(j.get<std::int64_t>());
+  if (j.is_number_integer() && j.get<std::int64_t>() >= 0) return static_cast<std::uint64_t>(j.get<std::int64_t>());
   return std::nullopt;
 }
 
@@ -148,10 +143,10 @@
     const char *name;
     double *to;
   };
-  for (auto [name, to] : {Amount{f::cpus, &s.need.cpus}, Amount{f::gpus, &s.need.gpus},
-                          Amount{f::memory, &s.need.memory}, Amount{f::image_gb, &s.image_gb},
-                          Amount{f::estimate, &s.estimate_s}, Amount{f::checkpoint, &s.checkpoint_s},
-                          Amount{f::save, &s.save_s}}) {
+  for (auto [name, to] :
+       {Amount{f::cpus, &s.need.cpus}, Amount{f::gpus, &s.need.gpus}, Amount{f::memory, &s.need.memory},
+        Amount{f::image_gb, &s.image_gb}, Amount{f::estimate, &s.estimate_s}, Amount{f::checkpoint, &s.checkpoint_s},
+        Amount{f::save, &s.save_s}}) {
     auto v = amount(at(j, name));
     if (!v) return bad(name);
     *to = *v;
@@ -160,8 +155,7 @@
     const char *name;
     bool *to;
   };
-  for (auto [name, to] : {Flag{f::one_zone, &s.one_zone}, Flag{f::spread, &s.spread},
-                          Flag{f::spot, &s.spot}}) {
+  for (auto [name, to] : {Flag{f::one_zone, &s.one_zone}, Flag{f::spread, &s.spread}, Flag{f::spot, &s.spot}}) {
     const Json &v = at(j, name);
     if (!v.is_boolean()) return bad(name);
     *to = v.get<bool>();
@@ -222,10 +216,7 @@
 }
 
 std::string encode_job_view(const JobView &v) {
-  Json j = {{f::id, v.id},
-            {f::state, kJobStates[static_cast<int>(v.state)]},
-            {"done", v.done},
-            {"running", v.running}};
+  Json j = {{f::id, v.id}, {f::state, kJobStates[static_cast<int>(v.state)]}, {"done", v.done}, {"running", v.running}};
   if (!v.reason.empty()) j["reason"] = v.reason;
   return encode(j);
 }
@@ -234,7 +225,9 @@
   return encode({{f::id, id}, {f::state, kJobStates[static_cast<int>(state)]}});
 }
 
-std::string encode_error(std::string_view text) { return encode({{"error", text}}); }
+std::string encode_error(std::string_view text) {
+  return encode({{"error", text}});
+}
 
 std::optional<WorkerReport> decode_report(std::string_view body) {
   auto j = decode(body);
@@ -245,8 +238,7 @@
   auto session = count(at(*j, f::session)), seq = count(at(*j, f::seq));
   auto token = count(at(*j, f::token));
   const Json &spot = at(*j, f::spot);
-  if (!machine || !address || !type || !zone || !session || !seq || !token || !spot.is_boolean())
-    return std::nullopt;
+  if (!machine || !address || !type || !zone || !session || !seq || !token || !spot.is_boolean()) return std::nullopt;
   r.machine = *machine;
   r.address = *address;
   r.type = *type;
@@ -270,8 +262,10 @@
     if (!name || !attempt || !phase || !split_task(*name, tr.job, tr.index)) return std::nullopt;
     tr.attempt = *attempt;
     tr.phase = static_cast<TaskPhase>(*phase);
-    if (auto cause = find_name(kCauses, at(t, f::cause))) tr.cause = static_cast<ExitCause>(*cause);
-    else if (tr.phase == TaskPhase::Exited) tr.cause = ExitCause::Error;
+    if (auto cause = find_name(kCauses, at(t, f::cause)))
+      tr.cause = static_cast<ExitCause>(*cause);
+    else if (tr.phase == TaskPhase::Exited)
+      tr.cause = ExitCause::Error;
     const Json &saved = at(t, f::saved);
     tr.saved = saved.is_boolean() && saved.get<bool>();
     r.tasks.push_back(std::move(tr));
@@ -282,9 +276,8 @@
 std::string encode_orders(std::uint64_t token, const std::vector<TaskOrder> &orders) {
   Json list = Json::array();
   for (const auto &o : orders) {
-    Json e = {{f::verb, kVerbs[static_cast<int>(o.verb)]},
-              {f::task, task_name(o.job, o.index)},
-              {f::attempt, o.attempt}};
+    Json e = {
+        {f::verb, kVerbs[static_cast<int>(o.verb)]}, {f::task, task_name(o.job, o.index)}, {f::attempt, o.attempt}};
     if (o.verb == TaskOrder::Verb::Stop) e[f::grace] = o.grace_s;
     list.push_back(std::move(e));
   }
@@ -311,9 +304,8 @@
 }
 
 Json to_json(const EndRecord &r) {
-  Json j = {{"cancelled", r.cancelled}, {"tasks", r.tasks},      {"class", r.job_class},
-            {"team", r.team},           {"at", r.submit_wall},   {"end", r.end_wall},
-            {"late", r.late}};
+  Json j = {{"cancelled", r.cancelled}, {"tasks", r.tasks},  {"class", r.job_class}, {"team", r.team},
+            {"at", r.submit_wall},      {"end", r.end_wall}, {"late", r.late}};
   if (!r.reason.empty()) j["reason"] = r.reason;
   return j;
 }
@@ -344,7 +336,9 @@
   return ProgressRecord{std::move(*started), std::move(*finished)};
 }
 
-Json to_json(const LeaderRecord &r) { return {{"node", r.node}, {"nonce", r.nonce}}; }
+Json to_json(const LeaderRecord &r) {
+  return {{"node", r.node}, {"nonce", r.nonce}};
+}
 
 std::optional<LeaderRecord> leader_from_json(const Json &j) {
   auto node = text(at(j, "node"));
@@ -395,7 +389,8 @@
 
 std::string encode_commit(const std::vector<Guard> &guards, const std::vector<Write> &writes) {
   Json g = Json::array(), w = Json::array();
-  for (const auto &x : guards) g.push_back({{f::key, x.key}, {f::stamp, x.stamp}});
+  for (const auto &x : guards)
+    g.push_back({{f::key, x.key}, {f::stamp, x.stamp}});
   for (const auto &x : writes) {
     if (!x.value) {
       w.push_back({{f::del, x.key}});
@@ -441,19 +436,21 @@
     for (const auto &e : list) {
       auto put = text(at(e, f::put)), del = text(at(e, f::del));
       auto stamp = count(at(e, f::stamp)).value_or(0);
-      if (put) r.events.push_back({*put, at(e, f::value), stamp});
-      else if (del) r.events.push_back({*del, std::nullopt, stamp});
+      if (put)
+        r.events.push_back({*put, at(e, f::value), stamp});
+      else if (del)
+        r.events.push_back({*del, std::nullopt, stamp});
     }
   return r;
 }
 
-std::string encode_rent(std::string_view request, std::string_view type, std::string_view zone,
-                        bool spot, int number) {
-  return encode({{f::request, request}, {f::type, type}, {f::zone, zone}, {f::spot, spot},
-                 {f::count, number}});
+std::string encode_rent(std::string_view request, std::string_view type, std::string_view zone, bool spot, int number) {
+  return encode({{f::request, request}, {f::type, type}, {f::zone, zone}, {f::spot, spot}, {f::count, number}});
 }
 
-std::string encode_return(const std::vector<std::string> &names) { return encode({{f::machines, names}}); }
+std::string encode_return(const std::vector<std::string> &names) {
+  return encode({{f::machines, names}});
+}
 
 CloudReply decode_cloud(CloudCall call, int status, std::string_view body) {
   CloudReply r;
@@ -468,8 +465,10 @@
   switch (call) {
   case CloudCall::Types: {
     auto types = types_from_json(*j);
-    if (types) r.types = std::move(*types);
-    else r.status = 0;
+    if (types)
+      r.types = std::move(*types);
+    else
+      r.status = 0;
     break;
   }
   case CloudCall::Rent:
@@ -495,7 +494,8 @@
     }
     r.more = at(*j, f::more).is_boolean() && at(*j, f::more).get<bool>();
     break;
-  case CloudCall::Return: break;
+  case CloudCall::Return:
+    break;
   }
   return r;
 }
--- a/src/wire/peer.cpp
+++ b/src/wire/peer.cpp
@@ -12,7 +12,8 @@
 constexpr std::uint16_t kVersion = 1;
 
 template <class T> void put(std::string &out, T v) {
-  for (std::size_t i = 0; i < sizeof v; ++i) out.push_back(static_cast<char>(v >> (8 * i)));
+  for (std::size_t i = 0; i < sizeof v; ++i)
+    out.push_back(static_cast<char>(v >> (8 * i)));
 }
 
 struct Reader {
--- a/tests/http_test.cpp
+++ b/tests/http_test.cpp
@@ -48,9 +48,10 @@
 
 // Lengths that two readers could take differently are how requests get smuggled.
 TEST(Http, RefusesWhatCouldBeReadInTwoWays) {
-  for (const char *head : {"Content-Length: 5\r\nTransfer-Encoding: chunked\r\n", "Content-Length: 5\r\nContent-Length: 5\r\n",
-                           "Content-Length: +5\r\n", "Content-Length: 5, 5\r\n", "Content-Length : 5\r\n",
-                           "Transfer-Encoding: gzip, chunked\r\n", "A: b\r\n folded\r\n", "A: b\nContent-Length: 3\r\n"}) {
+  for (const char *head :
+       {"Content-Length: 5\r\nTransfer-Encoding: chunked\r\n", "Content-Length: 5\r\nContent-Length: 5\r\n",
+        "Content-Length: +5\r\n", "Content-Length: 5, 5\r\n", "Content-Length : 5\r\n",
+        "Transfer-Encoding: gzip, chunked\r\n", "A: b\r\n folded\r\n", "A: b\nContent-Length: 3\r\n"}) {
     auto o = parse(std::string("POST / HTTP/1.1\r\n") + head + "\r\nhello");
     EXPECT_EQ(o.state, State::Failed) << head;
     EXPECT_EQ(o.error, 400) << head;
@@ -77,9 +78,14 @@
     for (unsigned n = rng() % 4; n-- > 0;) {
       auto at = rng() % s.size();
       switch (rng() % 3) {
-      case 0: s[at] = static_cast<char>(rng()); break;
-      case 1: s.erase(at, 1 + rng() % 3); break;
-      default: s.insert(at, 1, "\r\n: 0a"[rng() % 6]);
+      case 0:
+        s[at] = static_cast<char>(rng());
+        break;
+      case 1:
+        s.erase(at, 1 + rng() % 3);
+        break;
+      default:
+        s.insert(at, 1, "\r\n: 0a"[rng() % 6]);
       }
       if (s.empty()) s = "x";
     }
--- a/tests/placement_test.cpp
+++ b/tests/placement_test.cpp
@@ -59,7 +59,8 @@
 
 // The design's own words, done the slow way: every task of every waiting job is tried on every machine,
 // for jobs without zone rules, waits or ranks.
-std::vector<std::pair<int, int>> plain_round(std::vector<PlaceMachine> ms, std::vector<PlaceJob> jobs, const PlaceOptions &o) {
+std::vector<std::pair<int, int>> plain_round(std::vector<PlaceMachine> ms, std::vector<PlaceJob> jobs,
+                                             const PlaceOptions &o) {
   std::vector<std::pair<int, int>> out;
   std::vector<char> open(jobs.size(), 1);
   for (;;) {
@@ -134,7 +135,8 @@
       j.wait_s = std::min(j.wait_s, 100.0);
     }
     std::vector<std::pair<int, int>> got;
-    for (auto a : place_round(c.machines, c.jobs, {}, {})) got.emplace_back(a.job, a.machine);
+    for (auto a : place_round(c.machines, c.jobs, {}, {}))
+      got.emplace_back(a.job, a.machine);
     EXPECT_EQ(got, plain_round(c.machines, c.jobs, {})) << "case " << i;
   }
 }
@@ -211,7 +213,8 @@
   std::mt19937 rng(2);
   for (int i = 0; i < 500; ++i) {
     std::vector<char> in(300);
-    for (auto &x : in) x = rng() % 3 == 0;
+    for (auto &x : in)
+      x = rng() % 3 == 0;
     auto r = make_ranges(300, [&](std::uint32_t k) { return in[k]; });
     auto covers = [](const Ranges &rs, std::uint32_t k) {
       return std::any_of(rs.begin(), rs.end(), [&](auto x) { return k >= x.first && k < x.second; });
--- a/tests/wire_test.cpp
+++ b/tests/wire_test.cpp
@@ -11,13 +11,15 @@
 namespace {
 
 Json good_job() {
-  return {{"id", "j-000412"}, {"jobclass", "train"}, {"crew", "vision"}, {"shape", "gang"}, {"urgency", "urgent"},
-          {"pieces", 16}, {"cores", 8.0}, {"cards", 1.0}, {"ram_gb", 64.0}, {"bundle", "img-07"}, {"image_gb", 6.2},
-          {"hulls", {"g8"}}, {"yard", nullptr}, {"one_zone", true}, {"apart", false}, {"standby", true},
-          {"guess_s", 240.0}, {"bookmark_s", 30.0}, {"stash_s", 4.0}, {"due_s", 900.0}};
+  return {{"id", "j-000412"}, {"jobclass", "train"}, {"crew", "vision"},   {"shape", "gang"},  {"urgency", "urgent"},
+          {"pieces", 16},     {"cores", 8.0},        {"cards", 1.0},       {"ram_gb", 64.0},   {"bundle", "img-07"},
+          {"image_gb", 6.2},  {"hulls", {"g8"}},     {"yard", nullptr},    {"one_zone", true}, {"apart", false},
+          {"standby", true},  {"guess_s", 240.0},    {"bookmark_s", 30.0}, {"stash_s", 4.0},   {"due_s", 900.0}};
 }
 
-bool accepted(const Json &j) { return std::holds_alternative<JobSpec>(decode_job(encode(j))); }
+bool accepted(const Json &j) {
+  return std::holds_alternative<JobSpec>(decode_job(encode(j)));
+}
 
 } // namespace
 
@@ -35,10 +37,11 @@
 }
 
 TEST(Wire, MalformedJobsAreNamedByTheirField) {
-  for (const char *field : {"id", "jobclass", "crew", "shape", "urgency", "pieces", "cores", "cards", "ram_gb", "bundle",
-                            "image_gb", "one_zone", "apart", "standby", "guess_s", "bookmark_s", "stash_s"}) {
+  for (const char *field : {"id", "jobclass", "crew", "shape", "urgency", "pieces", "cores", "cards", "ram_gb",
+                            "bundle", "image_gb", "one_zone", "apart", "standby", "guess_s", "bookmark_s", "stash_s"}) {
     for (Json bad : {Json(), Json(Json::array()), Json(-1), Json("?"), Json(1e300)}) {
-      if (bad.is_string() && (std::string(field) == "jobclass" || std::string(field) == "crew" || std::string(field) == "bundle"))
+      if (bad.is_string() &&
+          (std::string(field) == "jobclass" || std::string(field) == "crew" || std::string(field) == "bundle"))
         continue;
       auto j = good_job();
       j[field] = bad;
@@ -74,14 +77,21 @@
 
 TEST(Wire, MutatedBodiesNeverCrash) {
   std::mt19937 rng(3);
-  const std::string report = encode(
-      {{"box", "n-1"}, {"address", "1.2.3.4:5"}, {"hull", "g8"}, {"yard", "a"}, {"standby", true}, {"shift", 1},
-       {"tick", 88}, {"baton", 41}, {"pieces", {{{"piece", "j-000412/3"}, {"try", 2}, {"status", "running"}}}}});
+  const std::string report = encode({{"box", "n-1"},
+                                     {"address", "1.2.3.4:5"},
+                                     {"hull", "g8"},
+                                     {"yard", "a"},
+                                     {"standby", true},
+                                     {"shift", 1},
+                                     {"tick", 88},
+                                     {"baton", 41},
+                                     {"pieces", {{{"piece", "j-000412/3"}, {"try", 2}, {"status", "running"}}}}});
   ASSERT_TRUE(decode_report(report));
   int read = 0;
   for (int i = 0; i < 20000; ++i) {
     std::string s = i % 2 ? report : encode(good_job());
-    for (unsigned n = 1 + rng() % 3; n-- > 0;) s[rng() % s.size()] = static_cast<char>(rng());
+    for (unsigned n = 1 + rng() % 3; n-- > 0;)
+      s[rng() % s.size()] = static_cast<char>(rng());
     if (i % 5 == 0) s.resize(rng() % s.size());
     read += decode_report(s).has_value() || std::holds_alternative<JobSpec>(decode_job(s));
   }
--- a/tests/world.cpp
+++ b/tests/world.cpp
@@ -11,7 +11,8 @@
   MachineType big{"big", {16, 2, 64}, 50, 1, 0.8, 0.3, 8, {"a", "b"}};
   types_ = {small, big};
   nodes_.resize(static_cast<std::size_t>(o_.nodes));
-  for (int i = 0; i < o_.nodes; ++i) start_node(i);
+  for (int i = 0; i < o_.nodes; ++i)
+    start_node(i);
   schedule(0.5, [this] { periodic_check(); });
 }
 
@@ -50,7 +51,8 @@
 void World::outage(double for_s) {
   outage_until_ = t_ + for_s;
   schedule(outage_until_, [this] {
-    for (auto &[id, l] : leases_) l.second = t_ + l.first;
+    for (auto &[id, l] : leases_)
+      l.second = t_ + l.first;
     notify();
   });
 }
@@ -72,7 +74,8 @@
 
 int World::leaders() const {
   int n = 0;
-  for (const auto &x : nodes_) n += x.core && x.core->leading();
+  for (const auto &x : nodes_)
+    n += x.core && x.core->leading();
   return n;
 }
 
@@ -118,7 +121,8 @@
   double mono = t_ * (1 + 0.0002 * i) + 1000 * i;
   auto effects = n.core->apply(std::move(batch), {mono, 1.7e9 + t_});
   if (std::getenv("WORLD_LOG"))
-    for (const auto &l : effects.logs) std::fprintf(stderr, "%9.3f node-%d %s\n", t_, i, l.text.c_str());
+    for (const auto &l : effects.logs)
+      std::fprintf(stderr, "%9.3f node-%d %s\n", t_, i, l.text.c_str());
   for (const auto &r : effects.replies) {
     auto it = n.answers.find(r.req);
     if (it == n.answers.end()) continue;
@@ -126,8 +130,10 @@
     n.answers.erase(it);
     fn(r);
   }
-  for (const auto &op : effects.store) store_op(i, op);
-  for (const auto &op : effects.cloud) cloud_op(i, op);
+  for (const auto &op : effects.store)
+    store_op(i, op);
+  for (const auto &op : effects.cloud)
+    cloud_op(i, op);
   for (const auto &p : effects.peers) {
     if (chance(o_.loss)) continue;
     // Link ids in this world: the asker's index.
@@ -154,8 +160,10 @@
 // ---- state service ----
 
 void World::change(const std::string &key, std::optional<json> value, std::uint64_t lease) {
-  if (value) keys_[key] = {*value, epoch_, lease};
-  else keys_.erase(key);
+  if (value)
+    keys_[key] = {*value, epoch_, lease};
+  else
+    keys_.erase(key);
   history_.push_back({key, value, epoch_});
 }
 
@@ -171,7 +179,8 @@
       if (v.lease == id) doomed.push_back(k);
     if (doomed.empty()) continue;
     ++epoch_;
-    for (auto &k : doomed) change(k, std::nullopt, 0);
+    for (auto &k : doomed)
+      change(k, std::nullopt, 0);
   }
 }
 
@@ -182,8 +191,10 @@
   r.revision = epoch_;
   if (auto *g = std::get_if<core::StoreGet>(&op.what)) {
     auto it = keys_.find(g->key);
-    if (it == keys_.end()) r.status = 404;
-    else r.entries.push_back({it->first, it->second.value, it->second.stamp, it->second.lease});
+    if (it == keys_.end())
+      r.status = 404;
+    else
+      r.entries.push_back({it->first, it->second.value, it->second.stamp, it->second.lease});
   } else if (auto *l = std::get_if<core::StoreList>(&op.what)) {
     for (auto &[k, v] : keys_) {
       if (k.compare(0, l->prefix.size(), l->prefix) != 0 || k <= l->from) continue;
@@ -203,15 +214,18 @@
     if (r.status == 200 && !r.failed.empty()) r.status = 409;
     if (r.status == 200 && !c->writes.empty()) {
       r.revision = ++epoch_;
-      for (auto &w : c->writes) change(w.key, w.value, w.lease);
+      for (auto &w : c->writes)
+        change(w.key, w.value, w.lease);
     }
   } else if (auto *n = std::get_if<core::StoreLeaseNew>(&op.what)) {
     r.lease = next_lease_++;
     leases_[r.lease] = {n->ttl_s, t_ + n->ttl_s};
   } else if (auto *n = std::get_if<core::StoreLeaseTouch>(&op.what)) {
     auto it = leases_.find(n->lease);
-    if (it == leases_.end()) r.status = 404;
-    else it->second.second = t_ + it->second.first;
+    if (it == leases_.end())
+      r.status = 404;
+    else
+      it->second.second = t_ + it->second.first;
   } else if (auto *n = std::get_if<core::StoreLeaseDrop>(&op.what)) {
     auto it = leases_.find(n->lease);
     if (it != leases_.end()) {
@@ -261,9 +275,13 @@
     there = n.state_cut_until + uniform(0, 0.01); // delivered once the cut is over
   } else if (chance(o_.loss)) {
     switch (rng_() % 3) {
-    case 0: return;
-    case 1: lose_answer = true; break;
-    default: there = t_ + uniform(0.5, 40); // applied late
+    case 0:
+      return;
+    case 1:
+      lose_answer = true;
+      break;
+    default:
+      there = t_ + uniform(0.5, 40); // applied late
     }
   }
   auto status = [this](int code) {
@@ -285,8 +303,10 @@
       return;
     }
     wire::StoreReply r;
-    if (t_ < outage_until_) r.status = 503;
-    else r = execute(op);
+    if (t_ < outage_until_)
+      r.status = 503;
+    else
+      r = execute(op);
     if (!lose_answer) schedule(t_ + uniform(0.001, 0.006), [answer, r] { answer(r); });
   });
 }
@@ -400,7 +420,8 @@
   r.session = b.session;
   r.seq = ++b.seq;
   r.token = b.token;
-  for (auto &x : b.runs) r.tasks.push_back({x.job, x.index, x.attempt, x.phase, x.cause, false});
+  for (auto &x : b.runs)
+    r.tasks.push_back({x.job, x.index, x.attempt, x.phase, x.cause, false});
   return r;
 }
 
@@ -434,7 +455,10 @@
   schedule(there, [this, i, node, r, no, sent, session, next_node, lose_answer] {
     if (!nodes_[static_cast<std::size_t>(node)].core) return next_node(-1);
     ask(
-        node, [r](core::RequestId q) { return core::CmdReport{q, r}; },
+        node,
+        [r](core::RequestId q) {
+          return core::CmdReport{q, r};
+        },
         [this, i, no, sent, session, next_node, lose_answer](const core::Reply &a) {
           if (lose_answer) return;
           auto answer = a;
@@ -596,7 +620,8 @@
       ++zones[x.zone];
     }
   if (spec.one_zone && zones.size() > 1) break_rule("wrong_place (one zone) " + r.job);
-  if (spec.spread && zones[b.zone] > static_cast<int>((spec.tasks + 1) / 2)) break_rule("wrong_place (spread) " + r.job);
+  if (spec.spread && zones[b.zone] > static_cast<int>((spec.tasks + 1) / 2))
+    break_rule("wrong_place (spread) " + r.job);
   if (b.spot && !spec.spot) break_rule("wrong_place (spot) " + r.job);
   if (spec.zone && *spec.zone != b.zone) break_rule("wrong_place (zone) " + r.job);
   if (spec.types && std::find(spec.types->begin(), spec.types->end(), b.type) == spec.types->end())
@@ -616,8 +641,7 @@
   for (const auto &x : boxes_)
     for (const auto &y : x.runs) {
       const Told &told = told_[y.job];
-      if (y.on && told.cancelled_at >= 0 && t_ > told.cancelled_at + o_.cancel_s)
-        break_rule("ran_cancelled " + y.job);
+      if (y.on && told.cancelled_at >= 0 && t_ > told.cancelled_at + o_.cancel_s) break_rule("ran_cancelled " + y.job);
     }
   schedule(t_ + 0.5, [this] { periodic_check(); });
 }
@@ -655,7 +679,10 @@
     submit(spec);
   };
   ask(
-      node, [spec](core::RequestId q) { return core::CmdSubmit{q, spec}; },
+      node,
+      [spec](core::RequestId q) {
+        return core::CmdSubmit{q, spec};
+      },
       [this, spec, settled, retry](const core::Reply &r) {
         if (*settled) return;
         Told &x = told_[spec.id];
@@ -681,7 +708,10 @@
   schedule(t_ + 5, [this, id] { poll(id); });
   bool was_cancelled = x.cancelled;
   ask(
-      static_cast<int>(rng_() % nodes_.size()), [id](core::RequestId q) { return core::CmdLookup{q, id}; },
+      static_cast<int>(rng_() % nodes_.size()),
+      [id](core::RequestId q) {
+        return core::CmdLookup{q, id};
+      },
       [this, id, was_cancelled](const core::Reply &r) {
         Told &y = told_[id];
         if (r.status == 404) break_rule("forgotten " + id);
@@ -712,7 +742,10 @@
     cancel(id);
   };
   ask(
-      static_cast<int>(rng_() % nodes_.size()), [id](core::RequestId q) { return core::CmdAbort{q, id}; },
+      static_cast<int>(rng_() % nodes_.size()),
+      [id](core::RequestId q) {
+        return core::CmdAbort{q, id};
+      },
       [this, id, settled, retry](const core::Reply &r) {
         if (*settled) return;
         Told &y = told_[id];
--- a/tests/world_test.cpp
+++ b/tests/world_test.cpp
@@ -13,13 +13,19 @@
     w.at(2 + i * 4.0, [&w, i] {
       JobSpec s;
       switch (i % 5) {
-      case 0: s = w.job(Shape::Array, 12, 1, 6); break;
-      case 1: s = w.job(Shape::Gang, 1, 12, 8); break;
+      case 0:
+        s = w.job(Shape::Array, 12, 1, 6);
+        break;
+      case 1:
+        s = w.job(Shape::Gang, 1, 12, 8);
+        break;
       case 2:
         s = w.job(Shape::Gang, 3, 3, 8);
         s.one_zone = true;
         break;
-      case 3: s = w.job(Shape::Array, 9, 2, 5, "blue"); break;
+      case 3:
+        s = w.job(Shape::Array, 9, 2, 5, "blue");
+        break;
       default:
         s = w.job(Shape::Array, 5, 1, 5);
         s.spread = true;
@@ -33,7 +39,8 @@
 
 std::string all(const World &w) {
   std::string out;
-  for (const auto &b : w.broken) out += b + "\n";
+  for (const auto &b : w.broken)
+    out += b + "\n";
   return out;
 }
 
@@ -68,7 +75,8 @@
     for (int i = 0; i < 6; ++i)
       w.at(20 + 12 * i, [&w] { w.cut_boxes(0.7, 6); });
     w.run(150);
-    for (const auto &b : w.broken) caught |= b.find("ran_twice") != std::string::npos;
+    for (const auto &b : w.broken)
+      caught |= b.find("ran_twice") != std::string::npos;
   }
   EXPECT_TRUE(caught);
 }
@@ -134,22 +142,30 @@
     bool hold = pick(2);
     w.at(at, [&w, kind, node, len, hold] {
       switch (kind) {
-      case 0: w.crash(node, 3); break;
+      case 0:
+        w.crash(node, 3);
+        break;
       case 1:
         if (w.leader() >= 0) w.crash(w.leader(), 3);
         break;
       case 2:
-        for (int n = 0; n < 3; ++n) w.crash(n, 3);
+        for (int n = 0; n < 3; ++n)
+          w.crash(n, 3);
+        break;
+      case 3:
+        w.outage(len);
         break;
-      case 3: w.outage(len); break;
       case 4:
         if (w.leader() >= 0) w.cut_state(w.leader(), len, hold);
         break;
-      case 5: w.cut_workers(node, len, hold); break;
+      case 5:
+        w.cut_workers(node, len, hold);
+        break;
       case 6:
         if (w.leader() >= 0) w.cut_workers(w.leader(), len, hold);
         break;
-      default: w.cut_boxes(0.1 * (node + 3), len);
+      default:
+        w.cut_boxes(0.1 * (node + 3), len);
       }
     });
   }
