Gangs of several tasks take whole machines from small work in one exchange

Now places are sought on all machines at once, where least work is lost or the image is held, and victims that cannot save are stopped by the same answer that starts the gang's task. Also logs a summary of the fleet, and lines that are not shown no longer count against the log's rate.

--- a/include/loftrouter/core/core.hpp
+++ b/include/loftrouter/core/core.hpp
@@ -294,10 +294,15 @@
   void lose_machine(int m, std::string_view why);
   void remove_machine(int m);
   void tick_fleet();
+  void log_summary();
   void stop_slot(int m, Slot &slot, double grace);
   void touch_image(Machine &m, int image, double gb);
   void round();
-  void preempt(const std::vector<int> &starved);
+  void place(int j, std::uint32_t i, int m);
+  struct Offer;
+  std::vector<Offer> seek_places(const PlaceJob &p, const std::vector<PlaceMachine> &machines,
+                                 const std::vector<int> &index, int zone) const;
+  void preempt(std::vector<int> starved);
   std::vector<PlaceMachine> snapshot(std::vector<int> &index) const;
   PlaceJob place_job(int j, const std::unordered_map<int, int> &machine_position) const;
 
@@ -384,7 +389,7 @@
   std::vector<std::unique_ptr<Machine>> machines_;
   std::unordered_map<std::string, int> machine_index_;
   std::unordered_map<std::string, double> gone_; // names given back, and when
-  double last_round_ = -1e9, next_round_ = 0, next_scale_ = 0, next_list_ = 0;
+  double last_round_ = -1e9, next_round_ = 0, next_scale_ = 0, next_list_ = 0, next_summary_ = 0;
   bool round_wanted_ = false;
 
   // cloud
--- a/src/app/daemon.cpp
+++ b/src/app/daemon.cpp
@@ -103,6 +103,10 @@
   }
 
   void write_log(const core::LogLine &l) {
+    auto level = l.level == core::LogLevel::Error  ? spdlog::level::err
+                 : l.level == core::LogLevel::Info ? spdlog::level::info
+                                                   : spdlog::level::debug;
+    if (!spdlog::should_log(level)) return; // before the rate: what is not shown must not crowd out what is
     double t = net::mono_now();
     log_level_ = std::min(kLogBurst, log_level_ + (t - log_at_) * kLogRate);
     log_at_ = t;
@@ -115,9 +119,6 @@
       spdlog::info("{} lines left out", log_dropped_);
       log_dropped_ = 0;
     }
-    auto level = l.level == core::LogLevel::Error  ? spdlog::level::err
-                 : l.level == core::LogLevel::Info ? spdlog::level::info
-                                                   : spdlog::level::debug;
     spdlog::log(level, "{}", l.text);
   }
 
--- a/src/core/fleet.cpp
+++ b/src/core/fleet.cpp
@@ -11,6 +11,8 @@
 constexpr double kDrift = 0.002;
 constexpr double kRound = 0.25;
 constexpr double kReportRound = 0.01;           // least time between rounds that reports ask for
+constexpr double kSummaryEvery = 10.0;
+constexpr double kImageWorth = 2.0;             // a fetch spared, against the CPU seconds of work lost
 constexpr double kHoldForJob = 15.0;            // a machine emptied for a job stays free for it
 constexpr std::size_t kMaxStartsPerReply = 400; // keeps a response below the protocol's 64 KiB
 } // namespace
@@ -293,7 +295,35 @@
   machines_[static_cast<std::size_t>(m)].reset();
 }
 
+void Core::log_summary() {
+  next_summary_ = now() + kSummaryEvery;
+  struct Kind {
+    int up = 0, booting = 0;
+    double cpus = 0, used = 0;
+  } kinds[2]; // ordinary, spot
+  for (const auto &m : machines_) {
+    if (!m || m->lost) continue;
+    Kind &k = kinds[m->spot];
+    ++(m->heard ? k.up : k.booting);
+    if (!m->heard) continue;
+    k.cpus += m->size.cpus;
+    k.used += m->used.cpus;
+  }
+  std::uint64_t waiting = 0;
+  int open = 0;
+  for (const auto &j : jobs_)
+    if (j && !j->cancelled) {
+      ++open;
+      waiting += j->spec.tasks - j->done - j->placed - j->unaccounted;
+    }
+  log(LogLevel::Info, fmt::format("{} jobs open, {} tasks waiting; ordinary machines: {} up, {} booting, {:.0f} of "
+                                  "{:.0f} CPUs placed; spot: {} up, {} booting, {:.0f} of {:.0f}",
+                                  open, waiting, kinds[0].up, kinds[0].booting, kinds[0].used, kinds[0].cpus,
+                                  kinds[1].up, kinds[1].booting, kinds[1].used, kinds[1].cpus));
+}
+
 void Core::tick_fleet() {
+  if (now() >= next_summary_) log_summary();
   for (int m = 0; m < static_cast<int>(machines_.size()); ++m) {
     if (!machines_[static_cast<std::size_t>(m)]) continue;
     Machine &n = machine(m);
@@ -412,6 +442,36 @@
   return p;
 }
 
+void Core::place(int j, std::uint32_t i, int m) {
+  Job &n = job(j);
+  Slot slot;
+  slot.job = j;
+  slot.job_id = n.spec.id;
+  slot.index = i;
+  if (n.spec.shape == Shape::Gang) {
+    if (n.placed == 0) {
+      n.gang_attempt = std::max(n.gang_attempt + 1, (term_ << 20) + ++attempt_counter_);
+      n.gang_closed = false;
+    }
+    slot.attempt = n.gang_attempt;
+  } else {
+    slot.attempt = (term_ << 20) + ++attempt_counter_;
+  }
+  slot.need = n.spec.need;
+  slot.placed_at = now();
+  slot.durable = n.tasks[i].recorded;
+  n.tasks[i].started = true;
+  set_task(j, i, TaskState::Placed, m);
+  machine(m).used.add(slot.need);
+  machine(m).idle_since = -1;
+  touch_image(machine(m), n.image, n.spec.image_gb);
+  if (!slot.durable) mark_dirty(j, true);
+  if (n.placed == 1)
+    log(LogLevel::Debug, fmt::format("job {} ({}): first task to {} ({}) after {:.1f} s", n.spec.id, n.spec.job_class,
+                                     machine(m).name, type_names_.name(machine(m).type), now_.wall - n.submit_wall));
+  machine(m).slots.push_back(std::move(slot));
+}
+
 void Core::round() {
   next_round_ = now() + kRound;
   last_round_ = now();
@@ -455,37 +515,12 @@
     auto p = static_cast<std::size_t>(a.job);
     int j = order[p];
     int m = index[static_cast<std::size_t>(a.machine)];
-    Job &n = job(j);
+    const Job &n = job(j);
     auto &i = cursor[p];
     while (i < n.spec.tasks && n.tasks[i].state != TaskState::Pending)
       ++i;
     if (i >= n.spec.tasks) continue;
-    Slot slot;
-    slot.job = j;
-    slot.job_id = n.spec.id;
-    slot.index = i;
-    if (n.spec.shape == Shape::Gang) {
-      if (n.placed == 0) {
-        n.gang_attempt = std::max(n.gang_attempt + 1, (term_ << 20) + ++attempt_counter_);
-        n.gang_closed = false;
-      }
-      slot.attempt = n.gang_attempt;
-    } else {
-      slot.attempt = (term_ << 20) + ++attempt_counter_;
-    }
-    slot.need = n.spec.need;
-    slot.placed_at = now();
-    slot.durable = n.tasks[i].recorded;
-    n.tasks[i].started = true;
-    set_task(j, i, TaskState::Placed, m);
-    machine(m).used.add(slot.need);
-    machine(m).idle_since = -1;
-    touch_image(machine(m), n.image, n.spec.image_gb);
-    if (!slot.durable) mark_dirty(j, true);
-    if (n.placed == 1)
-      log(LogLevel::Debug, fmt::format("job {} ({}): first task to {} ({}) after {:.1f} s", n.spec.id, n.spec.job_class,
-                                       machine(m).name, type_names_.name(machine(m).type), now_.wall - n.submit_wall));
-    machine(m).slots.push_back(std::move(slot));
+    place(j, i, m);
     ++placed[p];
   }
   round_wanted_ = false;
@@ -495,64 +530,158 @@
   if (!starved.empty()) preempt(starved);
 }
 
-// A job that fits nowhere may take the place of work of lower priority: on the machine where the
-// least work is lost.
-void Core::preempt(const std::vector<int> &starved) {
+// What a job that fits nowhere could take on one machine: the tasks of lower priority that would go, the
+// least work lost first.
+struct Core::Offer {
+  struct Victim {
+    double lost; // CPU seconds
+    std::size_t slot;
+    Resources need;
+  };
+  std::size_t position = 0;
+  Resources free;
+  std::vector<Victim> victims;
+  bool at_once = true;   // all that goes exits without saving
+  std::size_t goes = 0;  // so many victims make room for `places` tasks,
+  std::size_t tried = 0; // so many for one more, at `cost`
+  std::uint32_t places = 0;
+  double cost = 0;
+
+  bool room_for(const Resources &need) {
+    while (!need.fits(free)) {
+      if (tried == victims.size()) return false;
+      cost += victims[tried].lost;
+      free.add(victims[tried++].need);
+    }
+    return true;
+  }
+};
+
+// The places that cost least, for as many of the job's tasks as there are places: for a gang all or none.
+std::vector<Core::Offer> Core::seek_places(const PlaceJob &p, const std::vector<PlaceMachine> &machines,
+                                           const std::vector<int> &index, int zone) const {
+  std::vector<Offer> offers;
+  for (std::size_t i = 0; i < machines.size(); ++i) {
+    const auto &pm = machines[i];
+    if ((zone >= 0 && pm.zone != zone) || !allowed(p, pm, static_cast<int>(i)) || !p.need.fits(pm.size)) continue;
+    Offer o;
+    o.position = i;
+    o.free = pm.free;
+    const auto &slots = machines_[static_cast<std::size_t>(index[i])]->slots;
+    for (std::size_t s = 0; s < slots.size(); ++s) {
+      const Slot &slot = slots[s];
+      const Job *owner = slot.job >= 0 ? jobs_[static_cast<std::size_t>(slot.job)].get() : nullptr;
+      if (slot.finished) continue;
+      if (slot.stop) { // going anyway
+        o.free.add(slot.need);
+        o.at_once &= owner && owner->spec.checkpoint_s <= 0;
+      } else if (owner && owner->spec.urgency < p.urgency && owner->spec.shape == Shape::Array) {
+        double ran = slot.running_since >= 0 ? now() - slot.running_since : 0.1;
+        o.victims.push_back({ran * slot.need.cpus, s, slot.need});
+        o.at_once &= owner->spec.checkpoint_s <= 0;
+      }
+    }
+    std::sort(o.victims.begin(), o.victims.end(), [](const auto &a, const auto &b) { return a.lost < b.lost; });
+    // A machine that holds the image spares its fetch, during which the places stand idle.
+    if (p.image >= 0 && std::find(pm.images.begin(), pm.images.end(), p.image) != pm.images.end())
+      o.cost -= kImageWorth * p.need.cpus * p.image_gb / std::max(0.01, pm.speed_gb_s);
+    if (o.room_for(p.need)) offers.push_back(std::move(o));
+  }
+  std::vector<std::pair<double, std::size_t>> heap; // -cost, offer
+  for (std::size_t k = 0; k < offers.size(); ++k)
+    heap.emplace_back(-offers[k].cost, k);
+  std::make_heap(heap.begin(), heap.end());
+  std::uint32_t found = 0;
+  for (; found < p.ready && !heap.empty(); ++found) {
+    std::pop_heap(heap.begin(), heap.end());
+    Offer &o = offers[heap.back().second];
+    ++o.places;
+    o.goes = o.tried;
+    o.free.add(p.need, -1);
+    o.cost = 0;
+    if (o.room_for(p.need)) {
+      heap.back().first = -o.cost;
+      std::push_heap(heap.begin(), heap.end());
+    } else {
+      heap.pop_back();
+    }
+  }
+  if (p.gang && found < p.ready) return {};
+  std::erase_if(offers, [](const Offer &o) { return o.places == 0; });
+  return offers;
+}
+
+// A job that fits nowhere may take the place of work of lower priority, where the least work is lost. Tasks
+// that cannot save exit as soon as they are told, so their successors are started by the very same answer.
+void Core::preempt(std::vector<int> starved) {
+  std::erase_if(starved, [this](int j) { return job(j).spec.urgency == Urgency::Low; });
+  if (starved.empty()) return;
+  std::stable_sort(starved.begin(), starved.end(),
+                   [this](int a, int b) { return job(a).spec.urgency > job(b).spec.urgency; });
   std::vector<int> index;
   auto machines = snapshot(index);
   std::unordered_map<int, int> position;
   for (std::size_t i = 0; i < index.size(); ++i)
     position[index[i]] = static_cast<int>(i);
-  std::vector<char> taken(machines.size(), 0);
-  for (std::size_t i = 0; i < index.size(); ++i)
-    for (const auto &s : machine(index[i]).slots)
-      if (s.stop && !s.finished) taken[i] = 1; // room is being made there already
   for (int j : starved) {
     Job &n = job(j);
-    if (n.spec.urgency == Urgency::Low || n.spec.tasks - n.done > 1) continue;
     PlaceJob p = place_job(j, position);
-    int best = -1;
-    double best_loss = 1e18;
-    for (std::size_t i = 0; i < machines.size(); ++i) {
-      if (!allowed(p, machines[i], static_cast<int>(i)) || !p.need.fits(machines[i].size)) continue;
-      Resources free = machines[i].free;
-      double loss = 0;
-      bool waiting = false;
-      for (const auto &s : machine(index[i]).slots) {
-        if (s.finished) continue;
-        if (s.stop) {
-          waiting = true;
-          free.add(s.need);
-        } else if (s.job >= 0 && job(s.job).spec.urgency < n.spec.urgency && job(s.job).spec.shape == Shape::Array) {
-          free.add(s.need);
-          loss += s.running_since >= 0 ? (now() - s.running_since) * s.need.cpus : 0.1;
-        }
+    const Team &team = settings_.teams[static_cast<std::size_t>(p.team)];
+    std::vector<int> zones{-1};
+    if (p.one_zone) {
+      zones.clear();
+      for (const auto &m : machines)
+        if (std::find(zones.begin(), zones.end(), m.zone) == zones.end()) zones.push_back(m.zone);
+      for (std::size_t z = 0; z < p.zone_used.size(); ++z)
+        if (p.zone_used[z] > 0) zones = {static_cast<int>(z)};
+    }
+    std::vector<Offer> best;
+    double best_cost = 0;
+    for (int z : zones) {
+      auto offers = seek_places(p, machines, index, z);
+      double cost = 0;
+      for (const auto &o : offers)
+        for (std::size_t v = 0; v < o.goes; ++v)
+          cost += o.victims[v].lost;
+      if (!offers.empty() && (best.empty() || cost < best_cost)) {
+        best = std::move(offers);
+        best_cost = cost;
       }
-      if (!p.need.fits(free)) continue;
-      if (machines[i].held_for == j || (taken[i] && waiting)) { // one machine is being emptied: that is enough
-        best = -2;
-        break;
+    }
+    if (best.empty()) continue;
+    // Victims count against their team until they are gone, so a team with a limit waits for that.
+    bool at_once = p.zone_cap < 0 && team.cpus_max <= 0 && team.gpus_max <= 0 &&
+                   std::all_of(best.begin(), best.end(), [](const Offer &o) { return o.at_once; });
+    std::uint32_t next = 0;
+    for (const auto &o : best) {
+      int m = index[o.position];
+      if (o.goes)
+        log(LogLevel::Info, fmt::format("job {} takes {} places on machine {} from {} tasks of lower priority",
+                                        n.spec.id, o.places, machine(m).name, o.goes));
+      if (!at_once) { // small work must not move in while the last tasks are being stopped
+        machine(m).held_for = n.spec.id;
+        machine(m).held_until = now() + kHoldForJob;
       }
-      if (loss < best_loss) {
-        best_loss = loss;
-        best = static_cast<int>(i);
+      machines[o.position].held_for = j;
+      machines[o.position].free = {}; // taken, as far as the next job is concerned
+      std::vector<std::size_t> slots;
+      for (std::size_t v = 0; v < o.goes; ++v)
+        slots.push_back(o.victims[v].slot);
+      std::sort(slots.rbegin(), slots.rend());
+      for (std::size_t s : slots) {
+        Slot &slot = machine(m).slots[s];
+        Job &owner = job(slot.job);
+        owner.reason = fmt::format("a task was stopped to make room for job {} of higher priority", n.spec.id);
+        if (!slot.sent && !slot.seen)
+          drop_slot(m, s, true);
+        else
+          stop_slot(m, slot, owner.spec.checkpoint_s > 0 ? owner.spec.save_s + 1 : 0);
+      }
+      for (std::uint32_t k = 0; at_once && k < o.places; ++k) {
+        while (next < n.spec.tasks && n.tasks[next].state != TaskState::Pending)
+          ++next;
+        if (next < n.spec.tasks) place(j, next, m);
       }
-    }
-    if (best < 0) continue;
-    taken[static_cast<std::size_t>(best)] = 1;
-    // Without this, other small work moves in while the last tasks are still being stopped.
-    machine(index[static_cast<std::size_t>(best)]).held_for = n.spec.id;
-    machine(index[static_cast<std::size_t>(best)]).held_until = now() + kHoldForJob;
-    int m = index[static_cast<std::size_t>(best)];
-    log(LogLevel::Info, fmt::format("job {} takes machine {} from work of lower priority", n.spec.id, machine(m).name));
-    for (std::size_t s = machine(m).slots.size(); s-- > 0;) {
-      Slot &slot = machine(m).slots[s];
-      if (slot.job < 0 || slot.finished || job(slot.job).spec.urgency >= n.spec.urgency) continue;
-      job(slot.job).reason = fmt::format("a task was stopped to make room for job {} of higher priority", n.spec.id);
-      if (!slot.sent && !slot.seen)
-        drop_slot(m, s, true);
-      else
-        stop_slot(m, slot, job(slot.job).spec.checkpoint_s > 0 ? job(slot.job).spec.save_s + 1 : 0);
     }
   }
 }
