--- a/include/loftrouter/core/core.hpp
+++ b/include/loftrouter/core/core.hpp
@@ -312,7 +312,11 @@
   void merge_list(const wire::CloudReply &r);
   void scale();
   double due_after(const Job &job) const;
-  void drain_surplus(bool pending);
+  static double cpu_price(const MachineType &type, bool spot) {
+    return (spot ? type.spot_price : type.price) / std::max(0.01, type.size.cpus);
+  }
+  double cheapest_cpu() const;
+  void drain_surplus(double waiting_cpus);
   static bool is_small(const Job &j) { return j.spec.urgency == Urgency::Low && j.spec.spot; }
   void rent(int type, int zone, bool spot, int count);
   void send_rent(CloudRent call, std::tuple<int, int, bool> key, int tries);
--- a/include/loftrouter/core/placement.hpp
+++ b/include/loftrouter/core/placement.hpp
@@ -16,7 +16,7 @@
   bool kept = false;       // wanted whole by a job class that fits nowhere else
   Resources spare;         // kept: what small work may still take without being in the way
   int held_for = -1;       // being emptied for this job (`PlaceJob::self`): takes nothing else
-  double hourly = 0;       // price now
+  double dear = 0;         // 0: a CPU is as cheap here as anywhere; towards 1: much dearer
   std::vector<int> images; // held or being fetched
   double speed_gb_s = 1;
 };
@@ -47,7 +47,7 @@
   double whole_bonus = 10;   // the plan fits whole
   double age_weight = 0.05;  // per second waited
   double image_weight = 0.3; // beside F: the machine holds the image
-  double price_weight = 0.5; // beside F: dearer than the cheapest
+  double price_weight = 1.0; // beside F: dearer than the cheapest
   double reserve_after_s = 120;
 };
 
--- a/src/core/autoscaler.cpp
+++ b/src/core/autoscaler.cpp
@@ -17,7 +17,7 @@
 constexpr double kHoldBoots = 2.5;      // an idle machine of the cheapest kind is held for so many boot times,
 constexpr double kHoldBootsKept = 3.0;  // one that some job class needs whole for so many
 constexpr double kBootGiveUp = 2.0;     // boot times after which a machine is taken for one that never comes up
-constexpr double kDrainBelow = 0.6;     // drain a machine if the rest would be used less than this
+constexpr double kDrainBelow = 0.85;    // dear machines are drained until the rest is used that much
 constexpr double kDear = 1.5;           // dearer than the cheapest place by more than this: only to save a deadline
 constexpr double kSlackShare = 0.7;     // of the time left, what the queue may take
 constexpr double kDefaultDue = 300.0;   // for jobs without a deadline or an objective
@@ -138,14 +138,19 @@
   }
 }
 
+double Core::cheapest_cpu() const {
+  double cheapest = std::numeric_limits<double>::infinity();
+  for (const auto &t : types_)
+    cheapest = std::min({cheapest, cpu_price(t, true), cpu_price(t, false)});
+  return std::max(1e-9, cheapest);
+}
+
 std::vector<std::string> Core::names_to_return() {
   std::vector<std::string> names;
   int live = 0, lost = 0;
   for (const auto &m : machines_)
     if (m && m->heard) ++(m->lost ? lost : live);
-  double cheapest = std::numeric_limits<double>::infinity();
-  for (const auto &t : types_)
-    if (t.size.cpus > 0) cheapest = std::min({cheapest, t.spot_price / t.size.cpus, t.price / t.size.cpus});
+  const double cheapest = cheapest_cpu();
   for (auto &p : machines_) {
     if (!p) continue;
     Machine &n = *p;
@@ -161,8 +166,7 @@
       bool keep = !n.spot && kept != kept_types_.end() && now() - kept->second.seen < 300;
       double hold = boot * (keep ? kHoldBootsKept : kHoldBoots);
       if (!keep && n.type >= 0 && n.size.cpus > 0) {
-        const auto &type = types_[static_cast<std::size_t>(n.type)];
-        hold *= std::min(1.0, cheapest * n.size.cpus / std::max(1e-9, n.spot ? type.spot_price : type.price));
+        hold *= std::min(1.0, cheapest / cpu_price(types_[static_cast<std::size_t>(n.type)], n.spot));
       }
       if (n.draining) hold = std::min(hold, 3.0);
       if (now() - n.idle_since > hold) n.returning = true;
@@ -195,33 +199,40 @@
   return kDefaultDue;
 }
 
-// Roomy-first placement spreads work over every machine there is, so none would ever become idle.
-// While nothing waits, the machine whose unused part costs most is emptied, one at a time, as long as
-// the others have room to spare for all that runs.
-void Core::drain_surplus(bool pending) {
-  double used = 0, size = 0;
-  Machine *worst = nullptr;
-  double worst_waste = 0;
-  bool draining = false;
+// Roomy-first placement spreads work over every machine there is, so none would ever become idle. What the
+// work at hand does not need is emptied, the dearest machines first; cheap ones are left to their idle time.
+void Core::drain_surplus(double waiting_cpus) {
+  const double cheapest = cheapest_cpu();
+  struct Candidate {
+    double price, used_share;
+    Machine *machine;
+  };
+  std::vector<Candidate> candidates;
+  double used = waiting_cpus, size = 0;
   for (auto &p : machines_) {
-    if (!p || p->returning || p->lost || p->type < 0) continue;
+    if (!p || p->returning || p->lost || !p->heard || p->type < 0) continue;
     Machine &n = *p;
     auto kept = kept_types_.find(n.type);
     if (!n.spot && kept != kept_types_.end() && now() - kept->second.seen < 600) continue;
-    if (pending) n.draining = false;
-    if (!n.heard) return; // room on its way was wanted a moment ago
-    draining |= n.draining;
     used += n.used.cpus;
     size += n.size.cpus;
-    const auto &type = types_[static_cast<std::size_t>(n.type)];
-    double waste = (n.size.cpus - n.used.cpus) / std::max(0.01, n.size.cpus) * (n.spot ? type.spot_price : type.price);
-    if (now() - n.rented_at >= kMinimumCharge && waste > worst_waste && n.used.cpus < 0.5 * n.size.cpus) {
-      worst_waste = waste;
-      worst = &n;
+    double price = cpu_price(types_[static_cast<std::size_t>(n.type)], n.spot);
+    if (now() - n.rented_at < kMinimumCharge || price < kDear * cheapest) {
+      n.draining = false;
+      continue;
     }
+    candidates.push_back({price, n.used.cpus / std::max(0.01, n.size.cpus), &n});
+  }
+  // Of the same price those go on draining that have begun, then those with least on them.
+  std::sort(candidates.begin(), candidates.end(), [](const Candidate &a, const Candidate &b) {
+    return std::tuple(-a.price, !a.machine->draining, a.used_share) <
+           std::tuple(-b.price, !b.machine->draining, b.used_share);
+  });
+  double surplus = size - used / kDrainBelow;
+  for (auto &c : candidates) {
+    surplus -= c.machine->size.cpus;
+    c.machine->draining = surplus >= 0;
   }
-  if (pending || draining || !worst) return;
-  if (used < kDrainBelow * (size - worst->size.cpus)) worst->draining = true;
 }
 
 void Core::scale() {
@@ -257,13 +268,13 @@
       double ran = s.running_since >= 0 ? now() - s.running_since : 0;
       busy[i] += std::max(5.0, n.spec.estimate_s - ran) * s.need.cpus;
     }
-  bool pending = false;
+  double pending = 0;
   int budget = 3;
   for (int j : order) {
     Job &n = job(j);
     PlaceJob p = place_job(j, {});
     if (p.limit == 0 || now() < n.retry_at) continue;
-    pending |= p.ready > 0;
+    pending += p.ready * p.need.cpus;
     const bool low = p.urgency == Urgency::Low;
     const double est = std::max(8.0, n.spec.estimate_s);
     const double due = due_after(n), left = due - p.wait_s;
--- a/src/core/fleet.cpp
+++ b/src/core/fleet.cpp
@@ -350,6 +350,7 @@
 
 std::vector<PlaceMachine> Core::snapshot(std::vector<int> &index) const {
   std::vector<PlaceMachine> out;
+  const double cheapest = cheapest_cpu();
   for (std::size_t i = 0; i < machines_.size(); ++i) {
     const auto &p = machines_[i];
     if (!p || !p->heard || p->lost || p->returning || p->taken_at || p->draining || p->type < 0) continue;
@@ -363,7 +364,7 @@
     pm.zone = p->zone;
     pm.spot = p->spot;
     const auto &type = types_[static_cast<std::size_t>(p->type)];
-    pm.hourly = p->spot ? type.spot_price : type.price;
+    pm.dear = 1 - cheapest / std::max(cheapest, cpu_price(type, p->spot));
     if (now() < p->held_until)
       if (auto it = job_index_.find(p->held_for); it != job_index_.end()) pm.held_for = it->second;
     pm.speed_gb_s = type.fetch_gb_per_s;
--- a/src/core/placement.cpp
+++ b/src/core/placement.cpp
@@ -37,8 +37,7 @@
   double score = fit_score(job, m);
   if (job.image >= 0 && std::find(m.images.begin(), m.images.end(), job.image) != m.images.end())
     score += o.image_weight;
-  if (m.size.cpus > 0) score -= o.price_weight * m.hourly / m.size.cpus;
-  return score;
+  return score - o.price_weight * m.dear;
 }
 
 namespace {
--- a/tests/placement_test.cpp
+++ b/tests/placement_test.cpp
@@ -30,7 +30,7 @@
     m.spot = pick(2);
     m.kept = !m.spot && m.type == 1 && pick(2);
     m.spare = {2.0 + pick(6), 1, 40};
-    m.hourly = 0.1 * (1 + pick(5));
+    m.dear = 0.2 * pick(5);
     if (pick(2)) m.images.push_back(pick(3));
     c.machines.push_back(m);
   }
