Progress of many jobs shares records; sets of tasks as bitmaps where shorter

Records of earlier versions are still read. Loading retries at intervals instead of at once. The simulated world no longer boots a machine that has failed.

--- a/include/loftrouter/core/core.hpp
+++ b/include/loftrouter/core/core.hpp
@@ -152,14 +152,16 @@
 struct Job {
   JobSpec spec;
   double submit_wall = 0;
-  std::uint64_t open_stamp = 0, progress_stamp = 0;
+  std::uint64_t open_stamp = 0;
   bool cancelled = false;
   bool ending = false;       // its final record is being written
-  bool needs_resync = false; // stamps unknown after an unanswered or refused write
+  bool to_end = false;       // in the queue for that
+  bool needs_resync = false; // stamp unknown after an unanswered or refused write
   bool resyncing = false;
-  bool dirty = false;
-  double dirty_since = 0;
-  bool urgent = false; // starts wait for the write
+  bool dirty = false;      // its progress differs from what was last written
+  int shard = -1;          // of the progress records
+  std::uint64_t flush = 0; // the transaction that last wrote its progress
+  wire::Json progress;     // as last written
   std::vector<Task> tasks;
   std::uint32_t done = 0, placed = 0, unaccounted = 0;
   std::uint64_t gang_attempt = 0; // current attempt of a gang
@@ -171,6 +173,16 @@
   std::vector<int> zone_used;
   std::string reason;
 };
+// One record that holds the progress of many jobs, since writes are what is scarce.
+struct Shard {
+  std::string key;
+  std::uint64_t stamp = 0; // 0: not there
+  std::vector<int> jobs;
+  std::size_t reserved = 0; // characters that its jobs may come to need
+  bool dirty = false, urgent = false; // urgent: starts wait for the write
+  double dirty_since = 0;
+  bool needs_resync = false, resyncing = false; // stamp unknown after an unanswered or refused write
+};
 struct Slot {
   int job = -1; // -1: a task of an unknown job, to be stopped
   std::string job_id;
@@ -234,6 +246,7 @@
   void reply(RequestId req, int status, std::string body, std::optional<int> retry = {});
   void refuse(RequestId req, std::string_view why, int retry = 1);
   void log(LogLevel level, std::string text);
+  void later(double delay_s, std::function<void()> fn); // with a tick
   double now() const { return now_.mono; }
 
   // users.cpp
@@ -277,6 +290,14 @@
   void mark_dirty(int j, bool urgent);
   void flush();
   void resync(int j);
+  void resync_shard(std::size_t s);
+  void assign_shard(int j);
+  void mark_shard(std::size_t s, bool urgent);
+  std::size_t set_chars() const;
+  struct Transaction;
+  void add_end(int j, Transaction &t);
+  void add_shard(std::size_t s, Transaction &t);
+  void flushed(const Transaction &t, const wire::StoreReply &r);
   bool finishable(const Job &job) const;
   void record_ahead(Job &job);
   void set_task(int j, std::uint32_t i, TaskState state, int machine = -1);
@@ -380,10 +401,13 @@
   std::vector<int> free_jobs_;
   std::unordered_map<std::string, int> job_index_;
   std::unordered_map<std::string, ProgressRecord> loaded_progress_;
-  std::unordered_map<std::string, std::uint64_t> loaded_stamps_;
-  std::vector<int> dirty_;
+  std::unordered_map<std::string, std::size_t> loaded_shard_;
+  std::vector<Shard> shards_;
+  std::deque<int> ending_; // jobs whose final record is to be written
+  bool ends_first_ = false;
   bool flushing_ = false;
   double flush_after_ = 0;
+  std::vector<std::pair<double, std::function<void()>>> later_;
   std::uint64_t flush_counter_ = 0;
   std::uint64_t attempt_counter_ = 0;
   std::unordered_map<std::string, EndRecord> ends_;
--- a/include/loftrouter/core/types.hpp
+++ b/include/loftrouter/core/types.hpp
@@ -62,6 +62,7 @@
 struct ProgressRecord {
   Ranges started, finished;
 };
+using ProgressRecords = std::vector<std::pair<std::string, ProgressRecord>>; // by job id
 struct LeaderRecord {
   std::string node;
   std::uint64_t nonce = 0;
--- a/src/core/core.cpp
+++ b/src/core/core.cpp
@@ -43,7 +43,19 @@
   return std::move(effects_);
 }
 
+void Core::later(double delay_s, std::function<void()> fn) {
+  later_.emplace_back(now() + delay_s, std::move(fn));
+}
+
 void Core::on(CmdTick &&) {
+  auto waiting = std::move(later_);
+  later_.clear();
+  for (auto &[at, fn] : waiting) {
+    if (now() >= at)
+      fn();
+    else
+      later_.emplace_back(at, std::move(fn));
+  }
   tick_term();
   tick_peers();
   tick_cloud();
--- a/src/core/jobs.cpp
+++ b/src/core/jobs.cpp
@@ -8,8 +8,8 @@
 namespace loft::core {
 
 namespace {
-constexpr std::size_t kMaxRanges = 220; // two lists of them stay below the smallest value limit we plan for
-constexpr double kLazyWrite = 0.8;      // progress that nothing waits for
+constexpr double kLazyWrite = 0.8; // progress that nothing waits for
+constexpr std::size_t kEntryChars = 70; // of a job in a shard, beside its two sets of tasks
 } // namespace
 
 int Core::add_job(OpenRecord record, std::uint64_t stamp) {
@@ -34,20 +34,18 @@
   n.class_ix = class_names_.get(n.spec.job_class);
   job_index_[n.spec.id] = j;
   if (auto it = loaded_progress_.find(n.spec.id); it != loaded_progress_.end()) {
-    n.progress_stamp = loaded_stamps_[n.spec.id];
     for (auto [a, b] : it->second.started)
       for (auto i = a; i < b && i < n.spec.tasks; ++i) {
         n.tasks[i].started = n.tasks[i].recorded = true;
-        n.tasks[i].state = TaskState::Unaccounted;
-        ++n.unaccounted;
+        if (n.tasks[i].state == TaskState::Pending) set_task(j, i, TaskState::Unaccounted);
       }
     for (auto [a, b] : it->second.finished)
       for (auto i = a; i < b && i < n.spec.tasks; ++i)
         set_task(j, i, TaskState::Done);
   }
+  assign_shard(j);
   if (n.cancelled) cancel_job(j);
-  if (finishable(n)) mark_dirty(j, true);
-  mark_dirty(j, false);
+  mark_dirty(j, n.spec.urgency != Urgency::Low);
   note_whole_machine_job(n);
   round_wanted_ = true;
   return j;
@@ -64,7 +62,11 @@
           s.grace_s = 0;
         }
   job_index_.erase(n.spec.id);
-  std::erase(dirty_, j);
+  Shard &shard = shards_[static_cast<std::size_t>(n.shard)];
+  std::erase(shard.jobs, j);
+  shard.reserved -= kEntryChars + 2 * std::min<std::size_t>(n.spec.tasks / 4 + 3, set_chars());
+  mark_shard(static_cast<std::size_t>(n.shard), false);
+  std::erase(ending_, j);
   jobs_[static_cast<std::size_t>(j)].reset();
   free_jobs_.push_back(j);
 }
@@ -157,12 +159,47 @@
 
 void Core::mark_dirty(int j, bool urgent) {
   Job &n = job(j);
-  if (!n.dirty) {
-    n.dirty = true;
-    n.dirty_since = now();
-    dirty_.push_back(j);
+  n.dirty = true;
+  if (finishable(n)) {
+    if (!n.to_end) ending_.push_back(j);
+    n.to_end = true;
+  } else {
+    mark_shard(static_cast<std::size_t>(n.shard), urgent);
   }
-  n.urgent |= urgent;
+}
+
+void Core::mark_shard(std::size_t s, bool urgent) {
+  Shard &shard = shards_[s];
+  if (!shard.dirty) shard.dirty_since = now();
+  shard.dirty = true;
+  shard.urgent |= urgent;
+}
+
+// What one set of a job's tasks may take of a value, in characters.
+std::size_t Core::set_chars() const {
+  return static_cast<std::size_t>(settings_.state_value_kb * 1024 / 5);
+}
+
+// A job stays in its shard for as long as this node leads; room for its largest form is reserved.
+void Core::assign_shard(int j) {
+  Job &n = job(j);
+  const std::size_t chars = kEntryChars + 2 * std::min<std::size_t>(n.spec.tasks / 4 + 3, set_chars());
+  const auto limit = static_cast<std::size_t>(settings_.state_value_kb * 1024 * 0.95);
+  std::size_t s = shards_.size();
+  if (auto it = loaded_shard_.find(n.spec.id); it != loaded_shard_.end()) s = it->second;
+  for (std::size_t k = 0; k < shards_.size() && s == shards_.size(); ++k)
+    if (shards_[k].reserved + chars <= limit) s = k;
+  if (s == shards_.size()) {
+    Shard fresh;
+    for (std::size_t name = 0; fresh.key.empty(); ++name) {
+      auto key = fmt::format("progress/s{}", name);
+      if (std::none_of(shards_.begin(), shards_.end(), [&](const Shard &x) { return x.key == key; })) fresh.key = key;
+    }
+    shards_.push_back(std::move(fresh));
+  }
+  n.shard = static_cast<int>(s);
+  shards_[s].jobs.push_back(j);
+  shards_[s].reserved += chars;
 }
 
 // The next tasks in line count as started before they are placed, so that their starts need no write
@@ -179,134 +216,212 @@
 }
 
 // One transaction at a time. Each is guarded by the leader key's revision and by every record's own.
-void Core::flush() {
-  if (flushing_ || dirty_.empty() || !active() || now() < flush_after_) return;
-  std::stable_sort(dirty_.begin(), dirty_.end(), [this](int a, int b) { return job(a).urgent > job(b).urgent; });
-  std::vector<wire::Guard> guards{{"leader", term_}};
+struct Core::Transaction {
+  std::uint64_t id = 0;
+  std::vector<wire::Guard> guards;
   std::vector<wire::Write> writes;
-  std::vector<int> jobs, ended;
+  std::vector<std::string> jobs, ends; // ids: of jobs whose progress is in it, and of those that end
+  std::vector<std::size_t> shards, emptied;
   std::size_t bytes = 0;
+};
+
+void Core::flush() {
+  if (flushing_ || !active() || now() < flush_after_) return;
+  std::vector<std::size_t> due;
+  for (std::size_t s = 0; s < shards_.size(); ++s)
+    if (shards_[s].dirty && (shards_[s].urgent || now() - shards_[s].dirty_since >= kLazyWrite)) due.push_back(s);
+  if (due.empty() && ending_.empty()) return;
+  std::sort(due.begin(), due.end(), [this](std::size_t a, std::size_t b) {
+    return std::pair(!shards_[a].urgent, shards_[a].dirty_since) <
+           std::pair(!shards_[b].urgent, shards_[b].dirty_since);
+  });
+  const double level = leader_writes_.level(now());
   const auto max_ops = static_cast<std::size_t>(std::max(3, settings_.state_txn_ops));
-  double level = leader_writes_.level(now());
-  for (int j : dirty_) {
+  Transaction t;
+  t.id = ++flush_counter_;
+  t.guards = {{"leader", term_}};
+  bool full = false;
+  auto room = [&](std::size_t ops) {
+    full |= t.writes.size() + ops > max_ops || static_cast<double>(t.writes.size() + ops) > level || t.bytes > 48'000;
+    return !full;
+  };
+  auto put_ends = [&] {
+    for (std::size_t k = ending_.size(); k-- > 0 && !full;) {
+      int j = ending_.front();
+      if (!finishable(job(j))) { // a task of a cancelled job has turned up
+        ending_.pop_front();
+        job(j).to_end = false;
+        mark_dirty(j, false);
+      } else if (job(j).needs_resync) {
+        resync(j);
+        ending_.pop_front();
+        ending_.push_back(j);
+      } else if (room(2)) {
+        ending_.pop_front();
+        job(j).to_end = false;
+        add_end(j, t);
+      }
+    }
+  };
+  auto put_shards = [&] {
+    for (std::size_t s : due) {
+      if (shards_[s].needs_resync)
+        resync_shard(s);
+      else if (room(1))
+        add_shard(s, t);
+    }
+  };
+  // They take turns at the front, as either alone may use up the budget.
+  ends_first_ = !ends_first_;
+  if (ends_first_) put_ends();
+  put_shards();
+  if (!ends_first_) put_ends();
+  if (t.writes.empty()) return;
+  leader_writes_.take(now(), static_cast<double>(t.writes.size()));
+  // Tasks that are done by now may be forgotten by their workers once this is written.
+  for (auto &m : machines_)
+    if (m)
+      for (auto &slot : m->slots)
+        if (slot.job >= 0 && slot.finished && !slot.recorded && job(slot.job).flush == t.id) slot.done_flush = t.id;
+  flushing_ = true;
+  StoreCommit commit{t.guards, std::move(t.writes)};
+  store(std::move(commit), 1.5, [this, t = std::move(t), guard = epoch_guard_](const wire::StoreReply &r) {
+    if (guard == epoch_guard_) flushed(t, r);
+  });
+}
+
+void Core::add_end(int j, Transaction &t) {
+  Job &n = job(j);
+  EndRecord e;
+  e.cancelled = n.cancelled;
+  e.tasks = n.spec.tasks;
+  e.job_class = n.spec.job_class;
+  e.team = n.spec.team;
+  e.submit_wall = n.submit_wall;
+  e.end_wall = now_.wall;
+  e.late = n.spec.deadline_s && now_.wall - n.submit_wall > *n.spec.deadline_s;
+  e.reason = n.cancelled ? "stopped: cancelled by its user" : e.late ? "finished after its deadline" : "";
+  t.guards.push_back({"open/" + n.spec.id, n.open_stamp});
+  t.guards.push_back({"end/" + n.spec.id, 0});
+  t.writes.push_back({"open/" + n.spec.id, std::nullopt, 0});
+  t.writes.push_back({"end/" + n.spec.id, wire::to_json(e), 0});
+  t.bytes += 600;
+  t.ends.push_back(n.spec.id);
+  n.ending = true;
+  n.flush = t.id;
+}
+
+void Core::add_shard(std::size_t s, Transaction &t) {
+  Shard &shard = shards_[s];
+  std::vector<std::pair<std::string, wire::Json>> entries;
+  for (int j : shard.jobs) {
     Job &n = job(j);
-    if (n.needs_resync) {
-      resync(j);
-      continue;
+    if (n.dirty) {
+      record_ahead(n);
+      ProgressRecord p;
+      p.started = make_ranges(n.spec.tasks, [&](std::uint32_t i) { return n.tasks[i].started; });
+      p.finished =
+          make_ranges(n.spec.tasks, [&](std::uint32_t i) { return n.tasks[i].state == TaskState::Done; });
+      if (n.spec.tasks / 4 + 3 > set_chars()) { // a range takes 14 characters at most
+        p.started = widen(std::move(p.started), set_chars() / 14);
+        p.finished = narrow(std::move(p.finished), set_chars() / 14);
+      }
+      n.progress = wire::to_json(p);
+      // What the transaction covers: tasks placed from here on wait for the next one.
+      for (auto &task : n.tasks)
+        task.covered = task.started;
+      n.dirty = false;
+      n.flush = t.id;
+      t.jobs.push_back(n.spec.id);
     }
-    bool ending = finishable(n);
-    if (!ending && !n.urgent && now() - n.dirty_since < kLazyWrite) continue;
-    std::size_t ops = ending ? (n.progress_stamp ? 3 : 2) : 1;
-    if (writes.size() + ops > max_ops || static_cast<double>(writes.size() + ops) > level) break;
-    if (bytes > 40'000) break;
-    const auto &name = n.spec.id;
-    if (ending) {
+    entries.emplace_back(n.spec.id, n.progress);
+    t.bytes += n.spec.tasks / 2 + kEntryChars;
+  }
+  t.guards.push_back({shard.key, shard.stamp});
+  if (!shard.jobs.empty())
+    t.writes.push_back({shard.key, wire::progress_shard(std::move(entries)), 0});
+  else
+    t.writes.push_back({shard.key, std::nullopt, 0});
+  shard.dirty = shard.urgent = false;
+  (shard.jobs.empty() ? t.emptied : t.shards).push_back(s);
+}
+
+void Core::flushed(const Transaction &t, const wire::StoreReply &r) {
+  flushing_ = false;
+  auto each = [&](const std::vector<std::string> &names, auto fn) {
+    for (const auto &name : names)
+      if (auto it = job_index_.find(name); it != job_index_.end()) fn(it->second);
+  };
+  if (r.status == 200) {
+    for (std::size_t s : t.shards)
+      shards_[s].stamp = r.revision;
+    for (std::size_t s : t.emptied)
+      shards_[s].stamp = 0;
+    each(t.jobs, [&](int j) {
+      for (auto &task : job(j).tasks)
+        task.recorded |= task.covered;
+    });
+    for (auto &m : machines_)
+      if (m)
+        for (auto &slot : m->slots) {
+          if (slot.job < 0) continue;
+          if (job(slot.job).tasks[slot.index].recorded) slot.durable = true;
+          if (slot.done_flush == t.id) slot.recorded = true;
+        }
+    each(t.ends, [&](int j) {
+      Job &n = job(j);
       EndRecord e;
       e.cancelled = n.cancelled;
       e.tasks = n.spec.tasks;
-      e.job_class = n.spec.job_class;
-      e.team = n.spec.team;
-      e.submit_wall = n.submit_wall;
-      e.end_wall = now_.wall;
-      e.late = n.spec.deadline_s && now_.wall - n.submit_wall > *n.spec.deadline_s;
-      e.reason = n.cancelled ? "stopped: cancelled by its user" : e.late ? "finished after its deadline" : "";
-      guards.push_back({"open/" + name, n.open_stamp});
-      guards.push_back({"end/" + name, 0});
-      writes.push_back({"open/" + name, std::nullopt, 0});
-      writes.push_back({"end/" + name, wire::to_json(e), 0});
-      if (n.progress_stamp) {
-        guards.push_back({"progress/" + name, n.progress_stamp});
-        writes.push_back({"progress/" + name, std::nullopt, 0});
-      }
-      n.ending = true;
-      ended.push_back(j);
-      bytes += 600;
-    } else {
-      record_ahead(n);
-      ProgressRecord p;
-      p.started = widen(make_ranges(n.spec.tasks, [&](std::uint32_t i) { return n.tasks[i].started; }), kMaxRanges);
-      p.finished = narrow(
-          make_ranges(n.spec.tasks, [&](std::uint32_t i) { return n.tasks[i].state == TaskState::Done; }), kMaxRanges);
-      bytes += 64 + 16 * (p.started.size() + p.finished.size());
-      // The open record is guarded too, so progress never outlives its job.
-      guards.push_back({"open/" + name, n.open_stamp});
-      guards.push_back({"progress/" + name, n.progress_stamp});
-      writes.push_back({"progress/" + name, wire::to_json(p), 0});
-    }
-    jobs.push_back(j);
+      e.reason = n.cancelled ? "stopped: cancelled by its user" : "";
+      remember_end(n.spec.id, e);
+      remove_job(j);
+    });
+    return;
   }
-  if (writes.empty()) return;
-  leader_writes_.take(now(), static_cast<double>(writes.size()));
-  // What the transaction covers: slots placed from here on wait for the next one.
-  for (int j : jobs) {
-    for (auto &t : job(j).tasks)
-      t.covered = t.started;
-    job(j).dirty = job(j).urgent = false;
-    std::erase(dirty_, j);
+  if (r.status == 409) {
+    for (const auto &k : r.failed)
+      if (k == "leader") return step_down("the leader key has changed");
+    for (const auto &k : r.failed) {
+      for (auto &shard : shards_)
+        if (shard.key == k) shard.needs_resync = true;
+      each({k.substr(k.find('/') + 1)}, [&](int j) { job(j).needs_resync = true; });
+    }
+  } else if (r.status == 0) {
+    // May have been applied, or may be yet: the stamps are read again, and whichever of the
+    // two writes comes second fails on them.
+    each(t.ends, [&](int j) { job(j).needs_resync = true; });
+    for (const auto *list : {&t.shards, &t.emptied})
+      for (std::size_t s : *list)
+        shards_[s].needs_resync = true;
+    flush_after_ = now() + 0.2;
+  } else {
+    flush_after_ = now() + 0.3;
   }
-  const std::uint64_t id = ++flush_counter_;
-  for (auto &m : machines_)
-    if (m)
-      for (auto &slot : m->slots) {
-        if (slot.job < 0 || std::find(jobs.begin(), jobs.end(), slot.job) == jobs.end()) continue;
-        if (slot.finished && !slot.recorded) slot.done_flush = id;
-      }
-  std::vector<std::string> ids;
-  for (int j : jobs)
-    ids.push_back(job(j).spec.id);
-  std::vector<std::string> end_ids;
-  for (int j : ended)
-    end_ids.push_back(job(j).spec.id);
-  flushing_ = true;
-  store(StoreCommit{std::move(guards), std::move(writes)}, 1.5,
-        [this, ids, end_ids, id, guard = epoch_guard_](const wire::StoreReply &r) {
-          if (guard != epoch_guard_) return;
-          flushing_ = false;
-          auto each = [&](const std::vector<std::string> &names, auto fn) {
-            for (const auto &name : names)
-              if (auto it = job_index_.find(name); it != job_index_.end()) fn(it->second);
-          };
-          if (r.status == 200) {
-            each(ids, [&](int j) {
-              job(j).progress_stamp = r.revision;
-              for (auto &t : job(j).tasks)
-                t.recorded |= t.covered;
-            });
-            for (auto &m : machines_)
-              if (m)
-                for (auto &slot : m->slots) {
-                  if (slot.job < 0) continue;
-                  if (job(slot.job).tasks[slot.index].recorded) slot.durable = true;
-                  if (slot.done_flush == id) slot.recorded = true;
-                }
-            each(end_ids, [&](int j) {
-              Job &n = job(j);
-              EndRecord e;
-              e.cancelled = n.cancelled;
-              e.tasks = n.spec.tasks;
-              e.reason = n.cancelled ? "stopped: cancelled by its user" : "";
-              remember_end(n.spec.id, e);
-              remove_job(j);
-            });
-            return;
-          }
-          each(end_ids, [&](int j) { job(j).ending = false; });
-          if (r.status == 409) {
-            for (const auto &k : r.failed)
-              if (k == "leader") return step_down("the leader key has changed");
-            for (const auto &k : r.failed) {
-              each({k.substr(k.find('/') + 1)}, [&](int j) { job(j).needs_resync = true; });
-            }
-          } else if (r.status == 0) {
-            // May have been applied, or may be yet: the stamps are read again, and whichever of the
-            // two writes comes second fails on them.
-            each(ids, [&](int j) { job(j).needs_resync = true; });
-            flush_after_ = now() + 0.2;
-          } else {
-            flush_after_ = now() + 0.3;
-          }
-          each(ids, [&](int j) { mark_dirty(j, true); });
-        });
+  each(t.ends, [&](int j) { job(j).ending = false; });
+  each(t.ends, [&](int j) { mark_dirty(j, true); });
+  each(t.jobs, [&](int j) { mark_dirty(j, true); });
+  for (const auto *list : {&t.shards, &t.emptied})
+    for (std::size_t s : *list)
+      mark_shard(s, list == &t.shards);
+}
+
+void Core::resync_shard(std::size_t s) {
+  if (shards_[s].resyncing) return;
+  shards_[s].resyncing = true;
+  store(StoreGet{shards_[s].key}, 1.0, [this, s, guard = epoch_guard_](const wire::StoreReply &r) {
+    if (guard != epoch_guard_) return;
+    shards_[s].resyncing = false;
+    if (r.status == 200 && r.entries.size() == 1) {
+      shards_[s].stamp = r.entries[0].stamp;
+    } else if (r.status == 404) {
+      shards_[s].stamp = 0;
+    } else {
+      flush_after_ = now() + 0.2;
+      return;
+    }
+    shards_[s].needs_resync = false;
+  });
 }
 
 void Core::resync(int j) {
@@ -322,29 +437,14 @@
   store(StoreGet{"open/" + id}, 1.0, [this, id, find](const wire::StoreReply &r) {
     int k = find();
     if (k < 0) return;
-    if (r.status == 200 && r.entries.size() == 1) {
-      update_open("open/" + id, r.entries[0].value, r.entries[0].stamp);
-      store(StoreGet{"progress/" + id}, 1.0, [this, find](const wire::StoreReply &p) {
-        int jj = find();
-        if (jj < 0) return;
-        Job &n2 = job(jj);
-        n2.resyncing = false;
-        if (p.status == 200 && p.entries.size() == 1)
-          n2.progress_stamp = p.entries[0].stamp;
-        else if (p.status == 404)
-          n2.progress_stamp = 0;
-        else {
-          flush_after_ = now() + 0.2;
-          return;
-        }
-        n2.needs_resync = false;
-        mark_dirty(jj, true);
-      });
-      return;
-    }
     if (r.status != 404) {
       job(k).resyncing = false;
-      flush_after_ = now() + 0.2;
+      if (r.status == 200 && r.entries.size() == 1) {
+        job(k).needs_resync = false;
+        update_open("open/" + id, r.entries[0].value, r.entries[0].stamp);
+      } else {
+        flush_after_ = now() + 0.2;
+      }
       return;
     }
     store(StoreGet{"end/" + id}, 1.0, [this, id, find](const wire::StoreReply &e) {
--- a/src/core/term.cpp
+++ b/src/core/term.cpp
@@ -11,6 +11,7 @@
 constexpr double kRenewEvery = 1.0;
 constexpr double kPollEvery = 0.4;
 constexpr double kDrift = 0.002; // twice the protocol's bound on two clocks, doubled again
+constexpr double kLoadRetry = 0.2;
 const char *const kLeaderKey = "leader";
 } // namespace
 
@@ -82,7 +83,7 @@
             unaccounted_until_ = now() + kStatementLife * (1 + kDrift) + settings_.lease_s * (1 + kDrift) + 0.7;
             log(LogLevel::Info, fmt::format("elected: term {}", term_));
             loaded_progress_.clear();
-            loaded_stamps_.clear();
+            loaded_shard_.clear();
             follow_from_ = 0;
             load_progress("");
           });
@@ -120,7 +121,8 @@
   jobs_.clear();
   free_jobs_.clear();
   job_index_.clear();
-  dirty_.clear();
+  shards_.clear();
+  ending_.clear();
   machines_.clear();
   machine_index_.clear();
   listing_ = returning_ = false;
@@ -132,12 +134,27 @@
 void Core::load_progress(std::string from) {
   store(StoreList{"progress/", from}, 2.0, [this, from, guard = epoch_guard_](const wire::StoreReply &r) {
     if (guard != epoch_guard_) return;
-    if (r.status != 200) return load_progress(from);
-    for (const auto &e : r.entries)
-      if (auto p = wire::progress_from_json(e.value)) {
-        loaded_progress_[e.key.substr(9)] = std::move(*p);
-        loaded_stamps_[e.key.substr(9)] = e.stamp;
+    if (r.status != 200)
+      return later(kLoadRetry, [this, from, guard] {
+        if (guard == epoch_guard_) load_progress(from);
+      });
+    for (const auto &e : r.entries) {
+      auto records = wire::progress_from_json(e.key, e.value);
+      if (!records) { // what it may have said was started is not known, so nothing may be
+        log(LogLevel::Error, fmt::format("record {} cannot be read", e.key.substr(0, 60)));
+        return step_down("a progress record cannot be read");
+      }
+      Shard s;
+      s.key = e.key;
+      s.stamp = e.stamp;
+      for (auto &[id, p] : *records) {
+        loaded_shard_[id] = shards_.size();
+        auto &known = loaded_progress_[id];
+        known.started.insert(known.started.end(), p.started.begin(), p.started.end());
+        known.finished.insert(known.finished.end(), p.finished.begin(), p.finished.end());
       }
+      shards_.push_back(std::move(s));
+    }
     if (r.more && !r.entries.empty()) return load_progress(r.entries.back().key);
     load_open("");
   });
@@ -146,7 +163,10 @@
 void Core::load_open(std::string from) {
   store(StoreList{"open/", from}, 2.0, [this, from, guard = epoch_guard_](const wire::StoreReply &r) {
     if (guard != epoch_guard_) return;
-    if (r.status != 200) return load_open(from);
+    if (r.status != 200)
+      return later(kLoadRetry, [this, from, guard] {
+        if (guard == epoch_guard_) load_open(from);
+      });
     if (from.empty()) follow_from_ = r.revision;
     for (const auto &e : r.entries)
       update_open(e.key, e.value, e.stamp);
@@ -163,7 +183,9 @@
   role_ = Role::Leading;
   leading_since_ = now();
   loaded_progress_.clear();
-  loaded_stamps_.clear();
+  loaded_shard_.clear();
+  for (std::size_t s = 0; s < shards_.size(); ++s)
+    if (shards_[s].jobs.empty()) mark_shard(s, false);
   next_round_ = now() + 0.5;
   next_list_ = now();
   next_scale_ = now() + 1.0;
--- a/src/core/users.cpp
+++ b/src/core/users.cpp
@@ -72,7 +72,7 @@
 
 void Core::answer_state(RequestId req, const std::string &id, bool as_submit) {
   if (auto it = ends_.find(id); it != ends_.end()) return answer_end(req, id, it->second, as_submit);
-  if (user_ops_ >= kMaxUserOps || !user_reads_.take(now(), 2)) return refuse(req, "too many questions at once");
+  if (user_ops_ >= kMaxUserOps || !user_reads_.take(now(), 1.3)) return refuse(req, "too many questions at once");
   ++user_ops_;
   store(StoreGet{"open/" + id}, kUserDeadline / 2, [this, req, id, as_submit](const wire::StoreReply &r) {
     --user_ops_;
@@ -94,23 +94,7 @@
       if (!open->cancelled && view.running) view.state = JobState::Running;
     }
     if (as_submit) return reply(req, 200, wire::encode_accepted(id, view.state));
-    if (role_ == Role::Leading || open->cancelled) return reply(req, 200, wire::encode_job_view(view));
-    ++user_ops_;
-    store(StoreGet{"progress/" + id}, kUserDeadline / 2, [this, req, view](const wire::StoreReply &p) {
-      --user_ops_;
-      auto v = view;
-      if (p.status == 200 && p.entries.size() == 1)
-        if (auto progress = wire::progress_from_json(p.entries[0].value)) {
-          std::uint32_t started = 0;
-          for (auto [a, b] : progress->started)
-            started += b - a;
-          for (auto [a, b] : progress->finished)
-            v.done += b - a;
-          v.running = started > v.done ? started - v.done : 0;
-          if (v.running) v.state = JobState::Running;
-        }
-      reply(req, 200, wire::encode_job_view(v));
-    });
+    reply(req, 200, wire::encode_job_view(view));
   });
 }
 
--- a/src/wire/messages.cpp
+++ b/src/wire/messages.cpp
@@ -82,7 +82,22 @@
   return err == std::errc() && end == name.data() + name.size() && valid_job_id(job);
 }
 
-Json ranges_json(const Ranges &r) {
+// A set of task indices in the shorter of two forms: a list of range ends, or a bitmap in hexadecimal
+// digits of four tasks each, which scattered tasks need.
+Json set_json(const Ranges &r) {
+  std::size_t list_chars = 2;
+  for (auto [a, b] : r)
+    list_chars += fmt::formatted_size("{},{},", a, b);
+  const std::size_t digits = r.empty() ? 0 : (r.back().second + 3) / 4;
+  if (digits + 2 < list_chars) {
+    std::string bits(digits, '\0');
+    for (auto [a, b] : r)
+      for (auto i = a; i < b; ++i)
+        bits[i / 4] = static_cast<char>(bits[i / 4] | 1 << i % 4);
+    for (char &c : bits)
+      c = "0123456789abcdef"[static_cast<int>(c)];
+    return bits;
+  }
   Json out = Json::array();
   for (auto [a, b] : r) {
     out.push_back(a);
@@ -91,9 +106,24 @@
   return out;
 }
 
-std::optional<Ranges> ranges_from(const Json &j) {
-  if (!j.is_array() || j.size() % 2) return std::nullopt;
+std::optional<Ranges> set_from(const Json &j) {
   Ranges out;
+  if (j.is_string()) {
+    std::uint32_t i = 0;
+    for (char c : j.get_ref<const std::string &>()) {
+      int v = c >= '0' && c <= '9' ? c - '0' : c >= 'a' && c <= 'f' ? c - 'a' + 10 : -1;
+      if (v < 0) return std::nullopt;
+      for (int bit = 0; bit < 4; ++bit, ++i) {
+        if (!(v >> bit & 1)) continue;
+        if (!out.empty() && out.back().second == i)
+          out.back().second = i + 1;
+        else
+          out.emplace_back(i, i + 1);
+      }
+    }
+    return out;
+  }
+  if (!j.is_array() || j.size() % 2) return std::nullopt;
   for (std::size_t i = 0; i < j.size(); i += 2) {
     auto a = count(j[i]), b = count(j[i + 1]);
     if (!a || !b || *a >= *b || *b > 1'000'000) return std::nullopt;
@@ -327,13 +357,32 @@
 }
 
 Json to_json(const ProgressRecord &r) {
-  return {{"s", ranges_json(r.started)}, {"f", ranges_json(r.finished)}};
+  return {{"s", set_json(r.started)}, {"f", set_json(r.finished)}};
 }
 
-std::optional<ProgressRecord> progress_from_json(const Json &j) {
-  auto started = ranges_from(at(j, "s")), finished = ranges_from(at(j, "f"));
-  if (!started || !finished) return std::nullopt;
-  return ProgressRecord{std::move(*started), std::move(*finished)};
+Json progress_shard(std::vector<std::pair<std::string, Json>> jobs) {
+  Json map = Json::object();
+  for (auto &[id, progress] : jobs)
+    map[id] = std::move(progress);
+  return {{"jobs", std::move(map)}};
+}
+
+std::optional<ProgressRecords> progress_from_json(std::string_view key, const Json &j) {
+  ProgressRecords out;
+  auto one = [&](std::string_view id, const Json &e) {
+    auto started = set_from(at(e, "s")), finished = set_from(at(e, "f"));
+    if (started && finished)
+      out.emplace_back(std::string(id), ProgressRecord{std::move(*started), std::move(*finished)});
+    return started && finished;
+  };
+  const Json &jobs = at(j, "jobs");
+  if (!jobs.is_object()) {
+    if (!one(key.substr(key.find('/') + 1), j)) return std::nullopt;
+    return out;
+  }
+  for (const auto &[id, e] : jobs.items())
+    if (!one(id, e)) return std::nullopt;
+  return out;
 }
 
 Json to_json(const LeaderRecord &r) {
--- a/tests/world.cpp
+++ b/tests/world.cpp
@@ -371,7 +371,7 @@
   (void)b;
   schedule(t_ + uniform(1, 12), [this, i] {
     Box &x = boxes_[i];
-    if (x.gone) return;
+    if (x.gone || x.failed) return; // a machine that stopped while it booted stays down
     x.up = true;
     x.lease_from = t_;
     x.node = static_cast<int>(rng_() % nodes_.size());
