Old attempts prove nothing after a takeover; no leading without news of cancellations

(2) Three lost watches in a row left the leader without a cancellation for 40 s: ran_cancelled. Watches are short, replaced by a list when they fail, and without news for cancel_s - lease_s - 3 s nothing is started or kept alive.

--- a/include/loftrouter/core/core.hpp
+++ b/include/loftrouter/core/core.hpp
@@ -178,7 +178,7 @@
   std::string key;
   std::uint64_t stamp = 0; // 0: not there
   std::vector<int> jobs;
-  std::size_t reserved = 0; // characters that its jobs may come to need
+  std::size_t reserved = 0;           // characters that its jobs may come to need
   bool dirty = false, urgent = false; // urgent: starts wait for the write
   double dirty_since = 0;
   bool needs_resync = false, resyncing = false; // stamp unknown after an unanswered or refused write
@@ -193,6 +193,7 @@
   bool sent = false;
   bool seen = false;
   bool stop = false;
+  bool adopted = false; // started by an earlier leader and unaccounted for until seen
   double grace_s = 0;
   double placed_at = 0, running_since = -1;
   bool finished = false;        // exited with success
@@ -270,6 +271,7 @@
   void load_progress(std::string from);
   void start_leading();
   void follow_open();
+  bool informed() const;
   bool lease_valid() const { return now() < lease_valid_until_; }
   bool active() const { return role_ == Role::Leading && lease_valid(); }
 
@@ -280,7 +282,7 @@
   bool common_outage() const;
   bool extended() const;
   void abdicate_if_deaf();
-  bool answering() const { return active() || extended(); }
+  bool answering() const { return (active() && informed()) || extended(); }
 
   // jobs.cpp
   int add_job(OpenRecord record, std::uint64_t stamp);
@@ -377,6 +379,7 @@
   std::uint64_t follow_from_ = 0;
   bool following_ = false;
   bool relisting_ = false;
+  double listed_from_ = -1e9, informed_at_ = -1e9;
 
   // siblings
   struct SiblingState {
--- a/src/core/fleet.cpp
+++ b/src/core/fleet.cpp
@@ -10,7 +10,7 @@
 namespace {
 constexpr double kDrift = 0.002;
 constexpr double kRound = 0.25;
-constexpr double kReportRound = 0.01;           // least time between rounds that reports ask for
+constexpr double kReportRound = 0.01; // least time between rounds that reports ask for
 constexpr double kSummaryEvery = 10.0;
 constexpr double kImageWorth = 2.0;             // a fetch spared, against the CPU seconds of work lost
 constexpr double kHoldForJob = 15.0;            // a machine emptied for a job stays free for it
@@ -164,6 +164,7 @@
     slot.attempt = t->attempt;
     slot.phase = t->phase;
     slot.durable = slot.sent = slot.seen = true;
+    slot.adopted = j->tasks[t->index].state == TaskState::Unaccounted;
     slot.need = j->spec.need;
     slot.placed_at = now();
     if (t->phase == TaskPhase::Running) slot.running_since = now();
@@ -192,7 +193,8 @@
     if (slot.stop) {
       if (slot.seen && slot.phase != TaskPhase::Exited)
         orders.push_back({TaskOrder::Verb::Stop, slot.job_id, slot.index, slot.attempt, slot.grace_s});
-    } else if (active() && !slot.seen && slot.durable && slot.job >= 0 && !n.returning && starts < kMaxStartsPerReply) {
+    } else if (active() && informed() && !slot.seen && slot.durable && slot.job >= 0 && !n.returning &&
+               starts < kMaxStartsPerReply) {
       slot.sent = true;
       ++starts;
       orders.push_back({TaskOrder::Verb::Start, slot.job_id, slot.index, slot.attempt, 0});
@@ -248,8 +250,11 @@
   n.used.add(slot.need, -1);
   if (slot.job < 0 || !to_pending) return;
   Job &k = job(slot.job);
+  // An attempt that an earlier leader started may be an old one, shown by a report that was held up: its end
+  // says nothing about a later attempt elsewhere, which may not be heard of yet.
   if (k.tasks[slot.index].state == TaskState::Placed && k.tasks[slot.index].machine == m)
-    set_task(slot.job, slot.index, TaskState::Pending);
+    set_task(slot.job, slot.index,
+             slot.adopted && unaccounted_until_ > 0 ? TaskState::Unaccounted : TaskState::Pending);
   if (finishable(k)) mark_dirty(slot.job, true);
 }
 
--- a/src/core/jobs.cpp
+++ b/src/core/jobs.cpp
@@ -8,7 +8,7 @@
 namespace loft::core {
 
 namespace {
-constexpr double kLazyWrite = 0.8; // progress that nothing waits for
+constexpr double kLazyWrite = 0.8;      // progress that nothing waits for
 constexpr std::size_t kEntryChars = 70; // of a job in a shard, beside its two sets of tasks
 } // namespace
 
@@ -320,8 +320,7 @@
       record_ahead(n);
       ProgressRecord p;
       p.started = make_ranges(n.spec.tasks, [&](std::uint32_t i) { return n.tasks[i].started; });
-      p.finished =
-          make_ranges(n.spec.tasks, [&](std::uint32_t i) { return n.tasks[i].state == TaskState::Done; });
+      p.finished = make_ranges(n.spec.tasks, [&](std::uint32_t i) { return n.tasks[i].state == TaskState::Done; });
       if (n.spec.tasks / 4 + 3 > set_chars()) { // a range takes 14 characters at most
         p.started = widen(std::move(p.started), set_chars() / 14);
         p.finished = narrow(std::move(p.finished), set_chars() / 14);
--- a/src/core/term.cpp
+++ b/src/core/term.cpp
@@ -12,6 +12,7 @@
 constexpr double kPollEvery = 0.4;
 constexpr double kDrift = 0.002; // twice the protocol's bound on two clocks, doubled again
 constexpr double kLoadRetry = 0.2;
+constexpr double kFollowHold = 3.0; // short, so that a watch that has died is noticed soon
 const char *const kLeaderKey = "leader";
 } // namespace
 
@@ -160,7 +161,9 @@
   });
 }
 
+// All open records: before leading, and again whenever the watch has failed.
 void Core::load_open(std::string from) {
+  if (from.empty()) listed_from_ = now();
   store(StoreList{"open/", from}, 2.0, [this, from, guard = epoch_guard_](const wire::StoreReply &r) {
     if (guard != epoch_guard_) return;
     if (r.status != 200)
@@ -171,6 +174,7 @@
     for (const auto &e : r.entries)
       update_open(e.key, e.value, e.stamp);
     if (r.more && !r.entries.empty()) return load_open(r.entries.back().key);
+    informed_at_ = listed_from_;
     if (relisting_) {
       relisting_ = false;
       return;
@@ -203,19 +207,27 @@
 void Core::follow_open() {
   if (following_ || relisting_) return;
   following_ = true;
-  store(StoreFollow{"open/", follow_from_, 10.0}, 14.0, [this, guard = epoch_guard_](const wire::StoreReply &r) {
-    if (guard != epoch_guard_) return;
-    following_ = false;
-    if (r.status == 410) {
-      relisting_ = true;
-      return load_open("");
-    }
-    if (r.status != 200) return; // tried again with the next tick
-    for (const auto &e : r.events)
-      if (e.value) update_open(e.key, *e.value, e.stamp);
-    follow_from_ = std::max(follow_from_, r.revision);
-    follow_open();
-  });
+  store(StoreFollow{"open/", follow_from_, kFollowHold}, kFollowHold + 1.5,
+        [this, sent = now(), guard = epoch_guard_](const wire::StoreReply &r) {
+          if (guard != epoch_guard_) return;
+          following_ = false;
+          if (r.status == 410 || r.status == 0) { // too far behind, or no answer: a list may get one
+            relisting_ = true;
+            return load_open("");
+          }
+          if (r.status != 200) return; // tried again with the next tick
+          for (const auto &e : r.events)
+            if (e.value) update_open(e.key, *e.value, e.stamp);
+          follow_from_ = std::max(follow_from_, r.revision);
+          informed_at_ = sent;
+          follow_open();
+        });
+}
+
+// Every cancellation confirmed before `informed_at_` is known here. One confirmed later may not be, so
+// after a while without news nothing is started or kept alive: what runs must be gone `cancel_s` after it.
+bool Core::informed() const {
+  return now() - informed_at_ < settings_.cancel_s - 1.01 * settings_.lease_s - 3;
 }
 
 } // namespace loft::core
--- a/tests/world.cpp
+++ b/tests/world.cpp
@@ -292,6 +292,7 @@
   };
   schedule(there, [this, i, life, op, answer, status, lose_answer] {
     if (auto *f = std::get_if<core::StoreFollow>(&op.what)) {
+      if (lose_watches) return;
       if (t_ < outage_until_) return answer(status(503));
       expire_leases();
       followers_.push_back({i, life, op.op, f->prefix, f->from});
--- a/tests/world.hpp
+++ b/tests/world.hpp
@@ -47,6 +47,7 @@
   void run(double until);
 
   std::vector<std::string> broken; // rules broken, in words
+  bool lose_watches = false;       // watches of the state service get no answer
   int lease_kills = 0;             // tasks ended because their worker's lease ran out
   int starts = 0, finished_jobs = 0, accepted_jobs = 0, cancelled_jobs = 0;
   double now() const { return t_; }
--- a/tests/world_test.cpp
+++ b/tests/world_test.cpp
@@ -121,6 +121,52 @@
   }
 }
 
+// What a new leader hears first may be old: an attempt that was stopped for a job of higher priority stays in
+// its worker's reports until the order to forget it arrives, and a report held up on the way shows an attempt
+// that has ended since. Neither says where the task runs by now.
+TEST(World, StoppedAttemptsProveNothingAfterTakeover) {
+  for (std::uint64_t seed = 1; seed <= 12; ++seed) {
+    WorldOptions o;
+    o.loss = 0.1;
+    World w(seed, o);
+    for (int i = 0; i < 4; ++i)
+      w.at(2 + i, [&w] {
+        auto s = w.job(Shape::Array, 40, 1, 25);
+        s.urgency = Urgency::Low;
+        w.submit(s);
+      });
+    for (int i = 0; i < 25; ++i)
+      w.at(20 + 4 * i, [&w] {
+        auto s = w.job(Shape::Gang, 2, 3, 4);
+        s.urgency = Urgency::High;
+        w.submit(s);
+      });
+    for (int i = 0; i < 5; ++i)
+      w.at(35 + 20 * i, [&w] {
+        if (w.leader() >= 0) w.crash(w.leader(), 3);
+      });
+    w.run(150);
+    EXPECT_TRUE(w.broken.empty()) << "seed " << seed << "\n" << all(w);
+  }
+}
+
+// Cancellations reach the leader by its watch. While that stays silent it must neither start tasks nor keep
+// them alive for long: a cancelled job's tasks have to be gone in time.
+TEST(World, LeaderWithoutNewsOfCancellationsStops) {
+  int cancelled = 0;
+  for (std::uint64_t seed = 1; seed <= 4; ++seed) {
+    World w(seed, {});
+    std::string id;
+    w.at(2, [&] { id = w.submit(w.job(Shape::Array, 6, 1, 300)); });
+    w.at(30, [&] { w.lose_watches = true; });
+    w.at(40, [&] { w.cancel(id); });
+    w.run(120);
+    EXPECT_TRUE(w.broken.empty()) << all(w);
+    cancelled += w.cancelled_jobs;
+  }
+  EXPECT_EQ(cancelled, 4);
+}
+
 class Seeds : public ::testing::TestWithParam<int> {};
 
 // Everything at once: lost and late messages, crashes, cuts that hold packets, outages, sick machines.
