--- a/tests/world.cpp
+++ b/tests/world.cpp
@@ -296,9 +296,11 @@
       if (t_ < outage_until_) return answer(status(503));
       expire_leases();
       followers_.push_back({i, life, op.op, f->prefix, f->from});
-      schedule(t_ + f->hold_s, [this, id = op.op, answer, status] {
-        std::erase_if(followers_, [&](auto &x) { return x.op == id; });
-        if (t_ >= outage_until_) answer(status(200));
+      schedule(t_ + f->hold_s, [this, i, life, id = op.op, answer, status] {
+        // Whoever still waits has missed nothing, unless it is cut off: then it waits on.
+        if (t_ < outage_until_ || t_ < nodes_[static_cast<std::size_t>(i)].state_cut_until) return;
+        if (std::erase_if(followers_, [&](auto &x) { return x.op == id && x.node == i && x.life == life; }))
+          answer(status(200));
       });
       notify();
       return;
