--- a/include/loftrouter/core/core.hpp
+++ b/include/loftrouter/core/core.hpp
@@ -422,6 +422,7 @@
   std::unordered_map<std::string, double> gone_; // names given back, and when
   double last_round_ = -1e9, next_round_ = 0, next_scale_ = 0, next_list_ = 0, next_summary_ = 0;
   bool round_wanted_ = false;
+  double up_cpus_ = 0; // at the last round
 
   // cloud
   bool listing_ = false;
--- a/include/loftrouter/core/placement.hpp
+++ b/include/loftrouter/core/placement.hpp
@@ -37,6 +37,8 @@
   Urgency urgency = Urgency::Normal;
   bool guaranteed = false; // within its team's guarantee
   double wait_s = 0;
+  bool started = false; // some of its tasks have been placed
+  bool in_time = false; // placed now, its tasks would end in time
   int image = -1;
   double image_gb = 0;
   bool small = false; // low, short and spot-tolerant: leaves kept machines alone
@@ -49,6 +51,7 @@
   double image_weight = 0.3; // beside F: the machine holds the image
   double price_weight = 1.0; // beside F: dearer than the cheapest
   double reserve_after_s = 120;
+  double in_time_bonus = 5; // the plan's tasks would end in time: late jobs do not make others late
 };
 
 struct Assignment {
--- a/src/core/autoscaler.cpp
+++ b/src/core/autoscaler.cpp
@@ -15,11 +15,12 @@
 constexpr double kNoCapacityPause = 12.0;
 constexpr double kMinimumCharge = 60.0; // a returned machine costs at least this long
 constexpr double kHoldBoots = 2.5;      // an idle machine of the cheapest kind is held for so many boot times,
-constexpr double kHoldBootsKept = 3.0;  // one that some job class needs whole for so many
+constexpr double kHoldBootsKept = 1.5;  // one that some job class needs whole for so many
 constexpr double kBootGiveUp = 2.0;     // boot times after which a machine is taken for one that never comes up
 constexpr double kDrainBelow = 0.85;    // dear machines are drained until the rest is used that much
 constexpr double kDear = 1.5;           // dearer than the cheapest place by more than this: only to save a deadline
 constexpr double kSlackShare = 0.7;     // of the time left, what the queue may take
+constexpr double kVeryLate = 8.0;       // times the time a job was given
 constexpr double kDefaultDue = 300.0;   // for jobs without a deadline or an objective
 // How often a rented machine's place may be used for one backlog: as often as the time left allows.
 constexpr double kWavesShare = 0.5, kMinWaves = 2.0, kMaxWaves = 6.0;
@@ -323,12 +324,13 @@
           auto key = std::tuple(t, z, spot);
           if (auto it = no_capacity_until_.find(key); it != no_capacity_until_.end() && now() < it->second) continue;
           if (rents_open_[key] > 0) continue;
-          // Cheap places are rented for whatever would wait longer than their boot. Dear ones only if the
-          // queue endangers the deadline, or, where they would come too late for that, makes it very late.
+          // Cheap places are rented for whatever would wait longer than their boot. Dear ones only where they
+          // come early enough to save a deadline that the queue endangers, or against waiting without end.
           double price = spot ? type.spot_price : type.price;
           double horizon = type.boot_s + (low ? est : 0.0);
           if (low && price / per > kDear * cheapest)
-            horizon = std::max(horizon, kSlackShare * (left > horizon ? left : 3 * due - p.wait_s));
+            horizon =
+                std::max(horizon, kSlackShare * (kSlackShare * left > horizon ? left : kVeryLate * due - p.wait_s));
           double carried = 0; // tasks that machines already up get to within the horizon
           for (std::size_t i = 0; i < up.size(); ++i) {
             if (!allowed(p, up[i], -1) || !p.need.fits(up[i].size) || (up[i].kept && p.small)) continue;
--- a/src/core/fleet.cpp
+++ b/src/core/fleet.cpp
@@ -441,6 +441,9 @@
   p.limit = held ? 0 : p.ready;
   p.urgency = n.spec.urgency;
   p.wait_s = std::max(0.0, now_.wall - n.submit_wall);
+  p.started = n.placed + n.done > 0;
+  // The last of its tasks starts once the others have had their turn on the fleet.
+  p.in_time = p.wait_s + n.spec.estimate_s * (1 + p.ready * p.need.cpus / std::max(1.0, up_cpus_)) <= due_after(n);
   p.image = n.image;
   p.image_gb = n.spec.image_gb;
   p.small = is_small(n);
@@ -488,6 +491,9 @@
   std::unordered_map<int, int> position;
   for (std::size_t i = 0; i < index.size(); ++i)
     position[index[i]] = static_cast<int>(i);
+  up_cpus_ = 0;
+  for (const auto &m : machines)
+    up_cpus_ += m.size.cpus;
   std::vector<Resources> room;
   std::vector<Resources> wanted(settings_.teams.size());
   for (const auto &t : settings_.teams)
--- a/src/core/placement.cpp
+++ b/src/core/placement.cpp
@@ -147,9 +147,10 @@
 std::vector<Assignment> place_round(std::vector<PlaceMachine> machines, const std::vector<PlaceJob> &jobs,
                                     std::vector<Resources> team_room, const PlaceOptions &o) {
   std::vector<Assignment> out;
+  auto waits_long = [&](const PlaceJob &j) { return !j.started && j.wait_s > o.reserve_after_s; };
   auto rank = [&](std::size_t i) {
     const auto &j = jobs[i];
-    return (j.wait_s > o.reserve_after_s ? 100 : 0) + static_cast<int>(j.urgency) * 2 + (j.guaranteed ? 1 : 0);
+    return (waits_long(j) ? 100 : 0) + static_cast<int>(j.urgency) * 2 + (j.guaranteed ? 1 : 0);
   };
   const auto none = Resources{-1, -1, -1};
   // What a plan was made of. Machines only fill up while a round goes on, so a plan stays the best one as
@@ -172,7 +173,7 @@
     d.made = d.checked = commits;
     d.outdated = false;
     if (d.plan.machines.empty()) return;
-    double age = o.age_weight * job.wait_s;
+    double age = o.age_weight * job.wait_s + (job.in_time ? o.in_time_bonus : 0);
     d.value = d.plan.score / static_cast<double>(d.plan.machines.size()) + (d.plan.whole ? o.whole_bonus : 0) + age;
     // A plan that loses tasks loses the bonus, but its mean may rise up to the first task's score.
     d.bound = std::max(d.value, d.plan.first + age);
@@ -195,7 +196,7 @@
       ++end;
     std::vector<Draft> drafts;
     auto give_up = [&](const PlaceJob &job) {
-      if (job.wait_s <= o.reserve_after_s || job.limit == 0) return;
+      if (!waits_long(job) || job.limit == 0) return;
       reserve(job, machines);
       std::fill(changed.begin(), changed.end(), ++commits);
     };
@@ -243,7 +244,7 @@
       }
       bool whole = d.plan.whole;
       drafts.erase(drafts.begin() + static_cast<long>(best));
-      if (!whole && job.wait_s > o.reserve_after_s) {
+      if (!whole && waits_long(job)) {
         reserve(job, machines);
         std::fill(changed.begin(), changed.end(), commits);
       }
--- a/tests/placement_test.cpp
+++ b/tests/placement_test.cpp
@@ -48,6 +48,8 @@
     j.urgency = static_cast<Urgency>(pick(4));
     j.wait_s = pick(200);
     j.image = pick(3);
+    j.in_time = pick(2);
+    j.started = pick(2);
     j.small = pick(2);
     j.team = pick(2);
     if (pick(5) == 0) j.barred.push_back(pick(static_cast<int>(c.machines.size())));
@@ -93,7 +95,7 @@
       }
       if (plan.empty() || (jobs[j].gang && plan.size() < jobs[j].ready)) continue;
       double value = sum / static_cast<double>(plan.size()) + (plan.size() == jobs[j].ready ? o.whole_bonus : 0) +
-                     o.age_weight * jobs[j].wait_s;
+                     o.age_weight * jobs[j].wait_s + (jobs[j].in_time ? o.in_time_bonus : 0);
       if (best < 0 || value > best_value) {
         best = static_cast<int>(j);
         best_value = value;
