A report's own round looks at its machine alone; image caches counted in GB

Now each report's room is refilled by a round over that machine, and tasks are recorded ahead along the line, as many as the fleet starts within seconds.

--- a/include/loftrouter/core/core.hpp
+++ b/include/loftrouter/core/core.hpp
@@ -164,6 +164,7 @@
   wire::Json progress;     // as last written
   std::vector<Task> tasks;
   std::uint32_t done = 0, placed = 0, unaccounted = 0;
+  std::uint32_t ahead = 4;        // tasks to be recorded before they are placed
   std::uint64_t gang_attempt = 0; // current attempt of a gang
   bool gang_closed = false;       // that attempt takes no replacements any more
   int team = -1, image = -1, class_ix = -1;
@@ -211,14 +212,15 @@
   bool listed_failed = false;
   std::string held_for; // id of the job that it is being emptied for
   double held_until = -1;
-  bool draining = false; // surplus: takes no new tasks and goes back once empty
+  bool open_to_small = false; // at the last round over all machines: not reserved for large work
+  bool draining = false;      // surplus: takes no new tasks and goes back once empty
   std::uint64_t session = 0, seq = 0;
   double known_since = 0, last_answer = -1, idle_since = -1, first_heard = -1;
   double rented_at = 0;
   std::optional<double> taken_at; // notice
   std::vector<Slot> slots;
   Resources size, used;
-  std::list<int> images; // most recent first
+  std::list<std::pair<int, double>> images; // and their GB, most recent first
   std::vector<std::string> error_jobs;
   int errors = 0, successes = 0;
   double busy_cpu_s = 0; // CPU seconds of tasks that ran to their end here
@@ -302,6 +304,7 @@
   void flushed(const Transaction &t, const wire::StoreReply &r);
   bool finishable(const Job &job) const;
   void record_ahead(Job &job);
+  void plan_ahead();
   void set_task(int j, std::uint32_t i, TaskState state, int machine = -1);
   void age_unaccounted();
   void tend_gang(int j);
@@ -320,13 +323,13 @@
   void log_summary();
   void stop_slot(int m, Slot &slot, double grace);
   void touch_image(Machine &m, int image, double gb);
-  void round();
+  void round(int only = -1);
   void place(int j, std::uint32_t i, int m);
   struct Offer;
   std::vector<Offer> seek_places(const PlaceJob &p, const std::vector<PlaceMachine> &machines,
                                  const std::vector<int> &index, int zone) const;
   void preempt(std::vector<int> starved);
-  std::vector<PlaceMachine> snapshot(std::vector<int> &index) const;
+  std::vector<PlaceMachine> snapshot(std::vector<int> &index, int only) const;
   PlaceJob place_job(int j, const std::unordered_map<int, int> &machine_position) const;
 
   // autoscaler.cpp
@@ -408,6 +411,7 @@
   std::vector<Shard> shards_;
   std::deque<int> ending_; // jobs whose final record is to be written
   bool ends_first_ = false;
+  double next_ahead_ = 0;
   bool flushing_ = false;
   double flush_after_ = 0;
   std::vector<std::pair<double, std::function<void()>>> later_;
@@ -420,7 +424,7 @@
   std::vector<std::unique_ptr<Machine>> machines_;
   std::unordered_map<std::string, int> machine_index_;
   std::unordered_map<std::string, double> gone_; // names given back, and when
-  double last_round_ = -1e9, next_round_ = 0, next_scale_ = 0, next_list_ = 0, next_summary_ = 0;
+  double next_round_ = 0, next_scale_ = 0, next_list_ = 0, next_summary_ = 0;
   bool round_wanted_ = false;
   double up_cpus_ = 0; // at the last round
 
--- a/src/core/autoscaler.cpp
+++ b/src/core/autoscaler.cpp
@@ -259,7 +259,7 @@
            std::pair(-static_cast<int>(job(b).spec.urgency), job(b).submit_wall);
   });
   std::vector<int> index;
-  auto up = snapshot(index);
+  auto up = snapshot(index, -1);
   // CPU seconds that machines already up are expected to still spend, per machine.
   std::vector<double> busy(up.size(), 0);
   for (std::size_t i = 0; i < up.size(); ++i)
--- a/src/core/core.cpp
+++ b/src/core/core.cpp
@@ -63,6 +63,7 @@
   age_unaccounted();
   tick_fleet();
   if (now() >= next_round_) round();
+  if (now() >= next_ahead_) plan_ahead();
 }
 
 void Core::on(CmdUp &&cmd) {
--- a/src/core/fleet.cpp
+++ b/src/core/fleet.cpp
@@ -184,9 +184,9 @@
       stop_slot(m, n.slots[s], 0);
     }
   }
-  // Room has appeared: a round right now lets the next start leave with this very answer, if the task
-  // is recorded ahead. Otherwise the machine would stay empty for a whole report interval.
-  if (round_wanted_ && !n.returning && now() >= last_round_ + kReportRound) round();
+  // Room has appeared: a round right now, for this machine alone, lets the next start leave with this very
+  // answer, if the task is recorded ahead. Otherwise the machine would stay empty for a whole report interval.
+  if (round_wanted_ && !n.returning) round(m);
   std::size_t starts = 0;
   for (auto &slot : n.slots) {
     if (slot.finished) continue;
@@ -347,16 +347,23 @@
 
 void Core::touch_image(Machine &m, int image, double gb) {
   if (image < 0) return;
-  m.images.remove(image);
-  m.images.push_front(image);
-  (void)gb;
-  if (m.images.size() > 6) m.images.pop_back();
+  m.images.remove_if([&](const auto &x) { return x.first == image; });
+  m.images.emplace_front(image, gb);
+  double sum = 0, cache = m.type >= 0 ? types_[static_cast<std::size_t>(m.type)].cache_gb : 0;
+  for (auto it = m.images.begin(); it != m.images.end(); ++it)
+    if ((sum += it->second) > cache && it != m.images.begin()) {
+      m.images.erase(it, m.images.end());
+      break;
+    }
 }
 
-std::vector<PlaceMachine> Core::snapshot(std::vector<int> &index) const {
+// The machines that may take tasks, or the one asked for if it may.
+std::vector<PlaceMachine> Core::snapshot(std::vector<int> &index, int only) const {
   std::vector<PlaceMachine> out;
   const double cheapest = cheapest_cpu();
-  for (std::size_t i = 0; i < machines_.size(); ++i) {
+  const std::size_t first = only >= 0 ? static_cast<std::size_t>(only) : 0;
+  const std::size_t end = only >= 0 ? first + 1 : machines_.size();
+  for (std::size_t i = first; i < end; ++i) {
     const auto &p = machines_[i];
     if (!p || !p->heard || p->lost || p->returning || p->taken_at || p->draining || p->type < 0) continue;
     // Silent for a while: probably dead, hanging or cut off.
@@ -373,7 +380,8 @@
     if (now() < p->held_until)
       if (auto it = job_index_.find(p->held_for); it != job_index_.end()) pm.held_for = it->second;
     pm.speed_gb_s = type.fetch_gb_per_s;
-    pm.images.assign(p->images.begin(), p->images.end());
+    for (const auto &[image, gb] : p->images)
+      pm.images.push_back(image);
     auto kept = kept_types_.find(p->type);
     pm.kept = !p->spot && kept != kept_types_.end() && now() - kept->second.seen < 600;
     if (pm.kept) {
@@ -385,6 +393,10 @@
     out.push_back(std::move(pm));
     index.push_back(static_cast<int>(i));
   }
+  if (only >= 0) {
+    if (!out.empty()) out[0].kept &= !machines_[first]->open_to_small;
+    return out;
+  }
   // Of the kept machines that hold no large task one a type, the one with least small work, is reserved
   // for the next; the others are open to small work rather than paid for nothing.
   std::unordered_map<int, int> reserved;
@@ -481,19 +493,27 @@
   machine(m).slots.push_back(std::move(slot));
 }
 
-void Core::round() {
-  next_round_ = now() + kRound;
-  last_round_ = now();
-  round_wanted_ = false;
+// A placement round over all machines, or for one alone that has just reported room.
+void Core::round(int only) {
+  if (only < 0) {
+    next_round_ = now() + kRound;
+    round_wanted_ = false;
+  }
   if (!active()) return;
   std::vector<int> index;
-  auto machines = snapshot(index);
+  auto machines = snapshot(index, only);
   std::unordered_map<int, int> position;
   for (std::size_t i = 0; i < index.size(); ++i)
     position[index[i]] = static_cast<int>(i);
-  up_cpus_ = 0;
-  for (const auto &m : machines)
-    up_cpus_ += m.size.cpus;
+  if (only < 0) {
+    up_cpus_ = 0;
+    for (std::size_t i = 0; i < index.size(); ++i) {
+      up_cpus_ += machines[i].size.cpus;
+      machine(index[i]).open_to_small = !machines[i].kept;
+    }
+  } else if (machines.empty()) {
+    return;
+  }
   std::vector<Resources> room;
   std::vector<Resources> wanted(settings_.teams.size());
   for (const auto &t : settings_.teams)
@@ -520,7 +540,8 @@
     w.add(job(j).spec.need, job(j).spec.tasks - job(j).done);
     jobs.back().guaranteed = (t.cpus > 0 || t.gpus > 0) && w.cpus <= t.cpus + 1e-6 && w.gpus <= t.gpus + 1e-6;
   }
-  auto plan = place_round(machines, jobs, room, {});
+  if (jobs.empty()) return;
+  auto plan = place_round(std::move(machines), jobs, room, {});
   std::vector<std::uint32_t> cursor(jobs.size(), 0);
   std::vector<std::uint32_t> placed(jobs.size(), 0);
   for (const auto &a : plan) {
@@ -535,6 +556,7 @@
     place(j, i, m);
     ++placed[p];
   }
+  if (only >= 0) return;
   round_wanted_ = false;
   std::vector<int> starved;
   for (std::size_t p = 0; p < jobs.size(); ++p)
@@ -631,7 +653,7 @@
   std::stable_sort(starved.begin(), starved.end(),
                    [this](int a, int b) { return job(a).spec.urgency > job(b).spec.urgency; });
   std::vector<int> index;
-  auto machines = snapshot(index);
+  auto machines = snapshot(index, -1);
   std::unordered_map<int, int> position;
   for (std::size_t i = 0; i < index.size(); ++i)
     position[index[i]] = static_cast<int>(i);
--- a/src/core/jobs.cpp
+++ b/src/core/jobs.cpp
@@ -8,7 +8,10 @@
 namespace loft::core {
 
 namespace {
-constexpr double kLazyWrite = 0.8;      // progress that nothing waits for
+constexpr double kLazyWrite = 0.8; // progress that nothing waits for
+constexpr double kAheadEvery = 0.25;
+constexpr double kAheadShare = 0.15; // of the fleet's CPUs: tasks recorded ahead of their placement
+constexpr std::uint32_t kAheadLeast = 4;
 constexpr std::size_t kEntryChars = 70; // of a job in a shard, beside its two sets of tasks
 } // namespace
 
@@ -206,8 +209,7 @@
 // of their own. Too many "started" are safe: after a takeover they wait until leases have run out.
 void Core::record_ahead(Job &n) {
   if (n.cancelled) return;
-  std::uint32_t ahead =
-      n.spec.shape == Shape::Gang ? (n.spec.tasks <= 64 ? n.spec.tasks : 0) : std::max(4u, n.placed / 4);
+  std::uint32_t ahead = n.spec.shape == Shape::Gang ? (n.spec.tasks <= 64 ? n.spec.tasks : 0) : n.ahead;
   for (std::uint32_t i = 0; i < n.spec.tasks && ahead > 0; ++i)
     if (n.tasks[i].state == TaskState::Pending) {
       n.tasks[i].started = true;
@@ -215,6 +217,32 @@
     }
 }
 
+// How many tasks of each job are to be recorded ahead: as many as the fleet may start within the next seconds,
+// counted along the order in which jobs will have their turn.
+void Core::plan_ahead() {
+  next_ahead_ = now() + kAheadEvery;
+  std::vector<std::tuple<int, bool, double, int>> line;
+  for (int j = 0; j < static_cast<int>(jobs_.size()); ++j) {
+    const auto &n = jobs_[static_cast<std::size_t>(j)];
+    if (!n || n->cancelled || n->spec.shape == Shape::Gang) continue;
+    if (n->done + n->placed + n->unaccounted == n->spec.tasks) continue;
+    line.emplace_back(-static_cast<int>(n->spec.urgency), !place_job(j, {}).in_time, n->submit_wall, j);
+  }
+  std::sort(line.begin(), line.end());
+  double left = kAheadShare * up_cpus_;
+  for (auto [urgency, late, submitted, j] : line) {
+    Job &n = job(j);
+    std::uint32_t pending = n.spec.tasks - n.done - n.placed - n.unaccounted;
+    double fits = std::max(0.0, left / std::max(0.01, n.spec.need.cpus));
+    n.ahead = std::min(pending, std::max(kAheadLeast, static_cast<std::uint32_t>(std::min(1e6, fits))));
+    left -= n.ahead * n.spec.need.cpus;
+    std::uint32_t recorded = 0;
+    for (const auto &t : n.tasks)
+      recorded += t.state == TaskState::Pending && t.started;
+    if (recorded < (n.ahead + 1) / 2) mark_dirty(j, true);
+  }
+}
+
 // One transaction at a time. Each is guarded by the leader key's revision and by every record's own.
 struct Core::Transaction {
   std::uint64_t id = 0;
--- a/src/core/placement.cpp
+++ b/src/core/placement.cpp
@@ -53,7 +53,8 @@
 Plan greedy(const PlaceJob &job, std::vector<PlaceMachine> &machines, std::uint32_t want, int only_zone,
             const PlaceOptions &o) {
   Plan plan;
-  std::vector<int> zone_used = job.zone_used;
+  std::vector<int> zone_used;
+  if (job.zone_cap >= 0) zone_used = job.zone_used;
   auto used = [&](int z) -> int & {
     if (static_cast<std::size_t>(z) >= zone_used.size()) zone_used.resize(static_cast<std::size_t>(z) + 1);
     return zone_used[static_cast<std::size_t>(z)];
@@ -72,7 +73,7 @@
     auto &m = machines[static_cast<std::size_t>(-negative)];
     if (job.zone_cap >= 0 && used(m.zone) >= job.zone_cap) continue; // and stays so
     occupy(job, m, 1);
-    ++used(m.zone);
+    if (job.zone_cap >= 0) ++used(m.zone);
     if (plan.machines.empty()) plan.first = score;
     plan.machines.push_back(-negative);
     plan.score += score;
