--- a/src/core/autoscaler.cpp
+++ b/src/core/autoscaler.cpp
@@ -14,7 +14,7 @@
 constexpr double kTypesEvery = 60.0;
 constexpr double kNoCapacityPause = 12.0;
 constexpr double kMinimumCharge = 60.0; // a returned machine costs at least this long
-constexpr double kHoldBoots = 2.5;      // an idle machine of the cheapest kind is held for so many boot times,
+constexpr double kHoldBoots = 1.5;      // an idle machine of the cheapest kind is held for so many boot times,
 constexpr double kHoldBootsKept = 1.5;  // one that some job class needs whole for so many
 constexpr double kBootGiveUp = 2.0;     // boot times after which a machine is taken for one that never comes up
 constexpr double kDrainBelow = 0.85;    // dear machines are drained until the rest is used that much
@@ -286,7 +286,7 @@
       pm.type = b.type;
       pm.zone = b.zone;
       pm.spot = b.spot;
-      if (!allowed(p, pm, -1) || (p.small && !b.spot && kept_types_.contains(b.type))) continue;
+      if (!allowed(p, pm, -1)) continue;
       while (waiting >= 1 && p.need.fits(b.free)) {
         b.free.add(p.need, -1);
         waiting -= waves;
@@ -320,7 +320,7 @@
         if (p.zone >= 0 && p.zone != z) continue;
         for (bool spot : {true, false}) {
           if (spot && !p.spot) continue;
-          if (!spot && p.small && kept_types_.contains(t)) continue;
+
           auto key = std::tuple(t, z, spot);
           if (auto it = no_capacity_until_.find(key); it != no_capacity_until_.end() && now() < it->second) continue;
           if (rents_open_[key] > 0) continue;
--- a/src/core/jobs.cpp
+++ b/src/core/jobs.cpp
@@ -329,6 +329,10 @@
   e.end_wall = now_.wall;
   e.late = n.spec.deadline_s && now_.wall - n.submit_wall > *n.spec.deadline_s;
   e.reason = n.cancelled ? "stopped: cancelled by its user" : e.late ? "finished after its deadline" : "";
+  log(e.late && !n.cancelled ? LogLevel::Info : LogLevel::Debug,
+      fmt::format("job {} ({}, {} tasks of about {:.0f} s) {} {:.0f} s after its submission, wanted after {:.0f} s",
+                  n.spec.id, n.spec.job_class, n.spec.tasks, n.spec.estimate_s,
+                  n.cancelled ? "was cancelled and is gone" : "is done", e.end_wall - e.submit_wall, due_after(n)));
   t.guards.push_back({"open/" + n.spec.id, n.open_stamp});
   t.guards.push_back({"end/" + n.spec.id, 0});
   t.writes.push_back({"open/" + n.spec.id, std::nullopt, 0});
