--- a/include/loftrouter/core/placement.hpp
+++ b/include/loftrouter/core/placement.hpp
@@ -51,7 +51,7 @@
   double image_weight = 0.3; // beside F: the machine holds the image
   double price_weight = 1.0; // beside F: dearer than the cheapest
   double reserve_after_s = 120;
-  double in_time_bonus = 5; // the plan's tasks would end in time: late jobs do not make others late
+  double in_time_bonus = 30; // the plan's tasks would end in time: late jobs do not make others late
 };
 
 struct Assignment {
