--- a/src/core/autoscaler.cpp
+++ b/src/core/autoscaler.cpp
@@ -192,12 +192,19 @@
   });
 }
 
-// When a job should be complete, in seconds after its submission.
+// When a job should be complete, in seconds after its submission: of several objectives the first that it can
+// still meet.
 double Core::due_after(const Job &j) const {
   if (j.spec.deadline_s) return *j.spec.deadline_s;
-  for (const auto &o : settings_.objectives)
-    if (o.kind == "finished" && o.job_class == j.spec.job_class) return o.within_s;
-  return kDefaultDue;
+  const double soonest = now_.wall - j.submit_wall + j.spec.estimate_s;
+  double first = std::numeric_limits<double>::infinity(), last = 0;
+  for (const auto &o : settings_.objectives) {
+    if (o.kind != "finished" || o.job_class != j.spec.job_class) continue;
+    if (o.within_s >= soonest) first = std::min(first, o.within_s);
+    last = std::max(last, o.within_s);
+  }
+  if (last <= 0) return kDefaultDue;
+  return std::isfinite(first) ? first : last;
 }
 
 // Roomy-first placement spreads work over every machine there is, so none would ever become idle. What the
