A machine's own round draws on the last full round's jobs; renting counts like machines

Per report it built every waiting job anew, and each second renting went over jobs x types x machines. Now a report's round uses the jobs of the last full round, and alike machines are counted together.

--- a/include/loftrouter/core/core.hpp
+++ b/include/loftrouter/core/core.hpp
@@ -152,6 +152,7 @@
 struct Job {
   JobSpec spec;
   double submit_wall = 0;
+  std::uint64_t serial = 0; // tells it from earlier jobs at the same index
   std::uint64_t open_stamp = 0;
   bool cancelled = false;
   bool ending = false;       // its final record is being written
@@ -323,14 +324,18 @@
   void log_summary();
   void stop_slot(int m, Slot &slot, double grace);
   void touch_image(Machine &m, int image, double gb);
-  void round(int only = -1);
+  void round();
+  void round_on(int m);
+  std::vector<Resources> team_room() const;
+  std::vector<std::uint32_t> carry_out(const std::vector<Assignment> &plan, const std::vector<int> &order,
+                                       const std::vector<int> &index);
   void place(int j, std::uint32_t i, int m);
   struct Offer;
   std::vector<Offer> seek_places(const PlaceJob &p, const std::vector<PlaceMachine> &machines,
                                  const std::vector<int> &index, int zone) const;
   void preempt(std::vector<int> starved);
   std::vector<PlaceMachine> snapshot(std::vector<int> &index, int only) const;
-  PlaceJob place_job(int j, const std::unordered_map<int, int> &machine_position) const;
+  PlaceJob place_job(int j) const;
 
   // autoscaler.cpp
   void tick_cloud();
@@ -426,7 +431,10 @@
   std::unordered_map<std::string, double> gone_; // names given back, and when
   double next_round_ = 0, next_scale_ = 0, next_list_ = 0, next_summary_ = 0;
   bool round_wanted_ = false;
-  double up_cpus_ = 0; // at the last round
+  double up_cpus_ = 0;         // at the last round
+  std::vector<PlaceJob> line_; // jobs with tasks to place at the last round, oldest first
+  std::vector<std::uint64_t> line_serials_;
+  std::uint64_t job_counter_ = 0;
 
   // cloud
   bool listing_ = false;
--- a/include/loftrouter/core/placement.hpp
+++ b/include/loftrouter/core/placement.hpp
@@ -10,6 +10,7 @@
 namespace loft::core {
 
 struct PlaceMachine {
+  int id = -1; // what `PlaceJob::barred` names
   Resources size, free;
   int type = 0, zone = 0;
   bool spot = false;
@@ -59,13 +60,15 @@
 };
 
 // What a task of `job` scores on `m`; nothing where it may not go or does not fit.
-bool allowed(const PlaceJob &job, const PlaceMachine &m, int machine_index);
+bool allowed(const PlaceJob &job, const PlaceMachine &m);
 bool has_room(const PlaceJob &job, const PlaceMachine &m);
 double fit_score(const PlaceJob &job, const PlaceMachine &m); // F of the paper
 double place_score(const PlaceJob &job, const PlaceMachine &m, const PlaceOptions &o);
 
 // Rounds until nothing more fits. `team_room` (CPUs and GPUs left under each team's limit, or
 // negative for none) is used up along the way.
+std::vector<Assignment> place_round(std::vector<PlaceMachine> machines, const std::vector<const PlaceJob *> &jobs,
+                                    std::vector<Resources> team_room, const PlaceOptions &options);
 std::vector<Assignment> place_round(std::vector<PlaceMachine> machines, const std::vector<PlaceJob> &jobs,
                                     std::vector<Resources> team_room, const PlaceOptions &options);
 
--- a/src/core/autoscaler.cpp
+++ b/src/core/autoscaler.cpp
@@ -267,20 +267,30 @@
   });
   std::vector<int> index;
   auto up = snapshot(index, -1);
-  // CPU seconds that machines already up are expected to still spend, per machine.
-  std::vector<double> busy(up.size(), 0);
-  for (std::size_t i = 0; i < up.size(); ++i)
+  // Machines already up, those alike together, and the CPU seconds that they are expected to still spend.
+  struct Alike {
+    PlaceMachine one;
+    double count = 0, busy = 0;
+  };
+  std::map<std::tuple<int, int, bool, bool, int>, Alike> groups;
+  std::vector<double> busy(up.size(), 0); // machine by machine, for work that needs them whole
+  for (std::size_t i = 0; i < up.size(); ++i) {
+    auto &group = groups[{up[i].type, up[i].zone, up[i].spot, up[i].kept, up[i].held_for}];
+    group.one = up[i];
+    group.one.id = -1;
+    ++group.count;
     for (const auto &s : machine(index[i]).slots) {
       if (s.job < 0 || s.finished) continue;
-      const Job &n = job(s.job);
       double ran = s.running_since >= 0 ? now() - s.running_since : 0;
-      busy[i] += std::max(5.0, n.spec.estimate_s - ran) * s.need.cpus;
+      busy[i] += std::max(5.0, job(s.job).spec.estimate_s - ran) * s.need.cpus;
     }
+    group.busy += busy[i];
+  }
   double pending = 0;
   int budget = 3;
   for (int j : order) {
     Job &n = job(j);
-    PlaceJob p = place_job(j, {});
+    PlaceJob p = place_job(j);
     if (p.limit == 0 || now() < n.retry_at) continue;
     pending += p.ready * p.need.cpus;
     const bool low = p.urgency == Urgency::Low;
@@ -293,7 +303,7 @@
       pm.type = b.type;
       pm.zone = b.zone;
       pm.spot = b.spot;
-      if (!allowed(p, pm, -1)) continue;
+      if (!allowed(p, pm)) continue;
       while (waiting >= 1 && p.need.fits(b.free)) {
         b.free.add(p.need, -1);
         waiting -= waves;
@@ -339,12 +349,17 @@
             horizon =
                 std::max(horizon, kSlackShare * (kSlackShare * left > horizon ? left : kVeryLate * due - p.wait_s));
           double carried = 0; // tasks that machines already up get to within the horizon
-          for (std::size_t i = 0; i < up.size(); ++i) {
-            if (!allowed(p, up[i], -1) || !p.need.fits(up[i].size) || (up[i].kept && p.small)) continue;
-            double cpus = std::max(p.need.cpus, 0.01);
-            carried +=
-                std::max(0.0, std::floor(up[i].size.cpus / cpus + 1e-6) * cpus * horizon - busy[i]) / (cpus * est);
-          }
+          const double cpus = std::max(p.need.cpus, 0.01);
+          auto carries = [&](const PlaceMachine &m, double count, double spent) {
+            if (!allowed(p, m) || !p.need.fits(m.size) || (m.kept && p.small)) return 0.0;
+            return std::max(0.0, count * std::floor(m.size.cpus / cpus + 1e-6) * cpus * horizon - spent) / (cpus * est);
+          };
+          if (low)
+            for (const auto &[like, g] : groups)
+              carried += carries(g.one, g.count, g.busy);
+          else
+            for (std::size_t i = 0; i < up.size(); ++i)
+              carried += carries(up[i], 1, busy[i]);
           double rest = waiting - (low ? carried : std::floor(carried));
           if (rest < 0.5) continue;
           int count = static_cast<int>(std::ceil(std::ceil(rest / waves) / per));
@@ -354,10 +369,12 @@
       }
     }
     // Work counted here is not counted again for later jobs.
-    for (std::size_t i = 0; i < up.size(); ++i)
-      if (allowed(p, up[i], -1) && p.need.fits(up[i].size) && !(up[i].kept && p.small)) {
-        busy[i] += waiting * est * p.need.cpus / std::max<double>(1, static_cast<double>(up.size()));
-      }
+    for (auto &[like, g] : groups)
+      if (allowed(p, g.one) && p.need.fits(g.one.size) && !(g.one.kept && p.small))
+        g.busy += waiting * est * p.need.cpus * g.count / std::max<double>(1, static_cast<double>(up.size()));
+    for (std::size_t i = 0; i < up.size() && !low; ++i)
+      if (allowed(p, up[i]) && p.need.fits(up[i].size))
+        busy[i] += waiting * est * p.need.cpus / static_cast<double>(up.size());
     if (best.type < 0 || budget-- <= 0) continue;
     rent(best.type, best.zone, best.spot, best.count);
   }
--- a/src/core/fleet.cpp
+++ b/src/core/fleet.cpp
@@ -186,7 +186,7 @@
   }
   // Room has appeared: a round right now, for this machine alone, lets the next start leave with this very
   // answer, if the task is recorded ahead. Otherwise the machine would stay empty for a whole report interval.
-  if (round_wanted_ && !n.returning) round(m);
+  if (round_wanted_ && !n.returning) round_on(m);
   std::size_t starts = 0;
   for (auto &slot : n.slots) {
     if (slot.finished) continue;
@@ -369,6 +369,7 @@
     // Silent for a while: probably dead, hanging or cut off.
     if (now() - p->last_answer > 2.5 * settings_.report_s + 1) continue;
     PlaceMachine pm;
+    pm.id = static_cast<int>(i);
     pm.size = p->size;
     pm.free = p->size;
     pm.free.add(p->used, -1);
@@ -422,7 +423,7 @@
   return out;
 }
 
-PlaceJob Core::place_job(int j, const std::unordered_map<int, int> &position) const {
+PlaceJob Core::place_job(int j) const {
   const Job &n = *jobs_[static_cast<std::size_t>(j)];
   PlaceJob p;
   p.self = j;
@@ -440,8 +441,7 @@
   p.one_zone = n.spec.one_zone;
   p.zone_used = n.zone_used;
   if (n.spec.spread) p.zone_cap = static_cast<int>((n.spec.tasks + 1) / 2);
-  for (int m : n.bad_machines)
-    if (auto it = position.find(m); it != position.end()) p.barred.push_back(it->second);
+  p.barred = n.bad_machines;
   p.ready = n.spec.tasks - n.done - n.placed - n.unaccounted;
   bool held = n.cancelled || n.ending || now() < n.retry_at;
   // Where unaccounted tasks are is not known, so neither are their zones.
@@ -493,74 +493,107 @@
   machine(m).slots.push_back(std::move(slot));
 }
 
-// A placement round over all machines, or for one alone that has just reported room.
-void Core::round(int only) {
-  if (only < 0) {
-    next_round_ = now() + kRound;
-    round_wanted_ = false;
-  }
-  if (!active()) return;
-  std::vector<int> index;
-  auto machines = snapshot(index, only);
-  std::unordered_map<int, int> position;
-  for (std::size_t i = 0; i < index.size(); ++i)
-    position[index[i]] = static_cast<int>(i);
-  if (only < 0) {
-    up_cpus_ = 0;
-    for (std::size_t i = 0; i < index.size(); ++i) {
-      up_cpus_ += machines[i].size.cpus;
-      machine(index[i]).open_to_small = !machines[i].kept;
-    }
-  } else if (machines.empty()) {
-    return;
-  }
+// What each team may still use. Everything that may be on a machine counts against the limit, unaccounted
+// tasks included.
+std::vector<Resources> Core::team_room() const {
   std::vector<Resources> room;
-  std::vector<Resources> wanted(settings_.teams.size());
-  for (const auto &t : settings_.teams)
+  bool limits = false;
+  for (const auto &t : settings_.teams) {
     room.push_back({t.cpus_max > 0 ? t.cpus_max : -1, t.gpus_max > 0 ? t.gpus_max : -1, -1});
-  std::vector<int> order;
-  for (int j = 0; j < static_cast<int>(jobs_.size()); ++j) {
-    if (!jobs_[static_cast<std::size_t>(j)]) continue;
-    const Job &n = job(j);
-    if (n.team < 0) continue;
-    auto team = static_cast<std::size_t>(n.team);
-    // Everything that may be on a machine counts against the limit, unaccounted tasks included.
-    double on = n.placed + n.unaccounted;
-    if (room[team].cpus >= 0) room[team].cpus = std::max(0.0, room[team].cpus - on * n.spec.need.cpus);
-    if (room[team].gpus >= 0) room[team].gpus = std::max(0.0, room[team].gpus - on * n.spec.need.gpus);
-    if (n.done + n.placed + n.unaccounted < n.spec.tasks && !n.cancelled) order.push_back(j);
+    limits |= t.cpus_max > 0 || t.gpus_max > 0;
   }
-  // Oldest first, so that a team's guarantee covers its earliest unfinished jobs.
-  std::sort(order.begin(), order.end(), [this](int a, int b) { return job(a).submit_wall < job(b).submit_wall; });
-  std::vector<PlaceJob> jobs;
-  for (int j : order) {
-    jobs.push_back(place_job(j, position));
-    const Team &t = settings_.teams[static_cast<std::size_t>(job(j).team)];
-    auto &w = wanted[static_cast<std::size_t>(job(j).team)];
-    w.add(job(j).spec.need, job(j).spec.tasks - job(j).done);
-    jobs.back().guaranteed = (t.cpus > 0 || t.gpus > 0) && w.cpus <= t.cpus + 1e-6 && w.gpus <= t.gpus + 1e-6;
+  if (!limits) return room;
+  for (const auto &n : jobs_) {
+    if (!n || n->team < 0) continue;
+    auto &left = room[static_cast<std::size_t>(n->team)];
+    const double on = n->placed + n->unaccounted;
+    if (left.cpus >= 0) left.cpus = std::max(0.0, left.cpus - on * n->spec.need.cpus);
+    if (left.gpus >= 0) left.gpus = std::max(0.0, left.gpus - on * n->spec.need.gpus);
+  }
+  return room;
+}
+
+// A round for one machine alone, which has just reported room, among the jobs that the last full round saw.
+void Core::round_on(int m) {
+  if (!active() || line_.empty()) return;
+  std::vector<int> index;
+  auto machines = snapshot(index, m);
+  if (machines.empty()) return;
+  std::vector<const PlaceJob *> jobs;
+  std::vector<int> order;
+  for (std::size_t k = 0; k < line_.size(); ++k) {
+    PlaceJob &p = line_[k];
+    if (!has_room(p, machines[0])) continue;
+    const auto &n = jobs_[static_cast<std::size_t>(p.self)];
+    if (!n || n->serial != line_serials_[k] || n->cancelled || n->ending || now() < n->retry_at) continue;
+    if (p.gang || p.one_zone || p.zone_cap >= 0) {
+      bool guaranteed = p.guaranteed;
+      p = place_job(p.self);
+      p.guaranteed = guaranteed;
+    } else {
+      p.ready = p.limit = n->spec.tasks - n->done - n->placed - n->unaccounted;
+    }
+    if (p.limit == 0) continue;
+    jobs.push_back(&p);
+    order.push_back(p.self);
   }
   if (jobs.empty()) return;
-  auto plan = place_round(std::move(machines), jobs, room, {});
-  std::vector<std::uint32_t> cursor(jobs.size(), 0);
-  std::vector<std::uint32_t> placed(jobs.size(), 0);
+  carry_out(place_round(std::move(machines), jobs, team_room(), {}), order, index);
+}
+
+// How many tasks of each job were placed.
+std::vector<std::uint32_t> Core::carry_out(const std::vector<Assignment> &plan, const std::vector<int> &order,
+                                           const std::vector<int> &index) {
+  std::vector<std::uint32_t> cursor(order.size(), 0), placed(order.size(), 0);
   for (const auto &a : plan) {
     auto p = static_cast<std::size_t>(a.job);
-    int j = order[p];
-    int m = index[static_cast<std::size_t>(a.machine)];
-    const Job &n = job(j);
+    const Job &n = job(order[p]);
     auto &i = cursor[p];
     while (i < n.spec.tasks && n.tasks[i].state != TaskState::Pending)
       ++i;
     if (i >= n.spec.tasks) continue;
-    place(j, i, m);
+    place(order[p], i, index[static_cast<std::size_t>(a.machine)]);
     ++placed[p];
   }
-  if (only >= 0) return;
+  return placed;
+}
+
+void Core::round() {
+  next_round_ = now() + kRound;
+  round_wanted_ = false;
+  line_.clear();
+  line_serials_.clear();
+  if (!active()) return;
+  std::vector<int> index;
+  auto machines = snapshot(index, -1);
+  up_cpus_ = 0;
+  for (const auto &m : machines) {
+    up_cpus_ += m.size.cpus;
+    machine(m.id).open_to_small = !m.kept;
+  }
+  std::vector<Resources> wanted(settings_.teams.size());
+  std::vector<int> order;
+  for (int j = 0; j < static_cast<int>(jobs_.size()); ++j)
+    if (const auto &n = jobs_[static_cast<std::size_t>(j)];
+        n && n->team >= 0 && !n->cancelled && n->done + n->placed + n->unaccounted < n->spec.tasks)
+      order.push_back(j);
+  // Oldest first, so that a team's guarantee covers its earliest unfinished jobs.
+  std::sort(order.begin(), order.end(), [this](int a, int b) { return job(a).submit_wall < job(b).submit_wall; });
+  for (int j : order) {
+    PlaceJob p = place_job(j);
+    const Team &t = settings_.teams[static_cast<std::size_t>(job(j).team)];
+    auto &w = wanted[static_cast<std::size_t>(job(j).team)];
+    w.add(job(j).spec.need, job(j).spec.tasks - job(j).done);
+    p.guaranteed = (t.cpus > 0 || t.gpus > 0) && w.cpus <= t.cpus + 1e-6 && w.gpus <= t.gpus + 1e-6;
+    line_.push_back(std::move(p));
+    line_serials_.push_back(job(j).serial);
+  }
+  if (line_.empty()) return;
+  auto placed = carry_out(place_round(std::move(machines), line_, team_room(), {}), order, index);
   round_wanted_ = false;
   std::vector<int> starved;
-  for (std::size_t p = 0; p < jobs.size(); ++p)
-    if (jobs[p].limit > 0 && placed[p] == 0) starved.push_back(order[p]);
+  for (std::size_t k = 0; k < order.size(); ++k)
+    if (line_[k].limit > 0 && placed[k] == 0) starved.push_back(order[k]);
   if (!starved.empty()) preempt(starved);
 }
 
@@ -597,7 +630,7 @@
   std::vector<Offer> offers;
   for (std::size_t i = 0; i < machines.size(); ++i) {
     const auto &pm = machines[i];
-    if ((zone >= 0 && pm.zone != zone) || !allowed(p, pm, static_cast<int>(i)) || !p.need.fits(pm.size)) continue;
+    if ((zone >= 0 && pm.zone != zone) || !allowed(p, pm) || !p.need.fits(pm.size)) continue;
     Offer o;
     o.position = i;
     o.free = pm.free;
@@ -654,12 +687,9 @@
                    [this](int a, int b) { return job(a).spec.urgency > job(b).spec.urgency; });
   std::vector<int> index;
   auto machines = snapshot(index, -1);
-  std::unordered_map<int, int> position;
-  for (std::size_t i = 0; i < index.size(); ++i)
-    position[index[i]] = static_cast<int>(i);
   for (int j : starved) {
     Job &n = job(j);
-    PlaceJob p = place_job(j, position);
+    PlaceJob p = place_job(j);
     const Team &team = settings_.teams[static_cast<std::size_t>(p.team)];
     std::vector<int> zones{-1};
     if (p.one_zone) {
--- a/src/core/jobs.cpp
+++ b/src/core/jobs.cpp
@@ -31,6 +31,7 @@
   n.submit_wall = record.submit_wall;
   n.cancelled = record.cancelled;
   n.open_stamp = stamp;
+  n.serial = ++job_counter_;
   n.tasks.resize(n.spec.tasks);
   n.team = team_names_.find(n.spec.team);
   n.image = image_names_.get(n.spec.image);
@@ -226,7 +227,7 @@
     const auto &n = jobs_[static_cast<std::size_t>(j)];
     if (!n || n->cancelled || n->spec.shape == Shape::Gang) continue;
     if (n->done + n->placed + n->unaccounted == n->spec.tasks) continue;
-    line.emplace_back(-static_cast<int>(n->spec.urgency), !place_job(j, {}).in_time, n->submit_wall, j);
+    line.emplace_back(-static_cast<int>(n->spec.urgency), !place_job(j).in_time, n->submit_wall, j);
   }
   std::sort(line.begin(), line.end());
   double left = kAheadShare * up_cpus_;
--- a/src/core/placement.cpp
+++ b/src/core/placement.cpp
@@ -6,14 +6,14 @@
 
 namespace loft::core {
 
-bool allowed(const PlaceJob &job, const PlaceMachine &m, int index) {
+bool allowed(const PlaceJob &job, const PlaceMachine &m) {
   if (m.type < 0 || static_cast<std::size_t>(m.type) >= job.types.size() ||
       !job.types[static_cast<std::size_t>(m.type)])
     return false;
   if (job.zone >= 0 && job.zone != m.zone) return false;
   if (m.spot && !job.spot) return false;
   if (m.held_for >= 0 && m.held_for != job.self) return false;
-  return std::find(job.barred.begin(), job.barred.end(), index) == job.barred.end();
+  return std::find(job.barred.begin(), job.barred.end(), m.id) == job.barred.end();
 }
 
 bool has_room(const PlaceJob &job, const PlaceMachine &m) {
@@ -62,7 +62,7 @@
   std::vector<std::pair<double, int>> heap; // score, -index
   for (int i = 0; i < static_cast<int>(machines.size()); ++i) {
     const auto &m = machines[static_cast<std::size_t>(i)];
-    if (has_room(job, m) && (only_zone < 0 || m.zone == only_zone) && allowed(job, m, i))
+    if (has_room(job, m) && (only_zone < 0 || m.zone == only_zone) && allowed(job, m))
       heap.emplace_back(place_score(job, m, o), -i);
   }
   std::make_heap(heap.begin(), heap.end());
@@ -126,7 +126,7 @@
   std::vector<std::pair<double, int>> near;
   for (int i = 0; i < static_cast<int>(machines.size()); ++i) {
     auto &m = machines[static_cast<std::size_t>(i)];
-    if (!allowed(job, m, i) || !job.need.fits(m.size)) continue;
+    if (!allowed(job, m) || !job.need.fits(m.size)) continue;
     double share = m.size.cpus > 0 ? m.free.cpus / m.size.cpus : 0;
     near.emplace_back(-share, i);
   }
@@ -145,12 +145,12 @@
 
 } // namespace
 
-std::vector<Assignment> place_round(std::vector<PlaceMachine> machines, const std::vector<PlaceJob> &jobs,
+std::vector<Assignment> place_round(std::vector<PlaceMachine> machines, const std::vector<const PlaceJob *> &jobs,
                                     std::vector<Resources> team_room, const PlaceOptions &o) {
   std::vector<Assignment> out;
   auto waits_long = [&](const PlaceJob &j) { return !j.started && j.wait_s > o.reserve_after_s; };
   auto rank = [&](std::size_t i) {
-    const auto &j = jobs[i];
+    const auto &j = *jobs[i];
     return (waits_long(j) ? 100 : 0) + static_cast<int>(j.urgency) * 2 + (j.guaranteed ? 1 : 0);
   };
   const auto none = Resources{-1, -1, -1};
@@ -168,7 +168,7 @@
   std::vector<std::size_t> changed(machines.size(), 0); // the commit that last touched it
   std::size_t commits = 1;
   auto draw_up = [&](Draft &d) {
-    const auto &job = jobs[d.job];
+    const auto &job = *jobs[d.job];
     auto team = static_cast<std::size_t>(job.team);
     d.plan = plan_job(job, machines, team < team_room.size() ? team_room[team] : none, o);
     d.made = d.checked = commits;
@@ -181,7 +181,7 @@
   };
   auto current = [&](const Draft &d) {
     if (d.outdated) return false;
-    const auto &job = jobs[d.job];
+    const auto &job = *jobs[d.job];
     auto team = static_cast<std::size_t>(job.team);
     if (team < team_room.size() && (team_room[team].cpus >= 0 || team_room[team].gpus >= 0)) return false;
     return std::all_of(d.plan.machines.begin(), d.plan.machines.end(),
@@ -206,7 +206,7 @@
       d.job = order[k];
       draw_up(d);
       if (d.plan.machines.empty())
-        give_up(jobs[d.job]);
+        give_up(*jobs[d.job]);
       else
         drafts.push_back(std::move(d));
     }
@@ -215,7 +215,7 @@
       for (std::size_t k = 1; k < drafts.size(); ++k)
         if (drafts[k].key(commits) > drafts[best].key(commits)) best = k;
       Draft &d = drafts[best];
-      const auto &job = jobs[d.job];
+      const auto &job = *jobs[d.job];
       if (d.checked != commits) {
         if (current(d))
           d.checked = commits;
@@ -243,16 +243,18 @@
           if (room.gpus >= 0) room.gpus = std::max(0.0, room.gpus - job.need.gpus);
         }
       }
-      bool whole = d.plan.whole;
+      const bool whole = d.plan.whole;
       drafts.erase(drafts.begin() + static_cast<long>(best));
       if (!whole && waits_long(job)) {
         reserve(job, machines);
         std::fill(changed.begin(), changed.end(), commits);
       }
+      if (machines.size() == 1) // what no longer fits need not be planned again
+        std::erase_if(drafts, [&](const Draft &x) { return !has_room(*jobs[x.job], machines[0]); });
       // The one thing that makes a machine better for another job: it now holds that job's image.
       if (job.image >= 0)
         for (auto &other : drafts)
-          if (jobs[other.job].image == job.image) {
+          if (jobs[other.job]->image == job.image) {
             other.outdated = true;
             other.bound += std::max(0.0, o.image_weight);
           }
@@ -261,4 +263,12 @@
   return out;
 }
 
+std::vector<Assignment> place_round(std::vector<PlaceMachine> machines, const std::vector<PlaceJob> &jobs,
+                                    std::vector<Resources> team_room, const PlaceOptions &o) {
+  std::vector<const PlaceJob *> all;
+  for (const auto &j : jobs)
+    all.push_back(&j);
+  return place_round(std::move(machines), all, std::move(team_room), o);
+}
+
 } // namespace loft::core
--- a/tests/placement_test.cpp
+++ b/tests/placement_test.cpp
@@ -23,6 +23,7 @@
   Case c;
   for (int i = 0, n = 1 + pick(most_machines); i < n; ++i) {
     PlaceMachine m;
+    m.id = i;
     m.type = pick(2);
     m.size = m.type ? Resources{32, 4, 128} : Resources{4, 0, 16};
     m.free = {m.size.cpus - pick(4), m.size.gpus, m.size.memory - pick(8)};
@@ -79,7 +80,7 @@
         double top = -1e18;
         for (int m = 0; m < static_cast<int>(trial.size()); ++m) {
           auto &x = trial[static_cast<std::size_t>(m)];
-          if (!allowed(jobs[j], x, m) || !jobs[j].need.fits(x.free)) continue;
+          if (!allowed(jobs[j], x) || !jobs[j].need.fits(x.free)) continue;
           if (x.kept && jobs[j].small && !jobs[j].need.fits(x.spare)) continue;
           double f = place_score(jobs[j], x, o);
           if (f > top) {
@@ -164,7 +165,7 @@
     for (auto a : plan) {
       auto &j = c.jobs[static_cast<std::size_t>(a.job)];
       auto &m = c.machines[static_cast<std::size_t>(a.machine)];
-      ASSERT_TRUE(allowed(j, m, a.machine));
+      ASSERT_TRUE(allowed(j, m));
       ASSERT_TRUE(j.need.fits(m.free));
       m.free.add(j.need, -1);
       ++count[static_cast<std::size_t>(a.job)];
