--- a/src/core/term.cpp
+++ b/src/core/term.cpp
@@ -227,7 +227,8 @@
 // Every cancellation confirmed before `informed_at_` is known here. One confirmed later may not be, so
 // after a while without news nothing is started or kept alive: what runs must be gone `cancel_s` after it.
 bool Core::informed() const {
-  return now() - informed_at_ < settings_.cancel_s - 1.01 * settings_.lease_s - 3;
+  // Where `cancel_s` leaves no time for a lease to run out, a watch that works must do.
+  return now() - informed_at_ < std::max(settings_.cancel_s - 1.01 * settings_.lease_s - 3, kFollowHold + 2);
 }
 
 } // namespace loft::core
--- a/tests/world_test.cpp
+++ b/tests/world_test.cpp
@@ -167,6 +167,17 @@
   EXPECT_EQ(cancelled, 4);
 }
 
+// A deployment whose workers' lease is as long as a cancellation may take: work must start all the same.
+TEST(World, WorkStartsWhereCancellationsHaveLittleTime) {
+  WorldOptions o;
+  o.cancel_s = o.lease_s;
+  World w(3, o);
+  mixed_load(w, 10);
+  w.run(200);
+  EXPECT_TRUE(w.broken.empty()) << all(w);
+  EXPECT_TRUE(w.all_over());
+}
+
 class Seeds : public ::testing::TestWithParam<int> {};
 
 // Everything at once: lost and late messages, crashes, cuts that hold packets, outages, sick machines.
