--- a/src/core/term.cpp
+++ b/src/core/term.cpp
@@ -123,6 +123,8 @@
   free_jobs_.clear();
   job_index_.clear();
   shards_.clear();
+  line_.clear();
+  line_serials_.clear();
   ending_.clear();
   machines_.clear();
   machine_index_.clear();
