--- a/tests/wire_test.cpp
+++ b/tests/wire_test.cpp
@@ -98,6 +98,28 @@
   EXPECT_GT(read, 0);
 }
 
+// 1,800 scattered tasks as a list of ranges would not fit into a value of 8 KiB; as a bitmap they do.
+TEST(Wire, ProgressGoesThereAndBackInTheShorterForm) {
+  ProgressRecord p;
+  p.started = {{0, 1800}};
+  for (std::uint32_t i = 0; i < 1800; i += 3)
+    p.finished.emplace_back(i, i + 1);
+  auto shard = progress_shard({{"j-1", to_json(p)}, {"j-2", to_json(ProgressRecord{})}});
+  EXPECT_LT(shard.dump().size(), 600u);
+  auto read = progress_from_json("progress/s0", *decode(encode(shard)));
+  ASSERT_TRUE(read && read->size() == 2);
+  EXPECT_EQ((*read)[0].first, "j-1");
+  EXPECT_EQ((*read)[0].second.started, p.started);
+  EXPECT_EQ((*read)[0].second.finished, p.finished);
+  EXPECT_TRUE((*read)[1].second.started.empty());
+  // A record of one job, as earlier versions wrote it.
+  auto old = progress_from_json("progress/j-7", Json{{"s", {0, 4}}, {"f", {1, 2}}});
+  ASSERT_TRUE(old && old->size() == 1);
+  EXPECT_EQ((*old)[0].first, "j-7");
+  EXPECT_EQ((*old)[0].second.started, (Ranges{{0, 4}}));
+  EXPECT_FALSE(progress_from_json("progress/s0", Json{{"jobs", {{"j-1", {{"s", "xyz"}, {"f", "0"}}}}}}));
+}
+
 TEST(Peer, FramesGoThereAndBackInAnySplit) {
   PeerMessage m;
   m.kind = PeerMessage::Kind::Pong;
