Broken jobs are tried seldom and condemn no machine; users' budgets go where users are

A job that failed on two machines and succeeded on none is now a suspect: one try at a time, 5 to 80 s apart, kept over a takeover, nothing rented, reserved or preempted for it, its failures taken off the machines.

Siblings now tell each other what they use, and a node may use what they leave.

A leader with four machines or more that hears none for 1.25 report intervals + 1.5 s makes room (before: twice the interval + 2 s).

--- a/include/loftrouter/core/core.hpp
+++ b/include/loftrouter/core/core.hpp
@@ -132,6 +132,8 @@
 };
 // How old a sibling's word may be that it is cut off. A leader elected since has waited as long.
 constexpr double kStatementLife = 1.5;
+// Of what the state service allows: for users' reads and users' writes.
+constexpr double kUserReads = 0.75, kUserWrites = 0.6;
 struct Effects {
   std::vector<PeerSend> peers;
   std::vector<Reply> replies;
@@ -149,6 +151,11 @@
   bool recorded = false; // the state service says that it may have been started
   std::int32_t machine = -1;
 };
+// A task of a job has failed on a machine.
+struct Failure {
+  int machine;
+  double at;
+};
 struct Job {
   JobSpec spec;
   double submit_wall = 0;
@@ -170,8 +177,9 @@
   bool gang_closed = false;       // that attempt takes no replacements any more
   int team = -1, image = -1, class_ix = -1;
   double retry_at = 0; // held off after errors
-  int errors = 0;
-  std::vector<int> bad_machines;
+  int probes = 0;      // since it became suspect
+  std::uint32_t failed_on = 0;   // machines in a row, none of its tasks having succeeded since
+  std::vector<Failure> failures; // where it failed lately: barred from there
   std::vector<int> zone_used;
   std::string reason;
 };
@@ -222,8 +230,14 @@
   std::vector<Slot> slots;
   Resources size, used;
   std::list<std::pair<int, double>> images; // and their GB, most recent first
-  std::vector<std::string> error_jobs;
-  int errors = 0, successes = 0;
+  // Jobs that have failed here since `failing_since`, while nothing started since then has succeeded.
+  struct Blame {
+    std::string job;
+    bool proven; // it has succeeded elsewhere, so the fault is not the job's
+  };
+  std::vector<Blame> blames;
+  int errors = 0;
+  double failing_since = -1, last_good_start = -1;
   double busy_cpu_s = 0; // CPU seconds of tasks that ran to their end here
 };
 
@@ -282,6 +296,7 @@
   void on(CmdPeer &&);
   void tick_peers();
   bool cut_off() const;
+  void share_budgets();
   bool common_outage() const;
   bool extended() const;
   void abdicate_if_deaf();
@@ -317,6 +332,11 @@
   Machine &machine(int m) { return *machines_[static_cast<std::size_t>(m)]; }
   void take_report(int m, const WorkerReport &r, std::vector<TaskOrder> &orders);
   void task_exited(int m, Slot &slot, const TaskReport &t);
+  void task_failed(int m, int j);
+  void blame(int m, const Job &k, double at);
+  void absolve(const Job &k);
+  // Has failed wherever it was tried: more likely a mistake in the job than several sick machines.
+  static bool suspect(const Job &k) { return k.done == 0 && k.failed_on >= 2; }
   void drop_slot(int m, std::size_t s, bool to_pending);
   void lose_machine(int m, std::string_view why);
   void remove_machine(int m);
@@ -371,6 +391,7 @@
   // store contact
   double store_ok_at_ = -1e9;
   TokenBucket user_writes_, user_reads_, leader_writes_;
+  double reads_rate_ = 0, writes_rate_ = 0, reads_taken_ = 0, writes_taken_ = 0; // own use, smoothed; totals before
   int user_ops_ = 0;
 
   // term
@@ -394,6 +415,7 @@
     std::uint64_t nonce = 0;
     double sent_at = -1e9, stated_at = -1e9, uptime_s = 0;
     bool cut_off = false, hears_workers = false;
+    double reads = 0, writes = 0; // that it makes a second
   };
   double last_report_at_ = -1e9, leading_since_ = 0;
   std::vector<SiblingState> siblings_;
--- a/include/loftrouter/core/types.hpp
+++ b/include/loftrouter/core/types.hpp
@@ -61,6 +61,7 @@
 };
 struct ProgressRecord {
   Ranges started, finished;
+  std::uint32_t failed_on = 0; // machines, none of its tasks having succeeded on any
 };
 using ProgressRecords = std::vector<std::pair<std::string, ProgressRecord>>; // by job id
 struct LeaderRecord {
--- a/include/loftrouter/core/util.hpp
+++ b/include/loftrouter/core/util.hpp
@@ -23,11 +23,17 @@
   bool take(double now, double amount = 1) {
     if (level(now) < amount) return false;
     level_ -= amount;
+    taken_ += amount;
     return true;
   }
+  void set_rate(double now, double rate) {
+    level(now);
+    rate_ = rate;
+  }
+  double taken() const { return taken_; } // in all
 
 private:
-  double rate_ = 1, burst_ = 1, level_ = 1, last_ = -1;
+  double rate_ = 1, burst_ = 1, level_ = 1, last_ = -1, taken_ = 0;
 };
 
 // Names that arrive from outside become small integers once, at the door.
--- a/include/loftrouter/wire/peer.hpp
+++ b/include/loftrouter/wire/peer.hpp
@@ -17,6 +17,7 @@
   bool cut_off = false;               // the sender gets no answers from the state service
   bool hears_workers = false;         // workers have reported to the sender lately
   std::uint32_t uptime_ms = 0;        // capped
+  std::uint16_t reads = 0, writes = 0; // of the state service for users, tenths a second
   std::vector<std::string> cancelled; // jobs whose cancellation the sender has confirmed lately
 };
 
--- a/src/core/autoscaler.cpp
+++ b/src/core/autoscaler.cpp
@@ -291,7 +291,13 @@
   for (int j : order) {
     Job &n = job(j);
     PlaceJob p = place_job(j);
-    if (p.limit == 0 || now() < n.retry_at) continue;
+    if (p.limit == 0) continue;
+    // For work that fails everywhere nothing is rented, unless it could never be tried again.
+    if (suspect(n)) {
+      p.barred.clear();
+      if (std::any_of(up.begin(), up.end(), [&](const auto &m) { return allowed(p, m) && p.need.fits(m.size); }))
+        continue;
+    }
     pending += p.ready * p.need.cpus;
     const bool low = p.urgency == Urgency::Low;
     const double est = std::max(8.0, n.spec.estimate_s);
--- a/src/core/core.cpp
+++ b/src/core/core.cpp
@@ -7,12 +7,12 @@
 Core::Core(Settings settings, std::uint64_t seed) : settings_(std::move(settings)), rng_(seed | 1) {
   double nodes = static_cast<double>(settings_.siblings.size() + 1);
   const double w = settings_.state_write_rps, r = settings_.state_rps;
-  // The state service counts all nodes together: the leader's lease is outside these budgets, users'
-  // writes come next, and progress has the rest. Bursts may add up to a little more than one second's worth; a refusal
-  // by rate is retried.
-  user_writes_ = TokenBucket(0.4 * w / nodes, std::max(1.0, 0.25 * w));
-  leader_writes_ = TokenBucket(0.55 * w, std::max<double>(0.5 * w, 3));
-  user_reads_ = TokenBucket(0.75 * r / nodes, std::max(2.0, 0.7 * r / nodes));
+  // The state service counts all nodes together: the leader's lease is outside these budgets, users' writes come
+  // next, and progress has the rest. What siblings do not use is shared out anew all the time (`share_budgets`). Bursts
+  // may add up to a little more than one second's worth; a refusal by rate is retried.
+  user_writes_ = TokenBucket(kUserWrites * w / nodes, std::max(1.0, 0.25 * w));
+  leader_writes_ = TokenBucket((1 - kUserWrites) * w, std::max<double>(0.5 * w, 3));
+  user_reads_ = TokenBucket(kUserReads * r / nodes, std::max(2.0, 0.7 * r / nodes));
   cloud_calls_ = TokenBucket(0.7 * settings_.cloud_rps, std::max(1.0, 0.7 * settings_.cloud_rps));
   siblings_.resize(settings_.siblings.size());
   // A restarted node must not take an answer to its former self's question for its own.
--- a/src/core/fleet.cpp
+++ b/src/core/fleet.cpp
@@ -15,6 +15,9 @@
 constexpr double kImageWorth = 2.0;             // a fetch spared, against the CPU seconds of work lost
 constexpr double kHoldForJob = 15.0;            // a machine emptied for a job stays free for it
 constexpr std::size_t kMaxStartsPerReply = 400; // keeps a response below the protocol's 64 KiB
+constexpr std::size_t kMostBarred = 8;          // machines that a job keeps off after it has failed there,
+constexpr double kBarredFor = 120.0;            // and for how long
+constexpr double kProbePause = 5.0, kMostProbePause = 80.0; // between tries of a job that fails everywhere
 } // namespace
 
 int Core::machine_index(const std::string &name, const std::string &type, const std::string &zone, bool spot) {
@@ -213,33 +216,81 @@
     slot.finished = true;
     n.used.add(slot.need, -1);
     set_task(j, slot.index, TaskState::Done);
-    ++n.successes;
     if (slot.running_since >= 0) n.busy_cpu_s += (now() - slot.running_since) * slot.need.cpus;
-    n.errors = 0;
-    k.errors = 0;
+    // What had begun before the failures says nothing about what begins now.
+    n.last_good_start = std::max(n.last_good_start, slot.placed_at);
+    if (slot.placed_at >= n.failing_since) {
+      n.blames.clear();
+      n.errors = 0;
+    }
+    k.failed_on = 0;
+    std::erase_if(k.failures, [this](const Failure &f) { return now() - f.at >= kBarredFor; });
+    for (const auto &f : k.failures)
+      blame(f.machine, k, f.at); // so it was the machines
     mark_dirty(j, finishable(k));
     round_wanted_ = true;
     return;
   }
-  if (t.cause == ExitCause::Error) {
+  if (t.cause == ExitCause::Error) task_failed(m, j);
+  round_wanted_ = true;
+}
+
+// A sick machine fails the tasks of every job, a job with a mistake fails on every machine. Jobs that succeed
+// elsewhere speak against the machine, and machines on which nothing else fails against the job.
+void Core::task_failed(int m, int j) {
+  Machine &n = machine(m);
+  Job &k = job(j);
+  const bool was_suspect = suspect(k);
+  auto here = std::find_if(k.failures.begin(), k.failures.end(), [m](const Failure &f) { return f.machine == m; });
+  if (here != k.failures.end()) {
+    here->at = now();
+  } else {
+    ++k.failed_on;
+    if (k.failures.size() >= kMostBarred) k.failures.erase(k.failures.begin());
+    k.failures.push_back({m, now()});
+  }
+  if (!suspect(k)) {
+    k.reason = fmt::format("a task failed on machine {}; it is started again elsewhere", n.name);
     ++n.errors;
-    ++k.errors;
-    if (std::find(n.error_jobs.begin(), n.error_jobs.end(), slot.job_id) == n.error_jobs.end())
-      n.error_jobs.push_back(slot.job_id);
-    if (std::find(k.bad_machines.begin(), k.bad_machines.end(), m) == k.bad_machines.end()) k.bad_machines.push_back(m);
-    k.reason = fmt::format("a task failed on machine {}; started again elsewhere", n.name);
-    // One job failing proves nothing about the machine, and one machine nothing about the job.
-    bool elsewhere = k.done > 0;
-    if (n.error_jobs.size() >= 2 || (n.errors >= 3 && n.successes == 0 && elsewhere)) {
-      if (!n.returning) log(LogLevel::Info, fmt::format("machine {} fails tasks of several jobs; given back", n.name));
-      n.returning = true;
-    }
-    if (k.bad_machines.size() >= 3) {
-      k.retry_at = now() + std::min(60.0, 5.0 * k.errors);
-      k.reason = fmt::format("held off: its tasks fail on {} machines", k.bad_machines.size());
-    }
+    blame(m, k, now());
+    return;
+  }
+  if (!was_suspect) {
+    k.probes = 0;
+    absolve(k);
+    log(LogLevel::Info, fmt::format("job {} has failed on {} machines and succeeded on none; tried seldom from now on",
+                                    k.spec.id, k.failed_on));
+    mark_dirty(j, false);
+  }
+  if (now() >= k.retry_at) {
+    k.retry_at = now() + std::min(kMostProbePause, kProbePause * std::pow(2.0, k.probes));
+    if (k.probes < 10) ++k.probes;
+  }
+}
+
+void Core::blame(int m, const Job &k, double at) {
+  Machine &n = machine(m);
+  if (n.last_good_start > at) return;
+  if (n.blames.empty()) n.failing_since = at;
+  const bool proven = k.done > 0;
+  auto it = std::find_if(n.blames.begin(), n.blames.end(), [&](const auto &b) { return b.job == k.spec.id; });
+  if (it == n.blames.end())
+    n.blames.push_back({k.spec.id, proven});
+  else
+    it->proven |= proven;
+  const auto sure = std::count_if(n.blames.begin(), n.blames.end(), [](const auto &b) { return b.proven; });
+  if (n.returning || (sure < 2 && n.blames.size() < 3 && !(sure && n.errors >= 3))) return;
+  log(LogLevel::Info, fmt::format("machine {} fails tasks of {} jobs; given back", n.name, n.blames.size()));
+  n.returning = true;
+}
+
+void Core::absolve(const Job &k) {
+  for (const auto &f : k.failures) {
+    auto &n = machines_[static_cast<std::size_t>(f.machine)];
+    if (!n) continue;
+    std::erase_if(n->blames, [&](const auto &b) { return b.job == k.spec.id; });
+    if (n->blames.empty()) n->errors = 0;
   }
-  round_wanted_ = true;
 }
 
 void Core::drop_slot(int m, std::size_t s, bool to_pending) {
@@ -296,7 +347,7 @@
   gone_[machine(m).name] = now();
   machine_index_.erase(machine(m).name);
   for (auto &j : jobs_)
-    if (j) std::erase(j->bad_machines, m);
+    if (j) std::erase_if(j->failures, [m](const Failure &f) { return f.machine == m; });
   machines_[static_cast<std::size_t>(m)].reset();
 }
 
@@ -441,9 +492,14 @@
   p.one_zone = n.spec.one_zone;
   p.zone_used = n.zone_used;
   if (n.spec.spread) p.zone_cap = static_cast<int>((n.spec.tasks + 1) / 2);
-  p.barred = n.bad_machines;
+  for (const auto &f : n.failures)
+    if (now() - f.at < kBarredFor) p.barred.push_back(f.machine);
   p.ready = n.spec.tasks - n.done - n.placed - n.unaccounted;
-  bool held = n.cancelled || n.ending || now() < n.retry_at;
+  bool held = n.cancelled || n.ending;
+  if (suspect(n)) { // one task, or one gang, at a time and seldom
+    held |= now() < n.retry_at || n.placed > 0 || n.unaccounted > 0;
+    if (n.spec.shape != Shape::Gang) p.ready = std::min(p.ready, 1U);
+  }
   // Where unaccounted tasks are is not known, so neither are their zones.
   if ((n.spec.one_zone || n.spec.spread) && n.unaccounted) held = true;
   if (p.gang) {
@@ -453,7 +509,7 @@
   p.limit = held ? 0 : p.ready;
   p.urgency = n.spec.urgency;
   p.wait_s = std::max(0.0, now_.wall - n.submit_wall);
-  p.started = n.placed + n.done > 0;
+  p.started = n.placed + n.done > 0 || suspect(n); // a suspect reserves nothing
   // The last of its tasks starts once the others have had their turn on the fleet.
   p.in_time = p.wait_s + n.spec.estimate_s * (1 + p.ready * p.need.cpus / std::max(1.0, up_cpus_)) <= due_after(n);
   p.image = n.image;
@@ -525,8 +581,8 @@
     PlaceJob &p = line_[k];
     if (!has_room(p, machines[0])) continue;
     const auto &n = jobs_[static_cast<std::size_t>(p.self)];
-    if (!n || n->serial != line_serials_[k] || n->cancelled || n->ending || now() < n->retry_at) continue;
-    if (p.gang || p.one_zone || p.zone_cap >= 0) {
+    if (!n || n->serial != line_serials_[k] || n->cancelled || n->ending) continue;
+    if (p.gang || p.one_zone || p.zone_cap >= 0 || n->failed_on > 0) {
       bool guaranteed = p.guaranteed;
       p = place_job(p.self);
       p.guaranteed = guaranteed;
@@ -593,7 +649,7 @@
   round_wanted_ = false;
   std::vector<int> starved;
   for (std::size_t k = 0; k < order.size(); ++k)
-    if (line_[k].limit > 0 && placed[k] == 0) starved.push_back(order[k]);
+    if (line_[k].limit > 0 && placed[k] == 0 && !suspect(job(order[k]))) starved.push_back(order[k]);
   if (!starved.empty()) preempt(starved);
 }
 
--- a/src/core/jobs.cpp
+++ b/src/core/jobs.cpp
@@ -12,7 +12,8 @@
 constexpr double kAheadEvery = 0.25;
 constexpr double kAheadShare = 0.15; // of the fleet's CPUs: tasks recorded ahead of their placement
 constexpr std::uint32_t kAheadLeast = 4;
-constexpr std::size_t kEntryChars = 70; // of a job in a shard, beside its two sets of tasks
+constexpr double kPauseAfterTakeover = 20.0; // of a job that failed everywhere under the last leader
+constexpr std::size_t kEntryChars = 85; // of a job in a shard, beside its two sets of tasks
 } // namespace
 
 int Core::add_job(OpenRecord record, std::uint64_t stamp) {
@@ -46,6 +47,8 @@
     for (auto [a, b] : it->second.finished)
       for (auto i = a; i < b && i < n.spec.tasks; ++i)
         set_task(j, i, TaskState::Done);
+    n.failed_on = it->second.failed_on;
+    if (suspect(n)) n.retry_at = now() + kPauseAfterTakeover;
   }
   assign_shard(j);
   if (n.cancelled) cancel_job(j);
@@ -100,6 +103,7 @@
 void Core::cancel_job(int j) {
   Job &n = job(j);
   n.reason = "stopped: cancelled by its user";
+  if (n.done == 0) absolve(n); // its failures were more likely its own
   for (int m = 0; m < static_cast<int>(machines_.size()); ++m) {
     if (!machines_[static_cast<std::size_t>(m)]) continue;
     for (std::size_t s = machine(m).slots.size(); s-- > 0;) {
@@ -358,6 +362,7 @@
         p.started = widen(std::move(p.started), set_chars() / 14);
         p.finished = narrow(std::move(p.finished), set_chars() / 14);
       }
+      p.failed_on = suspect(n) ? n.failed_on : 0;
       n.progress = wire::to_json(p);
       // What the transaction covers: tasks placed from here on wait for the next one.
       for (auto &task : n.tasks)
--- a/src/core/peers.cpp
+++ b/src/core/peers.cpp
@@ -2,12 +2,15 @@
 // everybody's. See docs/safety.md, "Outages".
 #include "loftrouter/core/core.hpp"
 
+#include <algorithm>
+
 namespace loft::core {
 
 namespace {
 constexpr double kPingEvery = 0.5;
 constexpr double kCutOffAfter = 1.5; // without any answer from the state service
 constexpr double kLately = 3.0;
+constexpr double kAllWrites = 0.95; // of the state service's limit
 constexpr double kDeafPause = 15.0; // before a node that has stepped down as deaf stands again
 } // namespace
 
@@ -19,6 +22,7 @@
   abdicate_if_deaf();
   if (now() < next_ping_) return;
   next_ping_ = now() + kPingEvery;
+  share_budgets();
   std::erase_if(confirmed_cancels_, [this](const auto &c) { return now() - c.second > settings_.cancel_s; });
   for (std::size_t i = 0; i < siblings_.size(); ++i) {
     wire::PeerMessage m;
@@ -42,6 +46,9 @@
     r.term = highest_term_;
     r.cut_off = cut_off();
     r.hears_workers = now() - last_report_at_ < kLately;
+    auto tenths = [](double rate) { return static_cast<std::uint16_t>(std::min(6e4, rate * 10)); };
+    r.reads = tenths(reads_rate_);
+    r.writes = tenths(writes_rate_);
     r.uptime_ms = static_cast<std::uint32_t>(std::min(4e9, (now() - started_at_) * 1000));
     for (auto it = confirmed_cancels_.rbegin();
          it != confirmed_cancels_.rend() && r.cancelled.size() < wire::kPeerMaxCancelled; ++it)
@@ -56,6 +63,8 @@
   s.cut_off = m.cut_off;
   s.hears_workers = m.hears_workers;
   s.uptime_s = m.uptime_ms / 1000.0;
+  s.reads = m.reads / 10.0;
+  s.writes = m.writes / 10.0;
   if (role_ != Role::Leading) return;
   for (const auto &id : m.cancelled)
     if (auto it = job_index_.find(id); it != job_index_.end() && !job(it->second).cancelled) {
@@ -64,11 +73,38 @@
     }
 }
 
+// A node may use what its siblings leave of the users' share, and its equal part at any time. A sibling that is
+// not heard may be using its part. The leader's own records have what users leave, and a part in any case.
+void Core::share_budgets() {
+  const double nodes = static_cast<double>(siblings_.size() + 1);
+  const double reads = kUserReads * settings_.state_rps, writes = kUserWrites * settings_.state_write_rps;
+  auto smooth = [](double &rate, double &before, double taken) {
+    rate += 0.5 * ((taken - before) / kPingEvery - rate);
+    before = taken;
+  };
+  smooth(reads_rate_, reads_taken_, user_reads_.taken());
+  smooth(writes_rate_, writes_taken_, user_writes_.taken());
+  double others_read = 0, others_write = 0;
+  for (const auto &s : siblings_) {
+    const bool heard = now() - s.stated_at < kLately;
+    others_read += heard ? s.reads : reads / nodes;
+    others_write += heard ? s.writes : writes / nodes;
+  }
+  user_reads_.set_rate(now(), std::max(reads / nodes, reads - others_read));
+  user_writes_.set_rate(now(), std::max(writes / nodes, writes - others_write));
+  leader_writes_.set_rate(now(), std::max((1 - kUserWrites) * settings_.state_write_rps,
+                                          kAllWrites * settings_.state_write_rps - writes_rate_ - others_write));
+}
+
 // A leader that the workers no longer reach, while they reach a sibling, makes room: siblings can only
 // send the workers back to it, and all their leases would run out.
 void Core::abdicate_if_deaf() {
   if (!active()) return;
-  double patience = std::max(4.5, 2 * settings_.report_s + 2);
+  // Every worker reports within 1.25 of the interval. Each second saved here is one more for workers, which
+  // wait 4 s for an answer before they try elsewhere, to reach the next leader within their lease.
+  // A few machines may hang by chance.
+  const auto heard = std::count_if(machines_.begin(), machines_.end(), [](const auto &m) { return m && m->heard; });
+  double patience = heard >= 4 ? 1.25 * settings_.report_s + 1.5 : std::max(4.5, 2 * settings_.report_s + 2);
   if (now() - std::max(last_report_at_, leading_since_) < patience) return;
   for (const auto &s : siblings_)
     if (s.hears_workers && !s.cut_off && now() - s.stated_at < kLately) {
--- a/src/core/term.cpp
+++ b/src/core/term.cpp
@@ -155,6 +155,7 @@
         auto &known = loaded_progress_[id];
         known.started.insert(known.started.end(), p.started.begin(), p.started.end());
         known.finished.insert(known.finished.end(), p.finished.begin(), p.finished.end());
+        known.failed_on = std::max(known.failed_on, p.failed_on);
       }
       shards_.push_back(std::move(s));
     }
--- a/src/wire/messages.cpp
+++ b/src/wire/messages.cpp
@@ -357,7 +357,9 @@
 }
 
 Json to_json(const ProgressRecord &r) {
-  return {{"s", set_json(r.started)}, {"f", set_json(r.finished)}};
+  Json j = {{"s", set_json(r.started)}, {"f", set_json(r.finished)}};
+  if (r.failed_on) j["x"] = r.failed_on;
+  return j;
 }
 
 Json progress_shard(std::vector<std::pair<std::string, Json>> jobs) {
@@ -371,8 +373,9 @@
   ProgressRecords out;
   auto one = [&](std::string_view id, const Json &e) {
     auto started = set_from(at(e, "s")), finished = set_from(at(e, "f"));
+    auto failed_on = static_cast<std::uint32_t>(std::min<std::uint64_t>(count(at(e, "x")).value_or(0), 1'000'000));
     if (started && finished)
-      out.emplace_back(std::string(id), ProgressRecord{std::move(*started), std::move(*finished)});
+      out.emplace_back(std::string(id), ProgressRecord{std::move(*started), std::move(*finished), failed_on});
     return started && finished;
   };
   const Json &jobs = at(j, "jobs");
--- a/src/wire/peer.cpp
+++ b/src/wire/peer.cpp
@@ -9,7 +9,7 @@
 namespace {
 
 constexpr std::uint32_t kMagic = 0x5254464c; // "LFTR"
-constexpr std::uint16_t kVersion = 1;
+constexpr std::uint16_t kVersion = 2;
 
 template <class T> void put(std::string &out, T v) {
   for (std::size_t i = 0; i < sizeof v; ++i)
@@ -39,6 +39,8 @@
   put(body, m.nonce);
   put(body, m.term);
   put(body, m.uptime_ms);
+  put(body, m.reads);
+  put(body, m.writes);
   put(body, static_cast<std::uint8_t>(m.cut_off | m.hears_workers << 1));
   auto count = std::min(m.cancelled.size(), kPeerMaxCancelled);
   put(body, static_cast<std::uint8_t>(count));
@@ -69,6 +71,8 @@
   out.nonce = r.get<std::uint64_t>();
   out.term = r.get<std::uint64_t>();
   out.uptime_ms = r.get<std::uint32_t>();
+  out.reads = r.get<std::uint16_t>();
+  out.writes = r.get<std::uint16_t>();
   auto flags = r.get<std::uint8_t>();
   if (flags > 3) return PeerRead::Garbage;
   out.cut_off = flags & 1;
--- a/tests/wire_test.cpp
+++ b/tests/wire_test.cpp
@@ -127,6 +127,8 @@
   m.term = 77;
   m.cut_off = m.hears_workers = true;
   m.uptime_ms = 123456;
+  m.reads = 345;
+  m.writes = 21;
   m.cancelled = {"j-000001", "j-99"};
   auto bytes = encode_peer(m) + encode_peer(m);
   std::string buffer;
@@ -141,6 +143,8 @@
     EXPECT_EQ(r.nonce, m.nonce);
     EXPECT_EQ(r.term, m.term);
     EXPECT_EQ(r.uptime_ms, m.uptime_ms);
+    EXPECT_EQ(r.reads, m.reads);
+    EXPECT_EQ(r.writes, m.writes);
     EXPECT_TRUE(r.cut_off && r.hears_workers);
     EXPECT_EQ(r.cancelled, m.cancelled);
   }
--- a/tests/world.cpp
+++ b/tests/world.cpp
@@ -34,6 +34,8 @@
   n.waiting.clear();
   n.answers.clear();
   n.scheduled = false;
+  n.stalled_until = -1;
+  n.stall_within = 0;
   n.core = std::make_unique<core::Core>(s, rng_());
   int life = n.life;
   schedule(t_ + uniform(0, 0.1), [this, i, life] { tick(i, life); });
@@ -57,9 +59,18 @@
   });
 }
 
-void World::cut_state(int i, double for_s, bool hold) {
+void World::cut_state(int i, double for_s, Cut how) {
   nodes_[static_cast<std::size_t>(i)].state_cut_until = t_ + for_s;
-  nodes_[static_cast<std::size_t>(i)].state_hold = hold;
+  nodes_[static_cast<std::size_t>(i)].state_cut = how;
+}
+
+void World::stall(int i, double for_s, bool within) {
+  Node &n = nodes_[static_cast<std::size_t>(i)];
+  (within ? n.stall_within : n.stalled_until) = within ? for_s : t_ + for_s;
+}
+
+int World::sick_machines() const {
+  return static_cast<int>(std::count_if(boxes_.begin(), boxes_.end(), [](auto &b) { return b.sick && !b.gone; }));
 }
 
 void World::cut_workers(int i, double for_s, bool hold) {
@@ -114,6 +125,7 @@
 void World::drain(int i, int life) {
   Node &n = nodes_[static_cast<std::size_t>(i)];
   if (n.life != life || !n.core) return;
+  if (t_ < n.stalled_until) return schedule(n.stalled_until, [this, i, life] { drain(i, life); });
   n.scheduled = false;
   auto batch = std::move(n.queue);
   n.queue.clear();
@@ -123,6 +135,15 @@
   if (std::getenv("WORLD_LOG"))
     for (const auto &l : effects.logs)
       std::fprintf(stderr, "%9.3f node-%d %s\n", t_, i, l.text.c_str());
+  if (n.stall_within <= 0) return carry_out(i, std::move(effects));
+  n.stalled_until = t_ + std::exchange(n.stall_within, 0);
+  schedule(n.stalled_until, [this, i, life, effects = std::move(effects)]() mutable {
+    if (nodes_[static_cast<std::size_t>(i)].life == life) carry_out(i, std::move(effects));
+  });
+}
+
+void World::carry_out(int i, core::Effects effects) {
+  Node &n = nodes_[static_cast<std::size_t>(i)];
   for (const auto &r : effects.replies) {
     auto it = n.answers.find(r.req);
     if (it == n.answers.end()) continue;
@@ -271,8 +292,15 @@
   double there = t_ + uniform(0.001, 0.006);
   bool lose_answer = false;
   if (t_ < n.state_cut_until) {
-    if (!n.state_hold) return;
-    there = n.state_cut_until + uniform(0, 0.01); // delivered once the cut is over
+    if (n.state_cut == Cut::Drop) return;
+    if (n.state_cut == Cut::Hold) there = n.state_cut_until + uniform(0, 0.01); // delivered once the cut is over
+    lose_answer = n.state_cut == Cut::NoAnswers;
+    if (n.state_cut == Cut::Refuse && !std::holds_alternative<core::StoreFollow>(op.what)) {
+      wire::StoreReply refusal;
+      refusal.status = 503;
+      schedule(there, [answer, refusal] { answer(refusal); });
+      return;
+    }
   } else if (chance(o_.loss)) {
     switch (rng_() % 3) {
     case 0:
@@ -362,7 +390,10 @@
       r.names = it->second;
     } else if (auto *d = std::get_if<core::CloudReturn>(&op.what)) {
       for (auto &b : boxes_)
-        if (std::find(d->names.begin(), d->names.end(), b.name) != d->names.end()) kill_box(b);
+        if (std::find(d->names.begin(), d->names.end(), b.name) != d->names.end() && !b.gone) {
+          ++returned;
+          kill_box(b);
+        }
     }
     if (!lose_answer) schedule(t_ + 0.02, [answer, r] { answer(r); });
   });
@@ -545,8 +576,9 @@
     placed_check(b, *r);
     r->on = true;
     ++starts;
+    ++starts_by_job_[r->job];
     b.next_report = std::min(b.next_report, t_ + 0.5);
-    if (b.sick) {
+    if (b.sick || broken_jobs_.count(r->job)) {
       schedule(t_ + 0.5, [this, i, serial] {
         Box &x = boxes_[i];
         end_run(x, serial, ExitCause::Error);
--- a/tests/world.hpp
+++ b/tests/world.hpp
@@ -36,13 +36,20 @@
   // Troubles, to be called at the moment they begin.
   void crash(int node, double back_after);
   void outage(double for_s);
-  void cut_state(int node, double for_s, bool hold);
+  enum class Cut { Drop, Hold, Refuse, NoAnswers }; // Refuse: 503; NoAnswers: carried out, but no answer arrives
+  void cut_state(int node, double for_s, Cut how);
+  // Stands still while its clocks run on; `within`: after it has decided and before what it decided leaves.
+  void stall(int node, double for_s, bool within);
   void cut_workers(int node, double for_s, bool hold);
   void cut_boxes(double share, double for_s); // workers that reach nobody
   void at(double t, std::function<void()> fn) { schedule(t, std::move(fn)); }
 
   std::string submit(JobSpec spec); // returns the id; retried until accepted
   void cancel(const std::string &id);
+  std::string submit_broken(JobSpec spec) { // fails on every machine until it is cancelled
+    broken_jobs_.insert(spec.id);
+    return submit(std::move(spec));
+  }
   JobSpec job(Shape shape, std::uint32_t tasks, double cpus, double run_s, const std::string &team = "red");
   void run(double until);
 
@@ -51,6 +58,9 @@
   int lease_kills = 0;             // tasks ended because their worker's lease ran out
   int starts = 0, finished_jobs = 0, accepted_jobs = 0, cancelled_jobs = 0;
   double now() const { return t_; }
+  int starts_of(const std::string &id) const { return starts_by_job_.count(id) ? starts_by_job_.at(id) : 0; }
+  int returned = 0; // machines
+  int sick_machines() const;
   int leaders() const;
   int leader() const;
   std::string where(const std::string &id) const;
@@ -70,7 +80,9 @@
     std::vector<core::Command> queue;
     bool scheduled = false;
     double state_cut_until = -1, worker_cut_until = -1;
-    bool state_hold = false, worker_hold = false;
+    Cut state_cut = Cut::Drop;
+    bool worker_hold = false;
+    double stalled_until = -1, stall_within = 0; // the latter: how long, from its next decision on
     std::map<core::OpId, bool> waiting;
     std::map<core::RequestId, std::function<void(const core::Reply &)>> answers;
   };
@@ -120,6 +132,7 @@
   void tick(int i, int life);
   void push(int i, core::Command c);
   void drain(int i, int life);
+  void carry_out(int i, core::Effects effects);
   void ask(int i, std::function<core::Command(core::RequestId)> make, std::function<void(const core::Reply &)> fn);
   void store_op(int i, const core::StoreOp &op);
   wire::StoreReply execute(const core::StoreOp &op);
@@ -160,6 +173,8 @@
   std::map<std::string, std::vector<std::string>> rents_;
   std::map<std::string, Told> told_;
   int next_job_ = 1;
+  std::set<std::string> broken_jobs_;
+  std::map<std::string, int> starts_by_job_;
 };
 
 } // namespace loft::test
--- a/tests/world_test.cpp
+++ b/tests/world_test.cpp
@@ -178,6 +178,52 @@
   EXPECT_TRUE(w.all_over());
 }
 
+// A job that fails wherever it is tried costs a few tries and no machine; what is sick is found all the same.
+TEST(World, BrokenJobsCondemnNoMachine) {
+  for (std::uint64_t seed = 1; seed <= 3; ++seed) {
+    World w(seed, {});
+    std::vector<std::string> ids;
+    for (int i = 0; i < 6; ++i)
+      w.at(2 + 20 * i, [&w] { w.submit(w.job(Shape::Array, 24, 1, 15)); });
+    for (int i = 0; i < 6; ++i)
+      w.at(30 + 3 * i, [&w, &ids, i] {
+        ids.push_back(w.submit_broken(w.job(i % 3 ? Shape::Array : Shape::Gang, i % 3 ? 3 : 2, 1, 15)));
+      });
+    w.run(58); // no machine is old enough to go back for being idle
+    EXPECT_EQ(w.returned, 0) << "seed " << seed;
+    w.run(140);
+    for (const auto &id : ids) {
+      EXPECT_GE(w.starts_of(id), 2) << "two machines are needed to tell";
+      EXPECT_LE(w.starts_of(id), 16) << "tried seldom";
+    }
+    for (const auto &id : ids)
+      w.cancel(id);
+    w.run(300);
+    EXPECT_TRUE(w.broken.empty()) << all(w);
+    EXPECT_TRUE(w.all_over());
+  }
+}
+
+TEST(World, SickMachinesAreFoundAmongBrokenJobs) {
+  WorldOptions o;
+  o.sick = 0.25;
+  World w(5, o);
+  for (int i = 0; i < 40; ++i)
+    w.at(2 + 3 * i, [&w, i] {
+      auto s = w.job(Shape::Array, 4, 1, 8);
+      if (i % 5 == 1)
+        w.submit_broken(s);
+      else
+        w.submit(s);
+    });
+  int sick = 0;
+  w.at(100, [&] { sick = w.sick_machines(); });
+  w.run(120);
+  EXPECT_LE(sick, 1);
+  EXPECT_TRUE(w.broken.empty()) << all(w);
+  EXPECT_GE(w.finished_jobs, 25);
+}
+
 class Seeds : public ::testing::TestWithParam<int> {};
 
 // Everything at once: lost and late messages, crashes, cuts that hold packets, outages, sick machines.
@@ -195,9 +241,10 @@
   auto pick = [&](int n) { return static_cast<int>(rng() % static_cast<unsigned>(n)); };
   for (int i = 0; i < 10; ++i) {
     double at = 10 + pick(150);
-    int kind = pick(8), node = pick(3), len = 2 + pick(25);
+    int kind = pick(12), node = pick(3), len = 2 + pick(25);
     bool hold = pick(2);
-    w.at(at, [&w, kind, node, len, hold] {
+    auto how = static_cast<World::Cut>(pick(4));
+    w.at(at, [&w, kind, node, len, hold, how] {
       switch (kind) {
       case 0:
         w.crash(node, 3);
@@ -213,7 +260,7 @@
         w.outage(len);
         break;
       case 4:
-        if (w.leader() >= 0) w.cut_state(w.leader(), len, hold);
+        if (w.leader() >= 0) w.cut_state(w.leader(), len, how);
         break;
       case 5:
         w.cut_workers(node, len, hold);
@@ -221,6 +268,16 @@
       case 6:
         if (w.leader() >= 0) w.cut_workers(w.leader(), len, hold);
         break;
+      case 7:
+        w.stall(node, len, hold);
+        break;
+      case 8:
+      case 9:
+        if (w.leader() >= 0) w.stall(w.leader(), len, hold);
+        break;
+      case 10:
+        w.cut_state(node, len, how);
+        break;
       default:
         w.cut_boxes(0.1 * (node + 3), len);
       }
