Orders to stop go straight to the workers, so that successors start a report interval sooner

Cause: a gang that takes places waits for each machine's next report (up to 1.25 x 4 s) before anything stops there, and guests' tasks that save first need another report. /orders carries stops only, as it may be carried out minutes late; what does not get through travels with the next answer as before. At most 32 connections at a time.

--- a/include/loftrouter/core/core.hpp
+++ b/include/loftrouter/core/core.hpp
@@ -126,6 +126,12 @@
   double deadline_s;
   std::variant<CloudTypes, CloudList, CloudRent, CloudReturn> what;
 };
+struct WorkerCall { // straight to a worker: only ever orders to stop, as it may be carried out minutes late
+  std::string address;
+  std::uint64_t token = 0, session = 0;
+  std::string machine;
+  std::vector<TaskOrder> orders;
+};
 enum class LogLevel : std::uint8_t { Error, Info, Debug };
 struct LogLine {
   LogLevel level;
@@ -145,6 +151,7 @@
   std::vector<Reply> replies;
   std::vector<StoreOp> store;
   std::vector<CloudOp> cloud;
+  std::vector<WorkerCall> workers;
   std::vector<LogLine> logs;
 };
 
@@ -219,7 +226,8 @@
   Resources need;
 };
 struct Machine {
-  std::string name;
+  std::string name, address;
+  bool stops_news = false; // tasks were told to stop that the worker does not know of yet
   int type = -1, zone = -1;
   bool spot = false;
   bool heard = false;
@@ -380,6 +388,7 @@
   void tick_fleet();
   void log_summary();
   void stop_slot(int m, Slot &slot, double grace);
+  void send_stops();
   void touch_image(Machine &m, int image, double gb);
   void round();
   void round_on(int m);
--- /dev/null
+++ b/include/loftrouter/net/couriers.hpp
@@ -0,0 +1,30 @@
+// One-off requests to many addresses, each on a connection of its own: what the next answer to a worker would say
+// anyway, said sooner. Bounded: what does not fit is dropped.
+#pragma once
+
+#include <memory>
+#include <string_view>
+#include <vector>
+
+#include "loftrouter/net/client.hpp"
+
+namespace loft::net {
+
+class Couriers {
+public:
+  static constexpr std::size_t kMost = 32; // connections at a time
+
+  explicit Couriers(Loop &loop);
+  ~Couriers();
+  void post(const Address &to, std::string_view target, std::string_view body);
+
+private:
+  struct Errand;
+  void sweep();
+
+  Loop &loop_;
+  std::vector<std::unique_ptr<Errand>> errands_;
+  Timer sweep_timer_;
+};
+
+} // namespace loft::net
--- a/include/loftrouter/wire/messages.hpp
+++ b/include/loftrouter/wire/messages.hpp
@@ -23,6 +23,7 @@
 // Workers.
 std::optional<WorkerReport> decode_report(std::string_view body);
 std::string encode_orders(std::uint64_t token, const std::vector<TaskOrder> &orders);
+std::string encode_call(std::uint64_t token, std::uint64_t session, const std::vector<TaskOrder> &orders); // to /orders
 std::string encode_redirect(std::string_view node); // empty: no node named
 
 // State service: records.
--- a/src/app/daemon.cpp
+++ b/src/app/daemon.cpp
@@ -9,6 +9,7 @@
 #include "loftrouter/app/latency.hpp"
 #include "loftrouter/cloud/cloud.hpp"
 #include "loftrouter/core/core.hpp"
+#include "loftrouter/net/couriers.hpp"
 #include "loftrouter/net/loop.hpp"
 #include "loftrouter/net/peers.hpp"
 #include "loftrouter/net/server.hpp"
@@ -51,8 +52,8 @@
 private:
   static net::HttpServer::Options server_options(const Settings &s) {
     net::HttpServer::Options o;
-    // The rest is for this node's own connections: state service, cloud, siblings, log.
-    o.max_connections = static_cast<std::size_t>(std::max(8, s.fd_limit - 60));
+    // The rest is for this node's own connections: state service, cloud, siblings, workers told at once, log.
+    o.max_connections = static_cast<std::size_t>(std::max(8, s.fd_limit - 60 - static_cast<int>(net::Couriers::kMost)));
     return o;
   }
 
@@ -99,6 +100,9 @@
       store_.send(op);
     for (const auto &op : effects.cloud)
       cloud_.send(op);
+    for (const auto &w : effects.workers)
+      if (auto to = net::parse_address(w.address))
+        couriers_.post(*to, "/orders", wire::encode_call(w.token, w.session, w.orders));
     for (const auto &p : effects.peers) {
       auto frame = wire::encode_peer(p.message);
       if (p.sibling >= 0)
@@ -188,6 +192,7 @@
   store::StoreClient store_;
   cloud::CloudClient cloud_;
   net::PeerLinks peers_;
+  net::Couriers couriers_{loop_};
   net::Timer tick_, work_;
   double queued_at_ = 0;
   LatencyHistogram batch_ms_, wait_ms_; // a batch's work, and how long its first command waited
--- a/src/core/core.cpp
+++ b/src/core/core.cpp
@@ -40,6 +40,7 @@
   if (role_ == Role::Leading) {
     if (round_wanted_ && now() >= next_round_) round();
     flush();
+    send_stops();
   }
   return std::move(effects_);
 }
--- a/src/core/fleet.cpp
+++ b/src/core/fleet.cpp
@@ -62,6 +62,7 @@
     return refuse(cmd.req, "a newer report is known"); // late: as old as its task list
   if (n.listed_failed) return refuse(cmd.req, "this machine has failed");
   if (!n.heard) n.first_heard = now();
+  n.address = r.address;
   n.heard = true;
   n.lost = false;
   n.session = r.session;
@@ -191,6 +192,7 @@
   // Room has appeared: a round right now, for this machine alone, lets the next start leave with this very
   // answer, if the task is recorded ahead. Otherwise the machine would stay empty for a whole report interval.
   if (round_wanted_ && !n.returning) round_on(m);
+  n.stops_news = false;
   std::size_t starts = 0;
   for (auto &slot : n.slots) {
     if (slot.finished) continue;
@@ -311,12 +313,28 @@
   if (finishable(k)) mark_dirty(slot.job, true);
 }
 
-void Core::stop_slot(int, Slot &slot, double grace) {
+void Core::stop_slot(int m, Slot &slot, double grace) {
   if (slot.finished) return;
+  if (!slot.stop) machine(m).stops_news = true;
   if (!slot.stop || grace < slot.grace_s) slot.grace_s = grace;
   slot.stop = true;
 }
 
+// The worker learns at once what the answer to its next report would tell it. When its tasks have stopped it reports
+// by itself, and the answer to that can start their successors: a report interval is won.
+void Core::send_stops() {
+  for (auto &p : machines_) {
+    if (!p || !p->stops_news) continue;
+    p->stops_news = false;
+    if (!active() || p->lost || p->address.empty()) continue;
+    WorkerCall call{p->address, term_, p->session, p->name, {}};
+    for (const auto &slot : p->slots)
+      if (slot.stop && slot.seen && slot.phase != TaskPhase::Exited && call.orders.size() < kMaxStartsPerReply)
+        call.orders.push_back({TaskOrder::Verb::Stop, slot.job_id, slot.index, slot.attempt, slot.grace_s});
+    if (!call.orders.empty()) effects_.workers.push_back(std::move(call));
+  }
+}
+
 void Core::lose_machine(int m, std::string_view why) {
   Machine &n = machine(m);
   if (n.lost) return;
@@ -386,7 +404,7 @@
     if (!machines_[static_cast<std::size_t>(m)]) continue;
     Machine &n = machine(m);
     // The last 200 that could reach it is ours: earlier leaders' were over before our term began.
-    if (n.heard && !n.lost && now() > n.last_answer + settings_.lease_s * (1 + kDrift) + 0.5)
+    if (active() && n.heard && !n.lost && now() > n.last_answer + settings_.lease_s * (1 + kDrift) + 0.5)
       lose_machine(m, "silent for longer than its lease");
     if (n.taken_at && n.heard && !n.lost) { // drained: tasks that can save do so in time
       double left = *n.taken_at - now();
--- a/src/wire/messages.cpp
+++ b/src/wire/messages.cpp
@@ -303,7 +303,7 @@
   return r;
 }
 
-std::string encode_orders(std::uint64_t token, const std::vector<TaskOrder> &orders) {
+static Json orders_json(const std::vector<TaskOrder> &orders) {
   Json list = Json::array();
   for (const auto &o : orders) {
     Json e = {
@@ -311,7 +311,15 @@
     if (o.verb == TaskOrder::Verb::Stop) e[f::grace] = o.grace_s;
     list.push_back(std::move(e));
   }
-  return encode({{f::token, token}, {f::orders, std::move(list)}});
+  return list;
+}
+
+std::string encode_orders(std::uint64_t token, const std::vector<TaskOrder> &orders) {
+  return encode({{f::token, token}, {f::orders, orders_json(orders)}});
+}
+
+std::string encode_call(std::uint64_t token, std::uint64_t session, const std::vector<TaskOrder> &orders) {
+  return encode({{f::token, token}, {f::session, session}, {f::orders, orders_json(orders)}});
 }
 
 std::string encode_redirect(std::string_view node) {
--- a/tests/world.cpp
+++ b/tests/world.cpp
@@ -155,6 +155,23 @@
     store_op(i, op);
   for (const auto &op : effects.cloud)
     cloud_op(i, op);
+  for (const auto &call : effects.workers) {
+    auto found = std::find_if(boxes_.begin(), boxes_.end(), [&](const Box &b) { return b.name == call.machine; });
+    if (found == boxes_.end() || chance(o_.loss)) continue;
+    Box *box = &*found;
+    double there = t_ + (chance(3 * o_.loss) ? uniform(0.1, 120) : uniform(0.001, 0.005)); // held up for minutes
+    schedule(there, [this, box, call] {
+      if (box->gone || !box->up || t_ < box->hang_until || call.token < box->token || call.session != box->session)
+        return;
+      box->token = call.token;
+      for (const auto &o : call.orders) {
+        if (o.verb != TaskOrder::Verb::Stop) break_rule("only orders to stop may be late");
+        for (auto &r : box->runs)
+          if (r.job == o.job && r.index == o.index && r.attempt == o.attempt)
+            end_run(*box, r.serial, ExitCause::Stopped);
+      }
+    });
+  }
   for (const auto &p : effects.peers) {
     if (chance(o_.loss)) continue;
     // Link ids in this world: the asker's index.
