--- /dev/null
+++ b/tests/daemon_test.cpp
@@ -0,0 +1,392 @@
+// Real processes on loopback against stand-ins for the state service and the cloud: the wiring that the simulated
+// world leaves out. Waits are generous, so that a slow machine changes no verdict.
+#include <gtest/gtest.h>
+
+#include <atomic>
+#include <csignal>
+#include <cstdio>
+#include <filesystem>
+#include <fstream>
+#include <map>
+#include <thread>
+
+#include <arpa/inet.h>
+#include <spawn.h>
+#include <sys/socket.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include "loftrouter/net/client.hpp"
+#include "loftrouter/net/server.hpp"
+#include "loftrouter/wire/cbor.hpp"
+
+extern char **environ;
+
+using namespace loft;
+using nlohmann::json;
+
+namespace {
+
+int free_port() {
+  int fd = ::socket(AF_INET, SOCK_STREAM, 0);
+  sockaddr_in sa{};
+  sa.sin_family = AF_INET;
+  sa.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  socklen_t len = sizeof sa;
+  int port = 0;
+  if (::bind(fd, reinterpret_cast<sockaddr *>(&sa), sizeof sa) == 0 &&
+      ::getsockname(fd, reinterpret_cast<sockaddr *>(&sa), &len) == 0)
+    port = ntohs(sa.sin_port);
+  ::close(fd);
+  return port;
+}
+
+std::string local(int port) {
+  return "127.0.0.1:" + std::to_string(port);
+}
+
+// The state service and the cloud in a thread of their own, no more of either than the daemons ask for.
+class StandIns {
+public:
+  const int state_port = free_port(), cloud_port = free_port();
+
+  StandIns() {
+    std::string error;
+    state_ = serve(state_port, [this](net::ConnId id, net::HttpMessage &&m) { state(id, m); });
+    cloud_ = serve(cloud_port, [this](net::ConnId id, net::HttpMessage &&m) { cloud(id, m); });
+    tick_ = std::make_unique<net::Timer>(loop_, [this] { tick(); });
+    tick_->once(0.02);
+    thread_ = std::thread([this] { loop_.run(); });
+  }
+  ~StandIns() {
+    stop_ = true;
+    thread_.join();
+  }
+
+private:
+  struct Key {
+    json value;
+    std::uint64_t stamp, lease;
+  };
+  struct Watch {
+    net::ConnId id;
+    std::string prefix;
+    std::uint64_t from;
+    double until;
+  };
+
+  std::unique_ptr<net::HttpServer> serve(int port, net::HttpServer::Handler handler) {
+    std::string error;
+    auto fd = net::listen_on(*net::parse_address(local(port)), error);
+    return std::make_unique<net::HttpServer>(loop_, std::move(fd), net::HttpServer::Options{}, std::move(handler));
+  }
+  void answer(net::ConnId id, int status, const json &body) { state_->respond(id, status, wire::encode(body)); }
+
+  static std::string query(const std::string &target, const std::string &name) {
+    auto at = target.find(name + "=");
+    if (at == std::string::npos) return {};
+    at += name.size() + 1;
+    return target.substr(at, target.find('&', at) - at);
+  }
+
+  void tick() {
+    if (stop_) return loop_.stop();
+    tick_->once(0.02);
+    const double now = net::mono_now();
+    for (auto it = leases_.begin(); it != leases_.end();) {
+      if (now < it->second.second) {
+        ++it;
+        continue;
+      }
+      drop_lease(it->first);
+      it = leases_.erase(it);
+    }
+    std::erase_if(watches_, [&](const Watch &w) {
+      json events = json::array();
+      for (const auto &[stamp, e] : history_)
+        if (stamp > w.from && e.value("set", e.value("drop", "")).rfind(w.prefix, 0) == 0) events.push_back(e);
+      if (events.empty() && now < w.until) return false;
+      answer(w.id, 200, {{"epoch", epoch_}, {"events", events}});
+      return true;
+    });
+  }
+
+  void set(const std::string &key, const json *value, std::uint64_t lease) {
+    json e;
+    if (value) {
+      keys_[key] = {*value, epoch_, lease};
+      e = {{"set", key}, {"v", *value}, {"stamp", epoch_}};
+    } else {
+      keys_.erase(key);
+      e = {{"drop", key}, {"stamp", epoch_}};
+    }
+    history_.emplace_back(epoch_, e);
+  }
+
+  void drop_lease(std::uint64_t id) {
+    ++epoch_;
+    std::vector<std::string> gone;
+    for (const auto &[k, v] : keys_)
+      if (v.lease == id) gone.push_back(k);
+    for (const auto &k : gone)
+      set(k, nullptr, 0);
+  }
+
+  void state(net::ConnId id, const net::HttpMessage &m) {
+    auto path = m.target.substr(0, m.target.find('?'));
+    auto body = wire::decode(m.body).value_or(json::object());
+    if (path == "/store") {
+      json entries = json::array();
+      auto prefix = query(m.target, "under"), from = query(m.target, "from");
+      for (const auto &[k, v] : keys_)
+        if (k.rfind(prefix, 0) == 0 && k > from) entries.push_back({{"k", k}, {"v", v.value}, {"stamp", v.stamp}});
+      return answer(id, 200, {{"entries", entries}, {"truncated", false}, {"epoch", epoch_}});
+    }
+    if (path.rfind("/store/", 0) == 0) {
+      auto it = keys_.find(path.substr(7));
+      if (it == keys_.end()) return answer(id, 404, {{"epoch", epoch_}});
+      return answer(id, 200, {{"k", it->first}, {"v", it->second.value}, {"stamp", it->second.stamp}});
+    }
+    if (path == "/commit") {
+      json failed = json::array();
+      for (const auto &g : body["guards"]) {
+        auto it = keys_.find(g["k"]);
+        if ((it == keys_.end() ? 0 : it->second.stamp) != g["stamp"]) failed.push_back(g["k"]);
+      }
+      if (!failed.empty()) return answer(id, 409, {{"failed", failed}, {"epoch", epoch_}});
+      for (const auto &w : body["writes"])
+        if (w.contains("permit") && !leases_.count(w["permit"])) return answer(id, 400, {{"error", "no such lease"}});
+      if (!body["writes"].empty()) ++epoch_;
+      for (const auto &w : body["writes"])
+        if (w.contains("set"))
+          set(w["set"], &w["v"], w.value("permit", 0ULL));
+        else
+          set(w["drop"], nullptr, 0);
+      return answer(id, 200, {{"epoch", epoch_}});
+    }
+    if (path == "/follow") {
+      watches_.push_back({id, query(m.target, "under"), std::stoull(query(m.target, "from")),
+                          net::mono_now() + std::stod(query(m.target, "hold_ms")) / 1000});
+      return;
+    }
+    if (path == "/leases") {
+      const double ttl = body["ttl_ms"].get<double>() / 1000;
+      leases_[++next_lease_] = {ttl, net::mono_now() + ttl};
+      return answer(id, 200, {{"permit", next_lease_}});
+    }
+    auto lease = leases_.find(std::stoull(path.substr(8)));
+    if (lease == leases_.end()) return answer(id, 404, json::object());
+    if (m.method == "DELETE") {
+      drop_lease(lease->first);
+      leases_.erase(lease);
+    } else {
+      lease->second.second = net::mono_now() + lease->second.first;
+    }
+    answer(id, 200, json::object());
+  }
+
+  void cloud(net::ConnId id, const net::HttpMessage &m) {
+    json out = {{"boxes", json::array()}, {"truncated", false}};
+    if (m.target == "/machine_types")
+      out = {{"hulls",
+              {{{"sku", "big"},
+                {"cores", 8.0},
+                {"cards", 0.0},
+                {"ram_gb", 32.0},
+                {"local_gb", 50.0},
+                {"pull_gb_per_s", 1.0},
+                {"rate", 1.0},
+                {"spot_price", 0.5},
+                {"startup_s", 10.0},
+                {"yards", {"a"}}}}}};
+    cloud_->respond(id, 200, wire::encode(out));
+  }
+
+  net::Loop loop_;
+  std::unique_ptr<net::HttpServer> state_, cloud_;
+  std::unique_ptr<net::Timer> tick_;
+  std::atomic<bool> stop_{false};
+  std::thread thread_;
+  std::map<std::string, Key> keys_;
+  std::map<std::uint64_t, std::pair<double, double>> leases_;
+  std::vector<std::pair<std::uint64_t, json>> history_;
+  std::vector<Watch> watches_;
+  std::uint64_t epoch_ = 1, next_lease_ = 0;
+};
+
+struct Answer {
+  int status = 0;
+  std::string body;
+  json cbor() const { return wire::decode(body).value_or(json::object()); }
+};
+
+Answer call(int port, const std::string &method, const std::string &target, const std::string &body = "") {
+  net::Loop loop;
+  Answer out;
+  net::HttpClient client(loop, *net::parse_address(local(port)), {});
+  client.request(method, target, body, 10, [&](int status, std::string &&text) {
+    out = {status, std::move(text)};
+    loop.stop();
+  });
+  loop.run();
+  return out;
+}
+
+// Until it holds; the limit is there only so that a broken build ends.
+template <class Fn> bool eventually(Fn fn) {
+  for (int i = 0; i < 600; ++i) {
+    if (fn()) return true;
+    std::this_thread::sleep_for(std::chrono::milliseconds(100));
+  }
+  return false;
+}
+
+class Daemons {
+public:
+  explicit Daemons(const StandIns &outside)
+      : dir_(std::filesystem::temp_directory_path() / ("loft-" + std::to_string(::getpid()))) {
+    std::filesystem::create_directories(dir_);
+    int peers[3];
+    for (int i = 0; i < 3; ++i) {
+      api[i] = free_port();
+      peers[i] = free_port();
+    }
+    for (int i = 0; i < 3; ++i) {
+      json siblings = json::array();
+      for (int k = 0; k < 3; ++k)
+        if (k != i) siblings.push_back({{"node_name", name(k)}, {"site", "a"}, {"address", local(peers[k])}});
+      json team = {{"name", "red"}, {"cpus", 0.0}, {"cpus_max", 0.0}, {"gpus", 0.0}, {"gpus_max", 0.0}};
+      json s = {
+          {"node_name", name(i)},
+          {"site", "a"},
+          {"api_addr", local(api[i])},
+          {"peer_listen", local(peers[i])},
+          {"siblings", siblings},
+          {"outside", {{"cloud", local(outside.cloud_port)}, {"state", local(outside.state_port)}}},
+          {"settings",
+           {{"size", 3},
+            {"zones", {"a"}},
+            {"teams", {team}},
+            {"objectives", json::array()},
+            {"workers",
+             {{"report_s", 1.0}, {"lease_s", 60.0}, {"gang_wait_s", 30.0}, {"gang_peer_s", 4.0}, {"cancel_s", 90.0}}},
+            {"state", {{"rps", 250.0}, {"write_rps", 50.0}, {"value_kb", 8.0}, {"txn_ops", 8}}},
+            {"cloud", {{"rps", 5.0}, {"list_lag_s", 3.0}}},
+            {"limits", {{"cpu_share", 1.0}, {"memory_mb", 512.0}, {"fd_limit", 700}}},
+            {"time_bound_ms", 5.0}}}};
+      std::ofstream(file(i)) << s;
+      start(i);
+    }
+  }
+  ~Daemons() {
+    for (int i = 0; i < 3; ++i)
+      kill(i);
+    std::filesystem::remove_all(dir_);
+  }
+  void start(int i) {
+    std::string program = LOFTROUTERD, option = "--config", path = file(i);
+    char *argv[] = {program.data(), option.data(), path.data(), nullptr};
+    ASSERT_EQ(::posix_spawn(&pid_[i], program.c_str(), nullptr, nullptr, argv, environ), 0);
+  }
+  void kill(int i) {
+    if (pid_[i] <= 0) return;
+    ::kill(pid_[i], SIGKILL);
+    ::waitpid(pid_[i], nullptr, 0);
+    pid_[i] = 0;
+  }
+  static std::string name(int i) { return "node-" + std::to_string(i); }
+  int leader(int asked) const {
+    auto s = json::parse(call(api[asked], "GET", "/admin/v1/status").body, nullptr, false);
+    if (!s.is_object() || !s["leader"]["node"].is_string()) return -1;
+    return s["leader"]["node"].get<std::string>().back() - '0';
+  }
+  int api[3] = {};
+
+private:
+  std::string file(int i) const { return (dir_ / (name(i) + ".json")).string(); }
+  std::filesystem::path dir_;
+  pid_t pid_[3] = {};
+};
+
+std::string job(const std::string &id, const std::string &team = "red") {
+  return wire::encode(
+      {{"id", id},        {"jobclass", "c"},  {"crew", team},      {"shape", "array"},  {"urgency", "normal"},
+       {"pieces", 1},     {"cores", 1.0},     {"cards", 0.0},      {"ram_gb", 1.0},     {"bundle", "img"},
+       {"image_gb", 1.0}, {"hulls", nullptr}, {"yard", nullptr},   {"one_zone", false}, {"apart", false},
+       {"standby", true}, {"guess_s", 10.0},  {"bookmark_s", 0.0}, {"stash_s", 0.0},    {"due_s", nullptr}});
+}
+
+} // namespace
+
+TEST(Daemon, ThreeProcessesServeUsersAndWorkersAcrossACrash) {
+  ::signal(SIGPIPE, SIG_IGN);
+  StandIns outside;
+  Daemons d(outside);
+  for (int i = 0; i < 3; ++i)
+    ASSERT_TRUE(eventually([&] { return call(d.api[i], "GET", "/up").status == 200; })) << i;
+  auto submit = [&](int node, const std::string &body) { return call(d.api[node], "POST", "/api/jobs", body).status; };
+  EXPECT_TRUE(eventually([&] { return submit(0, job("j-000001")) == 201; }));
+  EXPECT_EQ(submit(1, job("j-000001")), 200);
+  EXPECT_EQ(submit(1, job("j-000002", "nobody")), 422);
+  EXPECT_EQ(submit(2, "\xff\xff"), 400);
+  EXPECT_EQ(call(d.api[2], "GET", "/api/jobs/j-000009").status, 404);
+  EXPECT_EQ(call(d.api[2], "GET", "/admin/v1/nothing").status, 404);
+
+  // A worker, in words of the protocol: it is given the task, and tells when it is done.
+  int tick = 0, at = 0;
+  json runs = json::array();
+  auto report = [&] {
+    for (int i = 0; i < 600; ++i) {
+      json r = {
+          {"box", "n-000001"}, {"address", "127.0.0.1:9"}, {"hull", "big"}, {"yard", "a"},          {"standby", false},
+          {"shift", 1},        {"tick", ++tick},           {"baton", 0},    {"warning_s", nullptr}, {"pieces", runs}};
+      auto a = call(d.api[at], "POST", "/v1/report", wire::encode(r));
+      if (a.status == 200) return a.cbor()["orders"];
+      auto named = a.cbor().value("answer_to", "");
+      at = named.empty() ? (at + 1) % 3 : named.back() - '0';
+      std::this_thread::sleep_for(std::chrono::milliseconds(100));
+    }
+    return json(json::array());
+  };
+  ASSERT_TRUE(eventually([&] {
+    for (const auto &o : report())
+      if (o["verb"] == "start" && o["piece"] == "j-000001/0")
+        runs = {{{"piece", o["piece"]}, {"try", o["try"]}, {"status", "running"}}};
+    return !runs.empty();
+  }));
+  auto running = [&](int node) {
+    auto a = call(d.api[node], "GET", "/api/jobs/j-000001").cbor();
+    return a.value("status", "") == "running" && a.value("running", 0) == 1;
+  };
+  report();
+  for (int i = 0; i < 3; ++i)
+    EXPECT_TRUE(eventually([&] {
+      report();
+      return running(i);
+    })) << i;
+
+  int leader = -1;
+  ASSERT_TRUE(eventually([&] { return (leader = d.leader(0)) >= 0; }));
+  d.kill(leader);
+  at = (leader + 1) % 3;
+  EXPECT_TRUE(eventually([&] {
+    int next = d.leader(at);
+    return next >= 0 && next != leader;
+  }));
+  d.start(leader);
+  EXPECT_TRUE(eventually([&] { return submit(at, job("j-000003")) != 503; }));
+  for (const auto &o : report())
+    EXPECT_NE(o["piece"], "j-000001/0") << "it runs: nothing is to be done about it";
+  runs[0]["status"] = "exited";
+  runs[0]["cause"] = "done";
+  for (int i = 0; i < 3; ++i)
+    EXPECT_TRUE(eventually([&] {
+      report();
+      return call(d.api[i], "GET", "/api/jobs/j-000001").cbor().value("status", "") == "done";
+    })) << i;
+  EXPECT_TRUE(eventually([&] { return call(d.api[leader], "POST", "/api/jobs/j-000003/abort").status == 200; }));
+  for (int i = 0; i < 3; ++i)
+    EXPECT_TRUE(eventually([&] {
+      return call(d.api[i], "GET", "/api/jobs/j-000003").cbor().value("status", "") == "aborted";
+    })) << i;
+}
