Whoever tells a user that a job is cancelled tells the leader too

Now every cancellation read or written is repeated; a node that knows more than it can repeat gives no word that prolongs a leader.

--- a/src/core/peers.cpp
+++ b/src/core/peers.cpp
@@ -45,7 +45,8 @@
     r.kind = wire::PeerMessage::Kind::Pong;
     r.nonce = m.nonce;
     r.term = highest_term_;
-    r.cut_off = cut_off();
+    // More than can be repeated: the leader is not to go on on this node's word.
+    r.cut_off = cut_off() && confirmed_cancels_.size() <= wire::kPeerMaxCancelled;
     r.hears_workers = now() - last_report_at_ < kLately;
     auto tenths = [](double rate) { return static_cast<std::uint16_t>(std::min(6e4, rate * 10)); };
     r.reads = tenths(reads_rate_);
--- a/src/core/users.cpp
+++ b/src/core/users.cpp
@@ -108,6 +108,11 @@
 }
 
 void Core::note_open(const std::string &id, std::uint64_t stamp, bool cancelled) {
+  // Whoever tells a user so has to tell the leader too (`extended`), also if another node wrote it, or this one
+  // without an answer.
+  const auto before = known_open_.find(id);
+  if (cancelled && (before == known_open_.end() || !before->second.cancelled))
+    confirmed_cancels_.emplace_back(id, now());
   auto [it, fresh] = known_open_.try_emplace(id, KnownOpen{stamp, cancelled});
   if (!fresh && stamp > it->second.stamp) it->second = {stamp, cancelled};
   if (!fresh) return;
@@ -217,7 +222,6 @@
           [this, req, id](const wire::StoreReply &c) {
             --user_ops_;
             if (c.status == 200) {
-              confirmed_cancels_.emplace_back(id, now());
               note_open(id, c.revision, true);
               return reply(req, 200, wire::encode_accepted(id, JobState::Cancelled));
             }
--- a/tests/world.cpp
+++ b/tests/world.cpp
@@ -820,7 +820,7 @@
   return out;
 }
 
-void World::cancel(const std::string &id) {
+void World::cancel(const std::string &id, int node) {
   Told &x = told_[id];
   x.cancel_asked = true;
   if (x.cancelled || x.done) return;
@@ -831,7 +831,7 @@
     cancel(id);
   };
   ask(
-      static_cast<int>(rng_() % nodes_.size()),
+      node >= 0 ? node : static_cast<int>(rng_() % nodes_.size()),
       [id](core::RequestId q) {
         return core::CmdAbort{q, id};
       },
--- a/tests/world.hpp
+++ b/tests/world.hpp
@@ -45,7 +45,7 @@
   void at(double t, std::function<void()> fn) { schedule(t, std::move(fn)); }
 
   std::string submit(JobSpec spec); // returns the id; retried until accepted
-  void cancel(const std::string &id);
+  void cancel(const std::string &id, int node = -1); // asked first; any if negative
   std::string submit_broken(JobSpec spec) { // fails on every machine until it is cancelled
     broken_jobs_.insert(spec.id);
     return submit(std::move(spec));
--- a/tests/world_test.cpp
+++ b/tests/world_test.cpp
@@ -167,6 +167,29 @@
   EXPECT_EQ(cancelled, 4);
 }
 
+// The node that recorded a cancellation never heard so, another read it from the record and told the user, and then
+// nobody reaches the state service: a leader that is kept going by its siblings' word has to be told as well.
+TEST(World, CancellationsReadFromTheRecordReachTheLeaderInAnOutage) {
+  int told = 0;
+  for (std::uint64_t seed = 1; seed <= 6; ++seed) {
+    World w(seed, {});
+    std::string id;
+    w.at(2, [&] { id = w.submit(w.job(Shape::Array, 6, 1, 400)); });
+    w.at(40, [&] {
+      int leader = w.leader(), node = (leader + 1) % 3;
+      w.cut_state(leader, 200, World::Cut::Drop);
+      w.cancel(id, node);
+      w.at(40.002,
+           [&w, node] { w.cut_state(node, 0.5, World::Cut::NoAnswers); }); // the read is answered, the write not
+    });
+    w.at(42.8, [&] { w.outage(80); });
+    w.run(122);
+    told += w.cancelled_jobs;
+    EXPECT_TRUE(w.broken.empty()) << "seed " << seed << "\n" << all(w);
+  }
+  EXPECT_GE(told, 3);
+}
+
 // A deployment whose workers' lease is as long as a cancellation may take: work must start all the same.
 TEST(World, WorkStartsWhereCancellationsHaveLittleTime) {
   WorldOptions o;
