--- a/include/loftrouter/core/core.hpp
+++ b/include/loftrouter/core/core.hpp
@@ -331,6 +331,7 @@
   using Supplies = std::map<std::tuple<int, int, bool>, Supply>;
   Supplies supplies() const;
   std::string why(int j, const Supplies &supply) const;
+  bool any_running(int j) const;
   bool foreseen_late(const Job &job) const;
   std::optional<double> wanted_after(const Job &job) const;
   void happened(Job &job, std::string_view what);
--- a/src/core/admin.cpp
+++ b/src/core/admin.cpp
@@ -109,7 +109,10 @@
   if (leads && !active()) trouble("this node leads but starts nothing: its lease could not be renewed");
   if (leads && active() && !informed())
     trouble(fmt::format("nothing is started: no news of cancellations since {}", wire::clock_time(informed_wall_)));
-  if (leads && unaccounted_until_ > now())
+  std::uint64_t unaccounted = 0;
+  for (const auto &j : jobs_)
+    if (j) unaccounted += j->unaccounted;
+  if (leads && unaccounted && unaccounted_until_ > now())
     trouble(fmt::format("took over at {}: tasks not found again by {} are started anew",
                         wire::clock_time(leading_since_wall_),
                         wire::clock_time(now_.wall + unaccounted_until_ - now())));
@@ -118,10 +121,10 @@
   if (leads && cloud_ok_at_ > -1e8 && now() - cloud_ok_at_ > 15)
     trouble("the cloud does not answer: nothing is rented or given back");
   if (!refused.empty()) trouble("the cloud has none to give of: " + refused);
-  if (silent) trouble(fmt::format("{} machines are silent", silent));
-  if (ordered) trouble(fmt::format("{} machines take no tasks by an operator's order", ordered));
-  if (suspects) trouble(fmt::format("{} jobs fail on every machine; see /admin/v1/jobs", suspects));
-  if (late) trouble(fmt::format("{} jobs will miss or have missed their time; see /admin/v1/foreseen", late));
+  if (silent) trouble(fmt::format("machines that are silent: {}", silent));
+  if (ordered) trouble(fmt::format("machines that take no tasks by an operator's order: {}", ordered));
+  if (suspects) trouble(fmt::format("jobs that fail on every machine: {}; see /admin/v1/jobs", suspects));
+  if (late) trouble(fmt::format("jobs that will miss or have missed their time: {}; see /admin/v1/foreseen", late));
   s.round_p50 = ask.round_p50;
   s.round_p99 = ask.round_p99;
   s.queue_p50 = ask.queue_p50;
--- a/src/core/insight.cpp
+++ b/src/core/insight.cpp
@@ -32,6 +32,14 @@
   k.reason = fmt::format("{} ({})", what, wire::clock_time(now_.wall));
 }
 
+bool Core::any_running(int j) const {
+  for (const auto &t : jobs_[static_cast<std::size_t>(j)]->tasks)
+    if (t.state == TaskState::Placed)
+      for (const auto &s : machines_[static_cast<std::size_t>(t.machine)]->slots)
+        if (s.job == j && s.phase == TaskPhase::Running) return true;
+  return false;
+}
+
 // Why the job's tasks wait, or what last happened to them, in words for its owner.
 std::string Core::why(int j, const Supplies &supply) const {
   const Job &n = *jobs_[static_cast<std::size_t>(j)];
@@ -95,6 +103,9 @@
                                   : (refused ? "; the cloud has no more to give" : ""));
     wait = (pending == n.spec.tasks ? "waiting: " : fmt::format("{} of {} tasks wait: ", pending, n.spec.tasks)) + wait;
   }
+  if (wait.empty() && n.placed && n.done == 0 && n.reason.empty() && !any_running(j))
+    wait = n.placed == 1 ? "its task has a machine and fetches its image"
+                         : fmt::format("its {} tasks have machines and fetch their images", n.placed);
   if (wait.empty()) return n.reason;
   return n.reason.empty() ? wait : wait + "; " + n.reason;
 }
--- a/src/core/users.cpp
+++ b/src/core/users.cpp
@@ -113,6 +113,11 @@
   const auto before = known_open_.find(id);
   if (cancelled && (before == known_open_.end() || !before->second.cancelled))
     confirmed_cancels_.emplace_back(id, now());
+  if (auto mine = job_index_.find(id);
+      cancelled && role_ == Role::Leading && mine != job_index_.end() && !job(mine->second).cancelled) {
+    job(mine->second).cancelled = true; // sooner than the watch tells it
+    cancel_job(mine->second);
+  }
   auto [it, fresh] = known_open_.try_emplace(id, KnownOpen{stamp, cancelled});
   if (!fresh && stamp > it->second.stamp) it->second = {stamp, cancelled};
   if (!fresh) return;
--- a/src/wire/admin.cpp
+++ b/src/wire/admin.cpp
@@ -82,6 +82,10 @@
   return s < 0 ? Json() : Json(std::round(s * 10) / 10);
 }
 
+double rounded(double ms) {
+  return std::round(ms * 100) / 100;
+}
+
 } // namespace
 
 std::string clock_time(double wall) {
@@ -207,8 +211,8 @@
                {"siblings", std::move(siblings)},
                {"fleet", std::move(fleet)},
                {"queues", std::move(queues)},
-               {"batch_ms", {{"p50", s.round_p50}, {"p99", s.round_p99}}},
-               {"queue_wait_ms", {{"p50", s.queue_p50}, {"p99", s.queue_p99}}}});
+               {"batch_ms", {{"p50", rounded(s.round_p50)}, {"p99", rounded(s.round_p99)}}},
+               {"queue_wait_ms", {{"p50", rounded(s.queue_p50)}, {"p99", rounded(s.queue_p99)}}}});
 }
 
 std::string encode_jobs(const std::vector<AdminJob> &jobs, std::string_view next) {
