--- a/tests/world.cpp
+++ b/tests/world.cpp
@@ -788,6 +788,22 @@
       });
 }
 
+std::shared_ptr<World::Answer> World::submit_at(int node, const JobSpec &spec) {
+  auto &told = told_[spec.id];
+  told.spec = spec;
+  told.finished.assign(spec.tasks, 0);
+  auto out = std::make_shared<Answer>();
+  ask(
+      node,
+      [spec](core::RequestId q) {
+        return core::CmdSubmit{q, spec};
+      },
+      [out](const core::Reply &r) {
+        *out = {r.status, json()};
+      });
+  return out;
+}
+
 std::shared_ptr<World::Answer> World::look_up(int node, const std::string &id) {
   auto out = std::make_shared<Answer>();
   ask(
--- a/tests/world.hpp
+++ b/tests/world.hpp
@@ -44,9 +44,9 @@
   void cut_boxes(double share, double for_s); // workers that reach nobody
   void at(double t, std::function<void()> fn) { schedule(t, std::move(fn)); }
 
-  std::string submit(JobSpec spec); // returns the id; retried until accepted
+  std::string submit(JobSpec spec);                  // returns the id; retried until accepted
   void cancel(const std::string &id, int node = -1); // asked first; any if negative
-  std::string submit_broken(JobSpec spec) { // fails on every machine until it is cancelled
+  std::string submit_broken(JobSpec spec) {          // fails on every machine until it is cancelled
     broken_jobs_.insert(spec.id);
     return submit(std::move(spec));
   }
@@ -63,6 +63,7 @@
     int status = 0;
     nlohmann::json body;
   };
+  std::shared_ptr<Answer> submit_at(int node, const JobSpec &spec); // once
   std::shared_ptr<Answer> look_up(int node, const std::string &id);
   std::shared_ptr<Answer> admin(int node, const std::string &method, const std::string &target,
                                 const std::string &body = "");
--- a/tests/world_test.cpp
+++ b/tests/world_test.cpp
@@ -333,6 +333,18 @@
   EXPECT_EQ(w.admin(0, "POST", "/admin/v1/status")->status, 405);
 }
 
+// Users follow the load balancer: a node that has them all may use what its siblings do not.
+TEST(Budgets, GoWhereTheUsersAre) {
+  World w(7, {});
+  w.run(10);
+  std::vector<std::shared_ptr<World::Answer>> told;
+  for (int i = 0; i < 200; ++i) // 5 a second at one node, of 15 writes for all
+    w.at(10 + 0.2 * i, [&w, &told] { told.push_back(w.submit_at(1, w.job(Shape::Array, 1, 0.5, 100))); });
+  w.run(52);
+  EXPECT_GE(std::count_if(told.begin(), told.end(), [](const auto &a) { return a->status == 201; }), 195);
+  EXPECT_TRUE(w.broken.empty()) << all(w);
+}
+
 // Hundreds of tiny jobs of a guest end at the same time: writes are scarce, but nobody waits long for the word, and
 // afterwards no ended job is left among the open ones, whoever leads by then.
 TEST(World, ManyTinyJobsEndAtOnce) {
