Small work without a wished-for time keeps off dear machines and holds none of them

Now it takes what cheap places leave (dear ones after half an hour), goes after work that can be in time, and keeps no dear machine.

Renting is logged with the job it is for.

--- a/include/loftrouter/core/core.hpp
+++ b/include/loftrouter/core/core.hpp
@@ -144,6 +144,8 @@
 };
 // How old a sibling's word may be that it is cut off. A leader elected since has waited as long.
 constexpr double kStatementLife = 1.5;
+// A place dearer than the cheapest by more than this is rented and used only where time presses.
+constexpr double kDear = 1.5;
 // Of what the state service allows: for users' reads and users' writes.
 constexpr double kUserReads = 0.75, kUserWrites = 0.6;
 struct Effects {
@@ -420,8 +422,9 @@
   }
   double cheapest_cpu() const;
   void drain_surplus(double waiting_cpus);
+  bool patient(const Job &j) const;
   static bool is_small(const Job &j) { return j.spec.urgency == Urgency::Low && j.spec.spot; }
-  void rent(int type, int zone, bool spot, int count);
+  void rent(int type, int zone, bool spot, int count, const Job &why);
   void send_rent(CloudRent call, std::tuple<int, int, bool> key, int tries);
   void load_types();
   void set_types(std::vector<MachineType> types);
--- a/include/loftrouter/core/placement.hpp
+++ b/include/loftrouter/core/placement.hpp
@@ -44,6 +44,7 @@
   double image_gb = 0;
   bool small = false; // low, short and spot-tolerant: leaves kept machines alone
   int team = 0;
+  double most_dear = 1; // keeps off ordinary machines that are dearer than this (`PlaceMachine::dear`)
 };
 
 struct PlaceOptions {
--- a/src/core/autoscaler.cpp
+++ b/src/core/autoscaler.cpp
@@ -17,10 +17,9 @@
 constexpr double kHoldBootsKept = 1.5;  // boot times an idle machine is held that some job class needs whole
 constexpr double kBootGiveUp = 2.0;     // boot times after which a machine is taken for one that never comes up
 constexpr double kDrainBelow = 0.85;    // dear machines are drained until the rest is used that much
-constexpr double kDear = 1.5;           // dearer than the cheapest place by more than this: only to save a deadline
 constexpr double kSlackShare = 0.7;     // of the time left, what the queue may take
 constexpr double kVeryLate = 8.0;       // times the time a job was given
-constexpr double kDefaultDue = 300.0;   // for jobs without a deadline or an objective
+constexpr double kDefaultDue = 3600.0;  // for jobs without a deadline or an objective: dear machines can wait
 // How often a rented machine's place may be used for one backlog: as often as the time left allows.
 constexpr double kWavesShare = 0.5, kMinWaves = 2.0, kMaxWaves = 6.0;
 const char *const kTypesKey = "conf/types";
@@ -224,6 +223,11 @@
     if (!n.spot && kept != kept_types_.end() && now() - kept->second.seen < 600) continue;
     used += n.used.cpus;
     size += n.size.cpus;
+    for (const auto &s : n.slots) // it keeps no dear machine
+      if (s.job >= 0 && !s.finished && patient(job(s.job))) {
+        used -= s.need.cpus;
+        size -= s.need.cpus;
+      }
     double price = cpu_price(types_[static_cast<std::size_t>(n.type)], n.spot);
     if (now() - n.rented_at < kMinimumCharge || price < kDear * cheapest) {
       n.draining = false;
@@ -298,7 +302,7 @@
       if (std::any_of(up.begin(), up.end(), [&](const auto &m) { return allowed(p, m) && p.need.fits(m.size); }))
         continue;
     }
-    pending += p.ready * p.need.cpus;
+    if (!patient(n)) pending += p.ready * p.need.cpus;
     const bool low = p.urgency == Urgency::Low;
     const double est = std::max(8.0, n.spec.estimate_s);
     const double due = due_after(n), left = due - p.wait_s;
@@ -382,17 +386,18 @@
       if (allowed(p, up[i]) && p.need.fits(up[i].size))
         busy[i] += waiting * est * p.need.cpus / static_cast<double>(up.size());
     if (best.type < 0 || budget-- <= 0) continue;
-    rent(best.type, best.zone, best.spot, best.count);
+    rent(best.type, best.zone, best.spot, best.count, n);
   }
   drain_surplus(pending);
 }
 
-void Core::rent(int type, int zone, bool spot, int count) {
+void Core::rent(int type, int zone, bool spot, int count, const Job &why) {
   auto name = fmt::format("r-{}-{}", term_, ++rent_counter_);
   auto key = std::tuple(type, zone, spot);
   rents_open_[key] += count;
-  log(LogLevel::Info, fmt::format("renting {} x {} in {}{}", count, type_names_.name(type), zone_names_.name(zone),
-                                  spot ? " (spot)" : ""));
+  log(LogLevel::Info, fmt::format("renting {} x {} in {}{} for job {} ({}), {} tasks waiting", count,
+                                  type_names_.name(type), zone_names_.name(zone), spot ? " (spot)" : "", why.spec.id,
+                                  why.spec.job_class, why.spec.tasks - why.done - why.placed - why.unaccounted));
   send_rent({name, type_names_.name(type), zone_names_.name(zone), spot, count}, key, 3);
 }
 
--- a/src/core/fleet.cpp
+++ b/src/core/fleet.cpp
@@ -17,6 +17,7 @@
 constexpr std::size_t kMaxStartsPerReply = 400; // keeps a response below the protocol's 64 KiB
 constexpr std::size_t kMostBarred = 8;          // machines that a job keeps off after it has failed there,
 constexpr double kBarredFor = 120.0;            // and for how long
+constexpr double kPatience = 1800.0;            // of small work without a wish: afterwards it may use dear machines too
 constexpr double kMostProbePause = 80.0;        // between tries of a job that fails everywhere
 } // namespace
 
@@ -428,6 +429,11 @@
     }
 }
 
+// Small work that nobody wants at a certain time.
+bool Core::patient(const Job &n) const {
+  return is_small(n) && !wanted_after(n) && now_.wall - n.submit_wall < kPatience;
+}
+
 // The machines that may take tasks, or the one asked for if it may.
 std::vector<PlaceMachine> Core::snapshot(std::vector<int> &index, int only) const {
   std::vector<PlaceMachine> out;
@@ -531,7 +537,10 @@
   p.wait_s = std::max(0.0, now_.wall - n.submit_wall);
   p.started = n.placed + n.done > 0 || suspect(n); // a suspect reserves nothing
   // The last of its tasks starts once the others have had their turn on the fleet.
-  p.in_time = p.wait_s + n.spec.estimate_s * (1 + p.ready * p.need.cpus / std::max(1.0, up_cpus_)) <= due_after(n);
+  // Work that nobody wants at a certain time waits for cheap places, of which it may have what others leave.
+  if (patient(n)) p.most_dear = 1 - 1 / kDear;
+  p.in_time = wanted_after(n) &&
+              p.wait_s + n.spec.estimate_s * (1 + p.ready * p.need.cpus / std::max(1.0, up_cpus_)) <= due_after(n);
   p.image = n.image;
   p.image_gb = n.spec.image_gb;
   p.small = is_small(n);
--- a/src/core/placement.cpp
+++ b/src/core/placement.cpp
@@ -12,6 +12,7 @@
     return false;
   if (job.zone >= 0 && job.zone != m.zone) return false;
   if (m.spot && !job.spot) return false;
+  if (!m.spot && m.dear > job.most_dear) return false;
   if (m.held_for >= 0 && m.held_for != job.self) return false;
   return std::find(job.barred.begin(), job.barred.end(), m.id) == job.barred.end();
 }
