--- a/include/loftrouter/core/core.hpp
+++ b/include/loftrouter/core/core.hpp
@@ -146,6 +146,8 @@
 constexpr double kStatementLife = 1.5;
 // A place dearer than the cheapest by more than this is rented and used only where time presses.
 constexpr double kDear = 1.5;
+constexpr double kBarredFor = 120.0;    // that a job keeps off a machine on which it has failed
+constexpr std::size_t kEntryChars = 85; // of a job in a progress record, beside its two sets of tasks
 // Of what the state service allows: for users' reads and users' writes.
 constexpr double kUserReads = 0.75, kUserWrites = 0.6;
 struct Effects {
@@ -358,6 +360,13 @@
   void cancel_job(int j);
   void update_open(const std::string &key, const wire::Json &value, std::uint64_t stamp);
   void mark_dirty(int j, bool urgent);
+  bool finishable(const Job &job) const;
+  void set_task(int j, std::uint32_t i, TaskState state, int machine = -1);
+  void age_unaccounted();
+  void tend_gang(int j);
+  Job &job(int j) { return *jobs_[static_cast<std::size_t>(j)]; }
+
+  // records.cpp
   void flush();
   void resync(int j);
   void resync_shard(std::size_t s);
@@ -370,13 +379,8 @@
   void add_moves(Transaction &t, double budget, std::size_t most);
   void add_shard(std::size_t s, Transaction &t);
   void flushed(const Transaction &t, const wire::StoreReply &r);
-  bool finishable(const Job &job) const;
   void record_ahead(Job &job);
   void plan_ahead();
-  void set_task(int j, std::uint32_t i, TaskState state, int machine = -1);
-  void age_unaccounted();
-  void tend_gang(int j);
-  Job &job(int j) { return *jobs_[static_cast<std::size_t>(j)]; }
 
   // fleet.cpp
   void on(CmdReport &&);
@@ -397,6 +401,9 @@
   void stop_slot(int m, Slot &slot, double grace);
   void send_stops();
   void touch_image(Machine &m, int image, double gb);
+
+  // rounds.cpp
+  bool patient(const Job &j) const;
   void round();
   void round_on(int m);
   std::vector<Resources> team_room() const;
@@ -422,7 +429,6 @@
   }
   double cheapest_cpu() const;
   void drain_surplus(double waiting_cpus);
-  bool patient(const Job &j) const;
   static bool is_small(const Job &j) { return j.spec.urgency == Urgency::Low && j.spec.spot; }
   void rent(int type, int zone, bool spot, int count, const Job &why);
   void send_rent(CloudRent call, std::tuple<int, int, bool> key, int tries);
