--- a/include/loftrouter/wire/admin.hpp
+++ b/include/loftrouter/wire/admin.hpp
@@ -19,7 +19,7 @@
 // Operators' own settings. Every one has a range; they are kept in the state service.
 struct Tunables {
   double whole_bonus = 10, age_weight = 0.05, image_weight = 0.3, price_weight = 1, in_time_bonus = 30;
-  double reserve_after_s = 120, idle_boots = 1.5, probe_pause_s = 5, late_notice_share = 1;
+  double reserve_after_s = 120, idle_boots = 0.8, probe_pause_s = 5, late_notice_share = 1;
 };
 enum class MachineOrder : std::uint8_t { Drain, Quarantine };
 using MachineOrders = std::map<std::string, MachineOrder>;
