A leader of many workers that all fall silent makes room at once

With four machines or more heard, silence for 1.25 intervals and 1.5 s is enough if a sibling is in touch and reaches the state service. Time spent standing still does not count.

--- a/include/loftrouter/core/core.hpp
+++ b/include/loftrouter/core/core.hpp
@@ -494,7 +494,7 @@
     bool cut_off = false, hears_workers = false;
     double reads = 0, writes = 0; // that it makes a second
   };
-  double last_report_at_ = -1e9, leading_since_ = 0;
+  double last_report_at_ = -1e9, leading_since_ = 0, deaf_from_ = -1e9, deaf_tick_at_ = -1e9;
   std::vector<SiblingState> siblings_;
   std::uint64_t ping_nonce_ = 0;
   double next_ping_ = 0;
--- a/src/core/peers.cpp
+++ b/src/core/peers.cpp
@@ -101,16 +101,22 @@
 // A leader that the workers no longer reach, while they reach a sibling, makes room: siblings can only
 // send the workers back to it, and all their leases would run out.
 void Core::abdicate_if_deaf() {
+  // After standing still it has not read yet what workers have sent meanwhile.
+  if (now() - deaf_tick_at_ > 1) deaf_from_ = now();
+  deaf_tick_at_ = now();
   if (!active()) return;
   // Every worker reports within 1.25 of the interval. Each second saved here is one more for workers, which
   // wait 4 s for an answer before they try elsewhere, to reach the next leader within their lease.
   // A few machines may hang by chance.
-  const auto heard = std::count_if(machines_.begin(), machines_.end(), [](const auto &m) { return m && m->heard; });
+  const auto heard =
+      std::count_if(machines_.begin(), machines_.end(), [](const auto &m) { return m && m->heard && !m->lost; });
   double patience = heard >= 4 ? 1.25 * settings_.report_s + 1.5 : std::max(4.5, 2 * settings_.report_s + 2);
-  if (now() - std::max(last_report_at_, leading_since_) < patience) return;
+  if (now() - std::max({last_report_at_, leading_since_, deaf_from_}) < patience) return;
+  // That several fall silent at once is enough. Where few have been heard a sibling has to have heard some: the workers
+  // may be what has failed. Waiting for that with several would send workers that try a sibling back to this node.
   for (const auto &s : siblings_)
-    if (s.hears_workers && !s.cut_off && now() - s.stated_at < kLately) {
-      step_down("workers reach a sibling but not this node");
+    if (!s.cut_off && now() - s.stated_at < kPingEvery * 3 && (heard >= 4 || s.hears_workers)) {
+      step_down("no worker reaches this node");
       acquire_after_ = now() + kDeafPause;
       return;
     }
--- a/tests/world_test.cpp
+++ b/tests/world_test.cpp
@@ -121,6 +121,21 @@
   }
 }
 
+// With many workers it does so before they have tried another node: a sibling that does not lead by then would send
+// them back to it, and their leases would run out.
+TEST(World, DeafLeaderOfManyWorkersIsGoneBeforeTheyTryASibling) {
+  int lost = 0;
+  for (std::uint64_t seed = 1; seed <= 6; ++seed) {
+    World w(seed, {});
+    w.at(2, [&w] { w.submit(w.job(Shape::Array, 60, 3, 120)); });
+    w.at(60, [&w] { w.cut_workers(w.leader(), 60, false); });
+    w.run(90);
+    lost += w.lease_kills;
+    EXPECT_TRUE(w.broken.empty()) << all(w);
+  }
+  EXPECT_EQ(lost, 0);
+}
+
 // What a new leader hears first may be old: an attempt that was stopped for a job of higher priority stays in
 // its worker's reports until the order to forget it arrives, and a report held up on the way shows an attempt
 // that has ended since. Neither says where the task runs by now.
