Reports are read straight into the struct; rounds try only machines with room; a load bench

Change: a SAX reader compared with a slow model over mutated reports; a round keeps the machines that may still have room; machines with stops to send are listed. bench/ drives a leading core through wire bytes.

--- /dev/null
+++ b/bench/load.hpp
@@ -0,0 +1,60 @@
+// A leading core under load: machines that report, tasks that come and go, a state service and a cloud that
+// always answer at once. Everything passes through wire bytes, as it does in the daemon. Time is simulated.
+#pragma once
+
+#include <deque>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "loftrouter/core/core.hpp"
+
+namespace loft::bench {
+
+class Load {
+public:
+  // Leading, with `machines` that have each reported and been filled with tasks.
+  explicit Load(int machines);
+
+  void step();                            // 0.1 s of simulated time: a tick, and the reports that are due in it
+  std::string report_bytes(int m) const;  // of machine m now, nothing having changed since its last
+  std::string answer(const std::string &report); // through wire, core and back
+  std::string submit();                   // an accept as a user sees it, until its commit has left
+  core::Core &core() { return core_; }
+  core::Effects apply(std::vector<core::Command> batch);
+  core::Now now() const { return {t_, 1.7e9 + t_}; }
+  std::uint64_t reports = 0, starts = 0, ends = 0;
+
+private:
+  struct Run {
+    std::string job;
+    std::uint32_t index;
+    std::uint64_t attempt;
+    TaskPhase phase;
+    double ends;
+  };
+  struct Box {
+    WorkerReport report;
+    std::vector<Run> runs;
+    double next = 0;
+  };
+  WorkerReport next_report(Box &b);
+  void report(int m);
+  void take(Box &b, const std::string &body);
+  void carry_out(core::Effects effects);
+  void arrive();
+
+  double t_ = 0;
+  core::Core core_;
+  std::vector<Box> boxes_;
+  std::uint64_t revision_ = 10;
+  int next_job_ = 1;
+  std::map<std::string, std::uint64_t> stamps_;
+  std::vector<core::Command> answers_;          // of the state service and the cloud
+  std::deque<wire::Event> news_;                // open records not yet told to the watch
+  core::OpId watch_ = 0;
+  std::map<core::RequestId, std::string> replies_;
+  core::RequestId next_req_ = 1;
+};
+
+} // namespace loft::bench
--- a/include/loftrouter/core/core.hpp
+++ b/include/loftrouter/core/core.hpp
@@ -553,6 +553,7 @@
   std::vector<std::unique_ptr<Machine>> machines_;
   std::unordered_map<std::string, int> machine_index_;
   std::unordered_map<std::string, double> gone_; // names given back, and when
+  std::vector<int> stops_news_;                  // machines whose `stops_news` was set in this batch
   double next_round_ = 0, next_scale_ = 0, next_list_ = 0, next_summary_ = 0;
   bool round_wanted_ = false;
   double up_cpus_ = 0;         // at the last round
--- a/include/loftrouter/wire/messages.hpp
+++ b/include/loftrouter/wire/messages.hpp
@@ -25,6 +25,13 @@
 std::string encode_orders(std::uint64_t token, const std::vector<TaskOrder> &orders);
 std::string encode_call(std::uint64_t token, std::uint64_t session, const std::vector<TaskOrder> &orders); // to /orders
 std::string encode_redirect(std::string_view node); // empty: no node named
+// The worker's side of the two, for load tools and tests.
+std::string encode_report(const WorkerReport &report);
+struct WorkerOrders {
+  std::uint64_t token = 0;
+  std::vector<TaskOrder> orders;
+};
+std::optional<WorkerOrders> decode_orders(std::string_view body);
 
 // State service: records.
 Json to_json(const JobSpec &spec);
--- a/src/core/fleet.cpp
+++ b/src/core/fleet.cpp
@@ -310,7 +310,7 @@
 
 void Core::stop_slot(int m, Slot &slot, double grace) {
   if (slot.finished) return;
-  if (!slot.stop) machine(m).stops_news = true;
+  if (!slot.stop && !std::exchange(machine(m).stops_news, true)) stops_news_.push_back(m);
   if (!slot.stop || grace < slot.grace_s) slot.grace_s = grace;
   slot.stop = true;
 }
@@ -318,8 +318,9 @@
 // The worker learns at once what the answer to its next report would tell it. When its tasks have stopped it reports
 // by itself, and the answer to that can start their successors: a report interval is won.
 void Core::send_stops() {
-  for (auto &p : machines_) {
-    if (!p || !p->stops_news) continue;
+  for (int m : std::exchange(stops_news_, {})) {
+    const auto &p = machines_[static_cast<std::size_t>(m)];
+    if (!p || !p->stops_news) continue; // gone, or told with an answer since
     p->stops_news = false;
     if (!active() || p->lost || p->address.empty()) continue;
     WorkerCall call{p->address, term_, p->session, p->name, {}};
--- a/src/core/placement.cpp
+++ b/src/core/placement.cpp
@@ -49,10 +49,37 @@
   bool whole = false;
 };
 
+// The machines of a round, and which of them may still have room for anything. Where the fleet is full, which it
+// is whenever much waits, a job is then tried on a few machines and not on thousands.
+struct Field {
+  std::vector<PlaceMachine> &machines;
+  Resources least;        // no job of this round needs less of any resource
+  std::vector<int> open;  // indices, ascending; never lacks a machine that has room for `least`
+  std::vector<int> zones; // of all machines, each once
+
+  Field(std::vector<PlaceMachine> &all, const std::vector<const PlaceJob *> &jobs) : machines(all) {
+    constexpr double inf = std::numeric_limits<double>::infinity();
+    least = {inf, inf, inf};
+    for (const auto *j : jobs)
+      if (j->limit > 0)
+        least = {std::min(least.cpus, j->need.cpus), std::min(least.gpus, j->need.gpus),
+                 std::min(least.memory, j->need.memory)};
+    for (int i = 0; i < static_cast<int>(machines.size()); ++i) {
+      const auto &m = machines[static_cast<std::size_t>(i)];
+      if (least.fits(m.free)) open.push_back(i);
+      if (std::find(zones.begin(), zones.end(), m.zone) == zones.end()) zones.push_back(m.zone);
+    }
+  }
+  // Machines only fill up while a round goes on.
+  void close_full() {
+    std::erase_if(open, [this](int i) { return !least.fits(machines[static_cast<std::size_t>(i)].free); });
+  }
+};
+
 // Placing a task changes the score of its machine alone, so a heap of scores gives each task the best
 // machine without trying them all again; of equal scores the lower index wins.
-Plan greedy(const PlaceJob &job, std::vector<PlaceMachine> &machines, std::uint32_t want, int only_zone,
-            const PlaceOptions &o) {
+Plan greedy(const PlaceJob &job, Field &field, std::uint32_t want, int only_zone, const PlaceOptions &o) {
+  auto &machines = field.machines;
   Plan plan;
   std::vector<int> zone_used;
   if (job.zone_cap >= 0) zone_used = job.zone_used;
@@ -61,7 +88,7 @@
     return zone_used[static_cast<std::size_t>(z)];
   };
   std::vector<std::pair<double, int>> heap; // score, -index
-  for (int i = 0; i < static_cast<int>(machines.size()); ++i) {
+  for (int i : field.open) {
     const auto &m = machines[static_cast<std::size_t>(i)];
     if (has_room(job, m) && (only_zone < 0 || m.zone == only_zone) && allowed(job, m))
       heap.emplace_back(place_score(job, m, o), -i);
@@ -88,7 +115,7 @@
   return plan;
 }
 
-Plan plan_job(const PlaceJob &job, std::vector<PlaceMachine> &machines, const Resources &room, const PlaceOptions &o) {
+Plan plan_job(const PlaceJob &job, Field &field, const Resources &room, const PlaceOptions &o) {
   std::uint32_t want = std::min(job.ready, job.limit);
   auto cap = [&](double left, double need) {
     if (left < 0 || need <= 0) return;
@@ -102,20 +129,14 @@
     int fixed = -1;
     for (std::size_t z = 0; z < job.zone_used.size(); ++z)
       if (job.zone_used[z] > 0) fixed = static_cast<int>(z);
-    std::vector<int> zones;
-    if (fixed >= 0)
-      zones.push_back(fixed);
-    else
-      for (const auto &m : machines)
-        if (std::find(zones.begin(), zones.end(), m.zone) == zones.end()) zones.push_back(m.zone);
-    for (int z : zones) {
-      Plan p = greedy(job, machines, want, z, o);
+    for (int z : fixed >= 0 ? std::vector<int>{fixed} : field.zones) {
+      Plan p = greedy(job, field, want, z, o);
       if (p.machines.size() > best.machines.size() ||
           (p.machines.size() == best.machines.size() && p.score > best.score))
         best = std::move(p);
     }
   } else {
-    best = greedy(job, machines, want, -1, o);
+    best = greedy(job, field, want, -1, o);
   }
   if (job.gang && best.machines.size() < job.ready) return {};
   return best;
@@ -155,6 +176,7 @@
     return (waits_long(j) ? 100 : 0) + static_cast<int>(j.urgency) * 2 + (j.guaranteed ? 1 : 0);
   };
   const auto none = Resources{-1, -1, -1};
+  Field field(machines, jobs);
   // What a plan was made of. Machines only fill up while a round goes on, so a plan stays the best one as
   // long as its own machines are untouched, and what it was worth bounds what a new one can be worth.
   struct Draft {
@@ -171,7 +193,7 @@
   auto draw_up = [&](Draft &d) {
     const auto &job = *jobs[d.job];
     auto team = static_cast<std::size_t>(job.team);
-    d.plan = plan_job(job, machines, team < team_room.size() ? team_room[team] : none, o);
+    d.plan = plan_job(job, field, team < team_room.size() ? team_room[team] : none, o);
     d.made = d.checked = commits;
     d.outdated = false;
     if (d.plan.machines.empty()) return;
@@ -244,6 +266,7 @@
           if (room.gpus >= 0) room.gpus = std::max(0.0, room.gpus - job.need.gpus);
         }
       }
+      field.close_full();
       const bool whole = d.plan.whole;
       drafts.erase(drafts.begin() + static_cast<long>(best));
       if (!whole && waits_long(job)) {
--- a/src/core/term.cpp
+++ b/src/core/term.cpp
@@ -131,6 +131,7 @@
   moves_.clear();
   machines_.clear();
   machine_index_.clear();
+  stops_news_.clear();
   listing_ = returning_ = false;
   listed_once_at_ = -1;
   rents_open_.clear();
--- a/src/wire/messages.cpp
+++ b/src/wire/messages.cpp
@@ -1,6 +1,7 @@
 #include "loftrouter/wire/messages.hpp"
 
 #include <algorithm>
+#include <array>
 #include <charconv>
 #include <cmath>
 
@@ -74,9 +75,9 @@
   return fmt::format("{}/{}", job, index);
 }
 
-bool split_task(const std::string &name, std::string &job, std::uint32_t &index) {
+bool split_task(std::string_view name, std::string &job, std::uint32_t &index) {
   auto slash = name.rfind('/');
-  if (slash == std::string::npos) return false;
+  if (slash == std::string_view::npos) return false;
   job = name.substr(0, slash);
   auto [end, err] = std::from_chars(name.data() + slash + 1, name.data() + name.size(), index);
   return err == std::errc() && end == name.data() + name.size() && valid_job_id(job);
@@ -259,48 +260,179 @@
   return encode({{"error", text}});
 }
 
-std::optional<WorkerReport> decode_report(std::string_view body) {
-  auto j = decode(body);
-  if (!j || !j->is_object()) return std::nullopt;
-  WorkerReport r;
-  auto machine = text(at(*j, f::machine)), address = text(at(*j, f::address));
-  auto type = text(at(*j, f::type)), zone = text(at(*j, f::zone));
-  auto session = count(at(*j, f::session)), seq = count(at(*j, f::seq));
-  auto token = count(at(*j, f::token));
-  const Json &spot = at(*j, f::spot);
-  if (!machine || !address || !type || !zone || !session || !seq || !token || !spot.is_boolean()) return std::nullopt;
-  r.machine = *machine;
-  r.address = *address;
-  r.type = *type;
-  r.zone = *zone;
-  r.session = *session;
-  r.seq = *seq;
-  r.token = *token;
-  r.spot = spot.get<bool>();
-  if (const Json &n = at(*j, f::notice); !n.is_null()) {
-    if (!n.is_number()) return std::nullopt;
-    r.notice_s = std::max(0.0, n.get<double>());
-  }
-  const Json &tasks = at(*j, f::tasks);
-  if (tasks.is_null()) return r;
-  if (!tasks.is_array()) return std::nullopt;
-  for (const auto &t : tasks) {
-    TaskReport tr;
-    auto name = text(at(t, f::task));
-    auto attempt = count(at(t, f::attempt));
-    auto phase = find_name(kPhases, at(t, f::state));
-    if (!name || !attempt || !phase || !split_task(*name, tr.job, tr.index)) return std::nullopt;
-    tr.attempt = *attempt;
-    tr.phase = static_cast<TaskPhase>(*phase);
-    if (auto cause = find_name(kCauses, at(t, f::cause)))
-      tr.cause = static_cast<ExitCause>(*cause);
-    else if (tr.phase == TaskPhase::Exited)
-      tr.cause = ExitCause::Error;
-    const Json &saved = at(t, f::saved);
-    tr.saved = saved.is_boolean() && saved.get<bool>();
-    r.tasks.push_back(std::move(tr));
+namespace {
+
+// Reports are the bulk of what a leader reads, so they go straight into the struct, without a tree in between.
+// What is refused is what `decode` refuses, and what a tree would show to be missing or of the wrong kind.
+class ReportReader final : public nlohmann::json_sax<Json> {
+public:
+  std::optional<WorkerReport> take() {
+    constexpr unsigned need = 1U << Machine | 1U << Address | 1U << Type | 1U << Zone | 1U << Session | 1U << Seq |
+                              1U << Token | 1U << Spot;
+    if (!whole_ || (good_ & need) != need) return std::nullopt;
+    return std::move(report_);
   }
-  return r;
+
+  bool null() override { return depth_ > 0 && !in_list(); } // as if it were not there
+  bool boolean(bool v) override {
+    if (depth_ == 1 && key_ == Spot) {
+      report_.spot = v;
+      good_ |= 1U << Spot;
+    } else if (in_task() && key_ == Saved) {
+      report_.tasks.back().saved = v;
+    }
+    return value();
+  }
+  bool number_integer(number_integer_t v) override {
+    return v >= 0 ? number_unsigned(static_cast<number_unsigned_t>(v)) : number(static_cast<double>(v));
+  }
+  bool number_unsigned(number_unsigned_t v) override {
+    if (depth_ == 1) {
+      auto *to = key_ == Session ? &report_.session
+                 : key_ == Seq   ? &report_.seq
+                 : key_ == Token ? &report_.token
+                                 : nullptr;
+      if (to) {
+        *to = v;
+        good_ |= 1U << key_;
+      }
+    } else if (in_task() && key_ == Attempt) {
+      report_.tasks.back().attempt = v;
+      good_task_ |= 1U << Attempt;
+    }
+    return number(static_cast<double>(v));
+  }
+  bool number_float(number_float_t v, const string_t &) override { return std::isfinite(v) && number(v); }
+  bool string(string_t &v) override {
+    if (!valid_utf8(v)) return false;
+    if (depth_ == 1 && key_ <= Zone && !v.empty() && v.size() <= 200) {
+      good_ |= 1U << key_;
+      (key_ == Machine   ? report_.machine
+       : key_ == Address ? report_.address
+       : key_ == Type    ? report_.type
+                         : report_.zone) = std::move(v);
+    } else if (in_task()) {
+      take_task_text(v);
+    }
+    return value();
+  }
+  bool binary(binary_t &) override { return false; }
+  bool key(string_t &v) override {
+    if (!valid_utf8(v)) return false;
+    key_ = depth_ == 1 ? find(v, kTop) : in_task() ? find(v, kTask) : None;
+    auto &seen = keys_[depth_];
+    if (key_ != None) {
+      if (known_[depth_] >> key_ & 1) return false;
+      known_[depth_] |= 1U << key_;
+      return true;
+    }
+    if (std::find(seen.begin(), seen.end(), v) != seen.end()) return false;
+    seen.push_back(std::move(v));
+    return true;
+  }
+  bool start_object(std::size_t) override {
+    if ((depth_ > 0 && !in_list() && !value()) || !open()) return false;
+    if (depth_ == 3 && tasks_) {
+      report_.tasks.emplace_back();
+      good_task_ = 0;
+      cause_ = false;
+    }
+    map_[depth_] = true;
+    return true;
+  }
+  bool start_array(std::size_t) override {
+    if (depth_ == 0) return false;
+    const bool tasks = depth_ == 1 && key_ == Tasks;
+    if ((!tasks && !value()) || !open()) return false;
+    tasks_ |= tasks;
+    map_[depth_] = false;
+    return true;
+  }
+  bool end_object() override {
+    if (in_task()) {
+      constexpr unsigned need = 1U << Name | 1U << Attempt | 1U << Phase;
+      auto &t = report_.tasks.back();
+      if ((good_task_ & need) != need) return false;
+      if (!cause_ && t.phase == TaskPhase::Exited) t.cause = ExitCause::Error;
+    }
+    whole_ = --depth_ == 0;
+    return true;
+  }
+  bool end_array() override {
+    if (--depth_ == 1) tasks_ = false;
+    return true;
+  }
+  bool parse_error(std::size_t, const std::string &, const nlohmann::detail::exception &) override { return false; }
+
+private:
+  enum Field : unsigned { Machine, Address, Type, Zone, Session, Seq, Token, Spot, Notice, Tasks,
+                          Name = 0, Attempt, Phase, Cause, Saved, None = 31 };
+  static constexpr std::pair<const char *, Field> kTop[] = {
+      {f::machine, Machine}, {f::address, Address}, {f::type, Type}, {f::zone, Zone},     {f::session, Session},
+      {f::seq, Seq},         {f::token, Token},     {f::spot, Spot}, {f::notice, Notice}, {f::tasks, Tasks}};
+  static constexpr std::pair<const char *, Field> kTask[] = {
+      {f::task, Name}, {f::attempt, Attempt}, {f::state, Phase}, {f::cause, Cause}, {f::saved, Saved}};
+  static constexpr std::size_t kDepth = DecodeLimits{}.depth;
+
+  template <std::size_t N> static Field find(const std::string &v, const std::pair<const char *, Field> (&names)[N]) {
+    for (auto [name, field] : names)
+      if (v == name) return field;
+    return None;
+  }
+  template <std::size_t N> static std::optional<int> index_of(const std::string &v, const char *const (&names)[N]) {
+    for (std::size_t i = 0; i < N; ++i)
+      if (v == names[i]) return static_cast<int>(i);
+    return std::nullopt;
+  }
+  bool in_task() const { return depth_ == 3 && tasks_ && map_[3]; }
+  bool in_list() const { return depth_ == 2 && tasks_; }
+  // A task has to be a map, the list of tasks a list, and a notice a number.
+  bool value() const { return depth_ > 0 && !in_list() && !(depth_ == 1 && (key_ == Tasks || key_ == Notice)); }
+  bool number(double v) {
+    if (depth_ != 1 || key_ != Notice) return value();
+    report_.notice_s = std::max(0.0, v);
+    return true;
+  }
+  bool open() {
+    if (depth_ >= kDepth) return false;
+    ++depth_;
+    keys_[depth_].clear();
+    known_[depth_] = 0;
+    return true;
+  }
+  void take_task_text(const std::string &v) {
+    auto &t = report_.tasks.back();
+    if (key_ == Name) {
+      if (v.size() <= 200 && split_task(v, t.job, t.index)) good_task_ |= 1U << Name;
+    } else if (key_ == Phase) {
+      if (auto phase = index_of(v, kPhases)) {
+        t.phase = static_cast<TaskPhase>(*phase);
+        good_task_ |= 1U << Phase;
+      }
+    } else if (key_ == Cause) {
+      if (auto cause = index_of(v, kCauses)) {
+        t.cause = static_cast<ExitCause>(*cause);
+        cause_ = true;
+      }
+    }
+  }
+
+  WorkerReport report_;
+  std::size_t depth_ = 0;
+  Field key_ = None;
+  unsigned good_ = 0, good_task_ = 0;
+  bool tasks_ = false, cause_ = false, whole_ = false;
+  std::array<bool, kDepth + 1> map_{};
+  std::array<unsigned, kDepth + 1> known_{};             // fields that a map on this level has shown
+  std::array<std::vector<std::string>, kDepth + 1> keys_; // and names that are not known
+};
+
+} // namespace
+
+std::optional<WorkerReport> decode_report(std::string_view body) {
+  ReportReader reader;
+  if (!Json::sax_parse(body.begin(), body.end(), &reader, Json::input_format_t::cbor, true)) return std::nullopt;
+  return reader.take();
 }
 
 static Json orders_json(const std::vector<TaskOrder> &orders) {
@@ -327,6 +459,44 @@
   return encode({{f::redirect, node}});
 }
 
+std::string encode_report(const WorkerReport &r) {
+  Json tasks = Json::array();
+  for (const auto &t : r.tasks) {
+    Json e = {{f::task, task_name(t.job, t.index)},
+              {f::attempt, t.attempt},
+              {f::state, kPhases[static_cast<int>(t.phase)]}};
+    if (t.cause != ExitCause::None) e[f::cause] = kCauses[static_cast<int>(t.cause)];
+    if (t.saved) e[f::saved] = true;
+    tasks.push_back(std::move(e));
+  }
+  Json j = {{f::machine, r.machine}, {f::address, r.address}, {f::type, r.type},   {f::zone, r.zone},
+            {f::spot, r.spot},       {f::session, r.session}, {f::seq, r.seq},     {f::token, r.token},
+            {f::tasks, std::move(tasks)}};
+  if (r.notice_s) j[f::notice] = *r.notice_s;
+  return encode(j);
+}
+
+std::optional<WorkerOrders> decode_orders(std::string_view body) {
+  auto j = decode(body);
+  if (!j) return std::nullopt;
+  auto token = count(at(*j, f::token));
+  const Json &list = at(*j, f::orders);
+  if (!token || !list.is_array()) return std::nullopt;
+  WorkerOrders out{*token, {}};
+  for (const auto &e : list) {
+    TaskOrder o;
+    auto verb = find_name(kVerbs, at(e, f::verb));
+    auto name = text(at(e, f::task));
+    auto attempt = count(at(e, f::attempt));
+    if (!verb || !name || !attempt || !split_task(*name, o.job, o.index)) return std::nullopt;
+    o.verb = static_cast<TaskOrder::Verb>(*verb);
+    o.attempt = *attempt;
+    o.grace_s = amount(at(e, f::grace)).value_or(0);
+    out.orders.push_back(std::move(o));
+  }
+  return out;
+}
+
 Json to_json(const OpenRecord &r) {
   Json j = {{"spec", to_json(r.spec)}, {"at", r.submit_wall}};
   if (r.cancelled) j["cancelled"] = true;
--- a/tests/wire_test.cpp
+++ b/tests/wire_test.cpp
@@ -193,3 +193,114 @@
     read_peer(s, r);
   }
 }
+
+namespace {
+
+// What a report says, read slowly from a whole tree: the model that the streaming reader has to agree with.
+std::optional<WorkerReport> slow_report(std::string_view bytes) {
+  const auto tree = decode(bytes);
+  if (!tree || !tree->is_object()) return std::nullopt;
+  const Json &j = *tree;
+  WorkerReport r;
+  auto fail = false;
+  auto text = [&](const char *name) {
+    std::string v = j.contains(name) && j[name].is_string() ? j[name].get<std::string>() : "";
+    fail |= v.empty() || v.size() > 200;
+    return v;
+  };
+  auto number = [&](const Json &at, const char *name) -> std::uint64_t {
+    const bool good = at.is_object() && at.contains(name) && at[name].is_number_integer() &&
+                      (at[name].is_number_unsigned() || at[name].get<std::int64_t>() >= 0);
+    fail |= !good;
+    return good ? at[name].get<std::uint64_t>() : 0;
+  };
+  r.machine = text("box");
+  r.address = text("address");
+  r.type = text("hull");
+  r.zone = text("yard");
+  r.session = number(j, "shift");
+  r.seq = number(j, "tick");
+  r.token = number(j, "baton");
+  if (!j.contains("standby") || !j["standby"].is_boolean()) return std::nullopt;
+  r.spot = j["standby"].get<bool>();
+  if (const Json n = j.value("warning_s", Json()); n.is_number())
+    r.notice_s = std::max(0.0, n.get<double>());
+  else
+    fail |= !n.is_null();
+  const Json list = j.value("pieces", Json());
+  fail |= !list.is_null() && !list.is_array();
+  if (fail) return std::nullopt;
+  const std::vector<std::string> phases{"pulling", "gathering", "running", "saving", "exited"};
+  const std::vector<std::string> causes{"",     "done",  "stopped", "mates_gone", "alone",
+                                        "error", "full", "busy",    "no_such"};
+  auto place = [](const std::vector<std::string> &names, const Json &v) {
+    return v.is_string() ? std::find(names.begin(), names.end(), v.get<std::string>()) - names.begin()
+                         : static_cast<long>(names.size());
+  };
+  for (const Json &e : list) {
+    TaskReport t;
+    t.attempt = number(e, "try");
+    if (fail || !e.contains("piece") || !e["piece"].is_string() || e["piece"].get<std::string>().size() > 200)
+      return std::nullopt;
+    const auto name = e["piece"].get<std::string>();
+    const auto slash = name.rfind('/');
+    if (slash == std::string::npos || !valid_job_id(t.job = name.substr(0, slash))) return std::nullopt;
+    const auto digits = name.substr(slash + 1);
+    if (digits.empty() || digits.size() > 12 || digits.find_first_not_of("0123456789") != std::string::npos ||
+        std::stoull(digits) > 0xffffffffULL)
+      return std::nullopt;
+    t.index = static_cast<std::uint32_t>(std::stoull(digits));
+    const auto phase = place(phases, e.value("status", Json())), cause = place(causes, e.value("cause", Json()));
+    if (phase == static_cast<long>(phases.size())) return std::nullopt;
+    t.phase = static_cast<TaskPhase>(phase);
+    if (cause < static_cast<long>(causes.size()))
+      t.cause = static_cast<ExitCause>(cause);
+    else if (t.phase == TaskPhase::Exited)
+      t.cause = ExitCause::Error;
+    t.saved = e.value("stored", Json()) == Json(true);
+    r.tasks.push_back(t);
+  }
+  return r;
+}
+
+} // namespace
+
+TEST(Wire, ReportsAreReadAsTheSlowModelReadsThem) {
+  std::mt19937_64 rng(11);
+  auto pick = [&](std::size_t n) { return std::uniform_int_distribution<std::size_t>(0, n - 1)(rng); };
+  const std::vector<Json> odd{nullptr, true, -3, 7, 0.5, "", "exited", "j-1/2", Json::array(), Json::object(),
+                              {{"piece", "j-1/2"}}, Json::array({Json::array()}), std::string(300, 'x')};
+  const std::vector<std::string> names{"box",  "address", "hull",  "yard",   "standby", "shift",  "tick", "baton",
+                                       "warning_s", "pieces", "piece", "try", "status", "cause", "stored", "more"};
+  int good = 0, bad = 0;
+  for (int n = 0; n < 6000; ++n) {
+    WorkerReport r;
+    r.machine = "n-000231";
+    r.address = "10.1.0.232:9000";
+    r.type = "g8";
+    r.zone = "a";
+    r.spot = pick(2);
+    r.session = 1 + pick(3);
+    r.seq = rng();
+    r.token = pick(100);
+    if (pick(3) == 0) r.notice_s = static_cast<double>(pick(100)) / 4;
+    for (std::size_t k = pick(5); k-- > 0;)
+      r.tasks.push_back({"j-" + std::to_string(pick(1000)), static_cast<std::uint32_t>(pick(100)), rng(),
+                         static_cast<TaskPhase>(pick(5)), static_cast<ExitCause>(pick(9)), pick(2) == 1});
+    auto j = Json::from_cbor(encode_report(r));
+    for (std::size_t k = pick(3); k-- > 0;) {
+      Json &at = !j["pieces"].is_array() || j["pieces"].empty() || pick(2) ? j : j["pieces"][pick(j["pieces"].size())];
+      if (at.is_object()) at[names[pick(names.size())]] = odd[pick(odd.size())];
+    }
+    auto bytes = encode(j);
+    if (pick(3) == 0) bytes[pick(bytes.size())] = static_cast<char>(rng());
+    if (pick(20) == 0) bytes.resize(pick(bytes.size()));
+    const auto slow = slow_report(bytes), fast = decode_report(bytes);
+    ASSERT_EQ(slow.has_value(), fast.has_value()) << testing::PrintToString(bytes);
+    ++(slow ? good : bad);
+    if (!slow) continue;
+    ASSERT_EQ(encode_report(*slow), encode_report(*fast)) << j;
+  }
+  EXPECT_GT(good, 1000);
+  EXPECT_GT(bad, 1000);
+}
