A question that waited is not answered with something older than its node knows

Cause: while one question found out from the record that a job was cancelled, the next one to the same node waited for a comparison of revisions, which then confirmed the cancelled record and was told as queued (went_back). Change: what a node has learnt since is looked up when the answer is given, and cancelled jobs need no comparison.

--- a/src/core/users.cpp
+++ b/src/core/users.cpp
@@ -103,6 +103,9 @@
 }
 
 void Core::tell_open(RequestId req, const std::string &id, bool cancelled, bool as_submit) {
+  // What this node has learnt while the question was under way is newer than what was found.
+  if (auto it = ends_.find(id); it != ends_.end()) return answer_end(req, id, it->second, as_submit);
+  if (auto it = known_open_.find(id); it != known_open_.end()) cancelled |= it->second.cancelled;
   auto view = view_of(id, cancelled);
   reply(req, 200, as_submit ? wire::encode_accepted(id, view.state) : wire::encode_job_view(view));
 }
@@ -143,13 +146,13 @@
   while (!questions_.empty() && asked.size() < most) {
     auto q = std::move(questions_.front());
     questions_.pop_front();
-    if (auto it = known_open_.find(q.id); it != known_open_.end()) {
+    if (auto it = known_open_.find(q.id); it != known_open_.end() && !it->second.cancelled) {
       const std::string key = "open/" + q.id;
       if (std::none_of(compare.guards.begin(), compare.guards.end(), [&](const auto &g) { return g.key == key; }))
         compare.guards.push_back({key, it->second.stamp});
       asked.push_back(std::move(q));
     } else {
-      answer_state(q.req, q.id, q.as_submit); // ended or pushed out meanwhile
+      answer_state(q.req, q.id, q.as_submit); // ended, cancelled or pushed out meanwhile
     }
   }
   if (asked.empty()) {
--- a/tests/world_test.cpp
+++ b/tests/world_test.cpp
@@ -378,6 +378,30 @@
 }
 
 // An operator's order: the machine takes no new tasks, and goes back once it is empty.
+// A question that waits while another one finds out that the job was cancelled must not be answered from the
+// comparison that then confirms the cancelled record (went_back).
+TEST(World, QuestionsThatWaitedAreNotAnsweredWithSomethingOlder) {
+  World w(77, {});
+  std::string id;
+  w.at(3, [&] { id = w.submit(w.job(Shape::Array, 4, 1, 60)); });
+  w.run(20);
+  ASSERT_GT(w.starts, 0);
+  w.at(20, [&] { w.look_up(0, id); });   // the node knows it as open
+  w.at(21, [&] { w.cut_boxes(1, 5); }); // so that the job stays open for a while
+  w.at(21, [&] { w.cancel(id, 1); });
+  w.run(22);
+  ASSERT_EQ(w.cancelled_jobs, 1);
+  std::vector<std::shared_ptr<World::Answer>> answers;
+  for (int i = 0; i < 40; ++i)
+    w.at(22 + 0.001 * i, [&] { answers.push_back(w.look_up(0, id)); });
+  w.run(24);
+  ASSERT_EQ(answers.size(), 40u);
+  for (const auto &a : answers) {
+    EXPECT_EQ(a->status, 200);
+    EXPECT_EQ(a->body["status"], "aborted");
+  }
+}
+
 TEST(World, DrainedMachinesEmptyAndGoBack) {
   World w(8, {});
   w.at(2, [&] { w.submit(w.job(Shape::Array, 4, 1, 30)); });
