--- a/bench/load.cpp
+++ b/bench/load.cpp
@@ -44,7 +44,9 @@
     step();
 }
 
-core::Effects Load::apply(std::vector<core::Command> batch) { return core_.apply(std::move(batch), now()); }
+core::Effects Load::apply(std::vector<core::Command> batch) {
+  return core_.apply(std::move(batch), now());
+}
 
 void Load::arrive() {
   JobSpec s;
@@ -98,8 +100,8 @@
   ++b.report.seq;
   b.report.tasks.clear();
   for (const auto &r : b.runs)
-    b.report.tasks.push_back({r.job, r.index, r.attempt, r.phase,
-                              r.phase == TaskPhase::Exited ? ExitCause::Done : ExitCause::None, false});
+    b.report.tasks.push_back(
+        {r.job, r.index, r.attempt, r.phase, r.phase == TaskPhase::Exited ? ExitCause::Done : ExitCause::None, false});
   return b.report;
 }
 
@@ -195,7 +197,8 @@
   batch.push_back(core::CmdSubmit{next_req_++, std::get<JobSpec>(wire::decode_job(wire::encode(wire::to_json(s))))});
   auto effects = apply(std::move(batch));
   for (auto &op : effects.store)
-    if (auto *commit = std::get_if<core::StoreCommit>(&op.what)) return wire::encode_commit(commit->guards, commit->writes);
+    if (auto *commit = std::get_if<core::StoreCommit>(&op.what))
+      return wire::encode_commit(commit->guards, commit->writes);
   return {};
 }
 
--- a/bench/load.hpp
+++ b/bench/load.hpp
@@ -16,10 +16,10 @@
   // Leading, with `machines` that have each reported and been filled with tasks.
   explicit Load(int machines);
 
-  void step();                            // 0.1 s of simulated time: a tick, and the reports that are due in it
-  std::string report_bytes(int m) const;  // of machine m now, nothing having changed since its last
+  void step();                                   // 0.1 s of simulated time: a tick, and the reports that are due in it
+  std::string report_bytes(int m) const;         // of machine m now, nothing having changed since its last
   std::string answer(const std::string &report); // through wire, core and back
-  std::string submit();                   // an accept as a user sees it, until its commit has left
+  std::string submit();                          // an accept as a user sees it, until its commit has left
   core::Core &core() { return core_; }
   core::Effects apply(std::vector<core::Command> batch);
   core::Now now() const { return {t_, 1.7e9 + t_}; }
@@ -50,8 +50,8 @@
   std::uint64_t revision_ = 10;
   int next_job_ = 1;
   std::map<std::string, std::uint64_t> stamps_;
-  std::vector<core::Command> answers_;          // of the state service and the cloud
-  std::deque<wire::Event> news_;                // open records not yet told to the watch
+  std::vector<core::Command> answers_; // of the state service and the cloud
+  std::deque<wire::Event> news_;       // open records not yet told to the watch
   core::OpId watch_ = 0;
   std::map<core::RequestId, std::string> replies_;
   core::RequestId next_req_ = 1;
--- a/include/loftrouter/core/core.hpp
+++ b/include/loftrouter/core/core.hpp
@@ -16,6 +16,7 @@
 #include <vector>
 
 #include "loftrouter/core/placement.hpp"
+#include "loftrouter/core/relay.hpp"
 #include "loftrouter/core/settings.hpp"
 #include "loftrouter/core/types.hpp"
 #include "loftrouter/core/util.hpp"
@@ -28,7 +29,6 @@
 struct Now {
   double mono = 0, wall = 0;
 };
-using RequestId = std::uint64_t;
 using OpId = std::uint64_t;
 
 // ---- commands ----
@@ -233,6 +233,8 @@
 };
 struct Machine {
   std::string name, address;
+  int via = -1;            // the sibling that its last report came through, or -1
+  double sent_away = -1e9; // to a sibling
   bool stops_news = false; // tasks were told to stop that the worker does not know of yet
   int type = -1, zone = -1;
   bool spot = false;
@@ -382,8 +384,25 @@
   void record_ahead(Job &job);
   void plan_ahead();
 
-  // fleet.cpp
+  // fleet.cpp, relaying.cpp
+  // Where the answer to a report goes: to the worker, or to the sibling that passed it on.
+  struct Asker {
+    RequestId req = 0;
+    std::uint64_t link = 0, nonce = 0;
+    int sibling = -1;
+    bool direct() const { return sibling < 0; }
+  };
   void on(CmdReport &&);
+  void hear(const Asker &from, const WorkerReport &report);
+  void tell_worker(const Asker &from, int status, const std::vector<TaskOrder> &orders = {}, std::string_view why = "");
+  void pass_on(CmdReport &&cmd);
+  void send_elsewhere(RequestId req);
+  void take_orders(const wire::PeerMessage &m);
+  void give_up_relayed();
+  int relay_to() const;
+  std::size_t kept_by(int sibling) const; // workers; -1: by this node itself
+  int keeper_for(const WorkerReport &r, const Machine *known);
+  std::string_view leader_by_word() const;
   int machine_index(const std::string &name, const std::string &type, const std::string &zone, bool spot);
   Machine &machine(int m) { return *machines_[static_cast<std::size_t>(m)]; }
   void take_report(int m, const WorkerReport &r, std::vector<TaskOrder> &orders);
@@ -491,11 +510,17 @@
   struct SiblingState {
     std::uint64_t nonce = 0;
     double sent_at = -1e9, stated_at = -1e9, uptime_s = 0;
-    bool cut_off = false, hears_workers = false;
+    bool cut_off = false, hears_workers = false, leads = false, spreads = false, passes = false;
+    std::uint64_t term = 0;       // that it knows of, or leads
     double reads = 0, writes = 0; // that it makes a second
   };
   double last_report_at_ = -1e9, leading_since_ = 0, deaf_from_ = -1e9, deaf_tick_at_ = -1e9;
   std::vector<SiblingState> siblings_;
+  std::uint8_t self_ = 0;    // index of this node in the list below
+  std::vector<int> by_name_; // sibling, or -1 for this node, by index in the sorted names of all
+  ReportRelay relay_;
+  WorkerSpread spread_;
+  bool spread_known_ = false; // what the last known leader did
   std::uint64_t ping_nonce_ = 0;
   double next_ping_ = 0;
   std::deque<std::pair<std::string, double>> confirmed_cancels_;
--- a/include/loftrouter/net/loop.hpp
+++ b/include/loftrouter/net/loop.hpp
@@ -27,9 +27,27 @@
   }
   void run();
   void stop();
+  // The steady clock as it was when this turn began.
+  double now();
 
 private:
   struct ev_loop *loop_;
+  double now_ = 0;
+  unsigned turn_ = 0;
+};
+
+// Runs once a turn, when all that had arrived has been handled and before the loop waits again.
+class BeforeWait {
+public:
+  BeforeWait(Loop &loop, std::function<void()> fn);
+  ~BeforeWait();
+  BeforeWait(const BeforeWait &) = delete;
+  BeforeWait &operator=(const BeforeWait &) = delete;
+
+private:
+  Loop &loop_;
+  std::function<void()> fn_;
+  ev_prepare prepare_;
 };
 
 class Timer {
--- a/include/loftrouter/net/peers.hpp
+++ b/include/loftrouter/net/peers.hpp
@@ -22,6 +22,7 @@
   ~PeerLinks();
   void send_to_sibling(int sibling, std::string_view bytes); // dials if need be; drops what cannot be sent
   void send_on(LinkId link, std::string_view bytes);
+  void send_all(); // what the two above have taken: frames of one batch leave together
 
 private:
   struct Link;
@@ -42,6 +43,7 @@
   LinkId next_ = 1;
   std::unordered_map<LinkId, std::unique_ptr<Link>> links_;
   std::vector<std::unique_ptr<Link>> graveyard_;
+  std::vector<LinkId> unsent_;
 };
 
 } // namespace loft::net
--- a/include/loftrouter/wire/admin.hpp
+++ b/include/loftrouter/wire/admin.hpp
@@ -33,6 +33,7 @@
   std::string machine;                                               // machine order
   std::optional<MachineOrder> order;                                 // nothing: release
   double round_p50 = 0, round_p99 = 0, queue_p50 = 0, queue_p99 = 0; // ms, measured by the program around the core
+  double cpu_s = 0; // the same: processor time that this process has used
 };
 struct AdminError {
   int status;
@@ -55,7 +56,8 @@
   struct Sibling {
     std::string node;
     double heard_s; // negative: never
-    bool cut_off, hears_workers;
+    bool cut_off, hears_workers, passes_reports;
+    std::size_t keeps = 0; // workers whose reports it passes on here
   };
   std::vector<Sibling> siblings;
   struct Kind {
@@ -65,6 +67,13 @@
     double cpus = 0, used = 0;
     bool refused = false; // by the cloud, lately
   };
+  // Reports that come straight from workers, and those passed on to this node (leader) or by it (others).
+  struct Load {
+    double reports = 0, reports_most = 0, passed = 0; // a second
+    std::size_t workers = 0, workers_most = 0;        // that report straight to this node
+    bool spreads = false;                             // siblings keep workers
+    double cpu_s = 0, up_s = 0, cpu_share = 1;        // used since it started; of a core, allowed
+  } load;
   std::vector<Kind> fleet;
   struct Queue {
     std::string team;
--- a/include/loftrouter/wire/peer.hpp
+++ b/include/loftrouter/wire/peer.hpp
@@ -8,15 +8,22 @@
 #include <string_view>
 #include <vector>
 
+#include "loftrouter/core/types.hpp"
+
 namespace loft::wire {
 
 struct PeerMessage {
-  // Digest: the leader tells how its jobs are getting on; not answered.
-  enum class Kind : std::uint16_t { Ping = 1, Pong = 2, Digest = 3 } kind = Kind::Ping;
-  std::uint64_t nonce = 0;             // a pong repeats its ping's
+  // Digest: the leader tells how its jobs are getting on; not answered. Report: one that a worker has sent to a node
+  // that does not lead; Orders: the leader's answer to it, for that worker.
+  enum class Kind : std::uint16_t { Ping = 1, Pong = 2, Digest = 3, Report = 4, Orders = 5 } kind = Kind::Ping;
+  std::uint64_t nonce = 0;             // a pong repeats its ping's, orders their report's
   std::uint64_t term = 0;              // highest term the sender knows of
   bool cut_off = false;                // the sender gets no answers from the state service
   bool hears_workers = false;          // workers have reported to the sender lately
+  bool leads = false;                  // the sender answers reports, with `term`
+  bool spreads = false;                // and wants siblings to pass on reports
+  bool passes = false;                 // the sender has room for workers whose reports it passes on to the leader
+  std::uint8_t sender = 0;             // index of the sender's name among those of all nodes, sorted
   std::uint32_t uptime_ms = 0;         // capped
   std::uint16_t reads = 0, writes = 0; // of the state service for users, tenths a second
   std::vector<std::string> cancelled;  // jobs whose cancellation the sender has confirmed lately
@@ -27,8 +34,13 @@
     std::string reason;
   };
   std::vector<JobNews> news;
+  WorkerReport report;           // Report
+  std::uint16_t status = 0;      // Orders: as an answer to the worker has
+  std::vector<TaskOrder> orders; // with 200
 };
 
+// Frames of reports and orders may be larger: what a worker's own message may be.
+constexpr std::size_t kPeerMaxRelayed = 64 * 1024;
 constexpr std::size_t kPeerHeader = 12, kPeerMaxBody = 4096, kPeerMaxCancelled = 64, kPeerMaxNews = 100,
                       kPeerMaxReason = 200;
 // What one job's news takes of a frame's body.
@@ -37,6 +49,6 @@
 std::string encode_peer(const PeerMessage &m);
 enum class PeerRead { NeedMore, Frame, Garbage };
 // Takes one frame off the front of `buffer`.
-PeerRead read_peer(std::string &buffer, PeerMessage &out);
+PeerRead read_peer(std::string_view &buffer, PeerMessage &out);
 
 } // namespace loft::wire
--- a/src/app/daemon.cpp
+++ b/src/app/daemon.cpp
@@ -1,6 +1,8 @@
 #include "loftrouter/app/daemon.hpp"
 
+#include <algorithm>
 #include <cstdlib>
+#include <ctime>
 #include <random>
 
 #include <spdlog/sinks/stdout_sinks.h>
@@ -20,6 +22,11 @@
 namespace {
 
 constexpr double kTick = 0.1;
+// Reports passed on to the leader leave together, so often: a packet costs a node more than reading a report does.
+// Small beside the time between two reports, which is what a worker waits for its next task.
+double pass_on_every(const Settings &s) {
+  return std::min(0.05, s.report_s / 100);
+}
 
 class Daemon {
 public:
@@ -42,7 +49,14 @@
                 tick_.once(kTick);
                 push(core::CmdTick{});
               }),
-        work_(loop_, [this] { drain(); }) {}
+        work_(loop_,
+              [this] {
+                if (!queue_.empty()) drain();
+              }),
+        pass_on_every_(pass_on_every(s)), pass_on_(loop_, [this] {
+          passing_on_ = false;
+          peers_.send_all();
+        }) {}
 
   void run() {
     tick_.once(0);
@@ -65,24 +79,22 @@
   }
 
   bool on_peer(net::LinkId link, int sibling, std::string &buffer) {
+    std::string_view rest = buffer;
     for (;;) {
       wire::PeerMessage m;
-      switch (wire::read_peer(buffer, m)) {
-      case wire::PeerRead::NeedMore:
-        return true;
-      case wire::PeerRead::Garbage:
-        return false;
-      case wire::PeerRead::Frame:
+      const auto got = wire::read_peer(rest, m);
+      if (got == wire::PeerRead::Frame) {
         push(core::CmdPeer{sibling, link, std::move(m)});
+        continue;
       }
+      buffer.erase(0, buffer.size() - rest.size());
+      return got == wire::PeerRead::NeedMore;
     }
   }
 
   void push(core::Command c) {
+    if (queue_.empty()) queued_at_ = loop_.now();
     queue_.push_back(std::move(c));
-    if (queue_.size() > 1) return;
-    queued_at_ = net::mono_now();
-    work_.once(0);
   }
 
   void drain() {
@@ -103,13 +115,19 @@
     for (const auto &w : effects.workers)
       if (auto to = net::parse_address(w.address))
         couriers_.post(*to, "/orders", wire::encode_call(w.token, w.session, w.orders));
+    bool prompt = false;
     for (const auto &p : effects.peers) {
       auto frame = wire::encode_peer(p.message);
       if (p.sibling >= 0)
         peers_.send_to_sibling(p.sibling, frame);
       else
         peers_.send_on(p.link, frame);
+      prompt |= p.message.kind != wire::PeerMessage::Kind::Report;
     }
+    if (prompt) return peers_.send_all();
+    if (effects.peers.empty() || passing_on_) return;
+    passing_on_ = true;
+    pass_on_.once(pass_on_every_);
   }
 
   void write_log(const core::LogLine &l) {
@@ -178,6 +196,7 @@
       a.round_p99 = batch_ms_.quantile(0.99);
       a.queue_p50 = wait_ms_.quantile(0.5);
       a.queue_p99 = wait_ms_.quantile(0.99);
+      a.cpu_s = static_cast<double>(std::clock()) / CLOCKS_PER_SEC;
       return push(core::CmdAdmin{id, std::move(a)});
     }
     server_.respond(id, 404, wire::encode_error("no such path"));
@@ -193,8 +212,12 @@
   cloud::CloudClient cloud_;
   net::PeerLinks peers_;
   net::Couriers couriers_{loop_};
-  net::Timer tick_, work_;
+  net::Timer tick_;
+  net::BeforeWait work_;
   double queued_at_ = 0;
+  double pass_on_every_;
+  net::Timer pass_on_;
+  bool passing_on_ = false;
   LatencyHistogram batch_ms_, wait_ms_; // a batch's work, and how long its first command waited
   double log_level_ = kLogBurst, log_at_ = 0;
   std::size_t log_dropped_ = 0;
--- a/src/core/admin.cpp
+++ b/src/core/admin.cpp
@@ -50,8 +50,17 @@
   s.cloud_age_s = ago(cloud_ok_at_);
   s.report_age_s = ago(last_report_at_);
   for (std::size_t i = 0; i < siblings_.size(); ++i)
-    s.siblings.push_back(
-        {settings_.siblings[i].node, ago(siblings_[i].stated_at), siblings_[i].cut_off, siblings_[i].hears_workers});
+    s.siblings.push_back({settings_.siblings[i].node, ago(siblings_[i].stated_at), siblings_[i].cut_off,
+                          siblings_[i].hears_workers, siblings_[i].passes, leads ? kept_by(static_cast<int>(i)) : 0});
+  s.load = {spread_.direct_rate(),
+            spread_.limits().reports,
+            spread_.passed_rate(),
+            leads ? kept_by(-1) : relay_.workers(),
+            leads ? spread_.limits().sockets : relay_.most(),
+            leads && spread_.wanted(),
+            ask.cpu_s,
+            now() - started_at_,
+            settings_.cpu_share};
   std::map<std::tuple<int, int, bool>, wire::AdminStatus::Kind> kinds;
   int silent = 0, ordered = 0;
   for (const auto &m : machines_) {
--- a/src/core/core.cpp
+++ b/src/core/core.cpp
@@ -4,7 +4,22 @@
 
 namespace loft::core {
 
-Core::Core(Settings settings, std::uint64_t seed) : settings_(std::move(settings)), rng_(seed | 1) {
+namespace {
+// Sockets are also needed for users, siblings and the services outside.
+constexpr double kRelaySockets = 0.6, kLeaderSockets = 0.4;
+// Reports a second that a leader takes straight from workers, for a whole core: beyond that siblings read them for
+// it, so that most of its processor stays with placing. See docs/fleet-scale.md for the costs behind it.
+constexpr double kDirectReports = 600;
+std::size_t sockets_for(const Settings &s, double share) {
+  return static_cast<std::size_t>(std::max(4.0, share * s.fd_limit));
+}
+} // namespace
+
+Core::Core(Settings settings, std::uint64_t seed)
+    : settings_(std::move(settings)), rng_(seed | 1),
+      relay_(sockets_for(settings_, kRelaySockets), 3 * settings_.report_s + 2,
+             static_cast<std::uint64_t>(random() * 9e15)),
+      spread_({kDirectReports * settings_.cpu_share, sockets_for(settings_, kLeaderSockets)}) {
   double nodes = static_cast<double>(settings_.siblings.size() + 1);
   const double w = settings_.state_write_rps, r = settings_.state_rps;
   // The state service counts all nodes together: the leader's lease is outside these budgets, users' writes come
@@ -17,6 +32,14 @@
   siblings_.resize(settings_.siblings.size());
   // A restarted node must not take an answer to its former self's question for its own.
   ping_nonce_ = static_cast<std::uint64_t>(random() * 9e15);
+  std::vector<std::pair<std::string, int>> names{{settings_.node, -1}};
+  for (std::size_t i = 0; i < settings_.siblings.size(); ++i)
+    names.emplace_back(settings_.siblings[i].node, static_cast<int>(i));
+  std::sort(names.begin(), names.end());
+  for (const auto &[name, i] : names) {
+    if (i < 0) self_ = static_cast<std::uint8_t>(by_name_.size());
+    by_name_.push_back(i);
+  }
   for (const auto &t : settings_.teams)
     team_names_.get(t.name);
   for (const auto &z : settings_.zones)
@@ -60,6 +83,7 @@
   }
   tick_term();
   tick_peers();
+  give_up_relayed();
   tick_cloud();
   load_conf();
   if (role_ != Role::Leading) return;
--- a/src/core/fleet.cpp
+++ b/src/core/fleet.cpp
@@ -38,28 +38,31 @@
   return m;
 }
 
-void Core::on(CmdReport &&cmd) {
-  const auto &r = cmd.report;
+void Core::hear(const Asker &from, const WorkerReport &r) {
   last_report_at_ = now();
   highest_term_ = std::max(highest_term_, r.token);
   if (role_ != Role::Follower && r.token > term_ && term_ > 0 && role_ != Role::Acquiring)
     step_down("a worker has seen a higher term");
-  if (role_ != Role::Leading) {
-    bool fresh = !leader_name_.empty() && now() - leader_seen_ < 3.0;
-    return reply(cmd.req, 421, wire::encode_redirect(fresh ? leader_name_ : ""));
-  }
-  if (!answering()) return refuse(cmd.req, "leadership is being renewed");
+  if (role_ != Role::Leading) return tell_worker(from, 421);
+  if (!answering()) return tell_worker(from, 503, {}, "leadership is being renewed");
   // A machine that was given back can only speak through packets held up on the way.
-  if (gone_.contains(r.machine)) return refuse(cmd.req, "this machine was given back");
+  if (gone_.contains(r.machine)) return tell_worker(from, 503, {}, "this machine was given back");
+  spread_.heard(from.direct());
+  if (from.direct()) {
+    auto it = machine_index_.find(r.machine);
+    if (int s = keeper_for(r, it == machine_index_.end() ? nullptr : &machine(it->second)); s >= 0)
+      return reply(from.req, 421, wire::encode_redirect(settings_.siblings[static_cast<std::size_t>(s)].node));
+  }
   int m = machine_index(r.machine, r.type, r.zone, r.spot);
   Machine &n = machine(m);
   if (std::pair(r.session, r.seq) <= std::pair(n.session, n.seq))
-    return refuse(cmd.req, "a newer report is known"); // late: as old as its task list
-  if (n.listed_failed) return refuse(cmd.req, "this machine has failed");
+    return tell_worker(from, 503, {}, "a newer report is known"); // late: as old as its task list
+  if (n.listed_failed) return tell_worker(from, 503, {}, "this machine has failed");
   if (!n.heard) n.first_heard = now();
   n.address = r.address;
   n.heard = true;
   n.lost = false;
+  n.via = from.sibling;
   n.session = r.session;
   n.seq = r.seq;
   n.taken_at = r.notice_s ? std::optional(now() + *r.notice_s) : std::nullopt;
@@ -71,7 +74,7 @@
   } else {
     n.idle_since = -1;
   }
-  reply(cmd.req, 200, wire::encode_orders(term_, orders));
+  tell_worker(from, 200, orders);
 }
 
 void Core::take_report(int m, const WorkerReport &r, std::vector<TaskOrder> &orders) {
--- a/src/core/peers.cpp
+++ b/src/core/peers.cpp
@@ -23,12 +23,14 @@
   if (now() < next_ping_) return;
   next_ping_ = now() + kPingEvery;
   share_budgets();
+  spread_.tick(now(), kPingEvery, role_ == Role::Leading ? kept_by(-1) : 0);
   std::erase_if(confirmed_cancels_, [this](const auto &c) { return now() - c.second > settings_.cancel_s; });
   for (std::size_t i = 0; i < siblings_.size(); ++i) {
     wire::PeerMessage m;
     m.kind = wire::PeerMessage::Kind::Ping;
     m.nonce = ++ping_nonce_;
     m.term = highest_term_;
+    m.sender = self_;
     siblings_[i].nonce = m.nonce;
     siblings_[i].sent_at = now();
     effects_.peers.push_back({static_cast<int>(i), 0, std::move(m)});
@@ -40,6 +42,12 @@
   highest_term_ = std::max(highest_term_, m.term);
   if ((role_ == Role::Leading || role_ == Role::Loading) && m.term > term_) step_down("a sibling knows a higher term");
   if (m.kind == wire::PeerMessage::Kind::Digest) return take_digest(m);
+  if (m.kind == wire::PeerMessage::Kind::Orders) return take_orders(m);
+  if (m.kind == wire::PeerMessage::Kind::Report) {
+    const int sibling = m.sender < by_name_.size() ? by_name_[m.sender] : -1;
+    if (sibling < 0) return; // not from a node of these settings
+    return hear({.link = cmd.link, .nonce = m.nonce, .sibling = sibling}, m.report);
+  }
   if (m.kind == wire::PeerMessage::Kind::Ping) {
     wire::PeerMessage r;
     r.kind = wire::PeerMessage::Kind::Pong;
@@ -48,6 +56,11 @@
     // More than can be repeated: the leader is not to go on on this node's word.
     r.cut_off = cut_off() && confirmed_cancels_.size() <= wire::kPeerMaxCancelled;
     r.hears_workers = now() - last_report_at_ < kLately;
+    r.sender = self_;
+    r.leads = role_ == Role::Leading && answering();
+    r.spreads = r.leads && spread_.wanted();
+    r.passes = relay_to() >= 0 && relay_.has_room();
+    if (r.leads) r.term = term_;
     auto tenths = [](double rate) { return static_cast<std::uint16_t>(std::min(6e4, rate * 10)); };
     r.reads = tenths(reads_rate_);
     r.writes = tenths(writes_rate_);
@@ -64,6 +77,11 @@
   s.stated_at = s.sent_at;        // it cannot be older than the question
   s.cut_off = m.cut_off;
   s.hears_workers = m.hears_workers;
+  s.leads = m.leads;
+  s.spreads = m.spreads;
+  s.passes = m.passes;
+  s.term = m.term;
+  if (m.leads && m.term >= highest_term_) spread_known_ = m.spreads;
   s.uptime_s = m.uptime_ms / 1000.0;
   s.reads = m.reads / 10.0;
   s.writes = m.writes / 10.0;
--- a/src/core/term.cpp
+++ b/src/core/term.cpp
@@ -199,6 +199,7 @@
 void Core::start_leading() {
   role_ = Role::Leading;
   leading_since_ = now();
+  spread_.begin(spread_known_);
   leading_since_wall_ = now_.wall;
   news_.clear();
   news_order_.clear();
--- a/src/net/client.cpp
+++ b/src/net/client.cpp
@@ -33,7 +33,7 @@
     done(0, {});
     return;
   }
-  queue_.push_back({format_request(method, target, address_.text, body), mono_now() + deadline_s, std::move(done)});
+  queue_.push_back({format_request(method, target, address_.text, body), loop_.now() + deadline_s, std::move(done)});
   pump();
 }
 
@@ -79,7 +79,7 @@
   auto done = std::move(c.done);
   c.done = nullptr;
   c.busy = false;
-  c.idle_since = mono_now();
+  c.idle_since = loop_.now();
   if (reuse) {
     c.watch->want(EV_READ); // to notice the far end closing
   } else {
@@ -128,7 +128,7 @@
 }
 
 void HttpClient::sweep() {
-  double now = mono_now();
+  double now = loop_.now();
   std::erase_if(conns_, [](auto &c) { return c->dead; });
   for (std::size_t i = 0; i < conns_.size(); ++i) {
     Conn &c = *conns_[i];
--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -35,6 +35,24 @@
   ev_break(loop_, EVBREAK_ALL);
 }
 
+double Loop::now() {
+  if (const unsigned turn = ev_iteration(loop_); turn != turn_ || now_ == 0) {
+    turn_ = turn;
+    now_ = mono_now();
+  }
+  return now_;
+}
+
+BeforeWait::BeforeWait(Loop &loop, std::function<void()> fn) : loop_(loop), fn_(std::move(fn)) {
+  ev_prepare_init(&prepare_, [](struct ev_loop *, ev_prepare *w, int) { static_cast<BeforeWait *>(w->data)->fn_(); });
+  prepare_.data = this;
+  ev_prepare_start(loop_.raw(), &prepare_);
+}
+
+BeforeWait::~BeforeWait() {
+  ev_prepare_stop(loop_.raw(), &prepare_);
+}
+
 Timer::Timer(Loop &loop, std::function<void()> fn) : loop_(loop), fn_(std::move(fn)) {
   ev_init(&timer_, [](struct ev_loop *, ev_timer *w, int) { static_cast<Timer *>(w->data)->fn_(); });
   timer_.data = this;
--- a/src/net/peers.cpp
+++ b/src/net/peers.cpp
@@ -9,7 +9,9 @@
 namespace loft::net {
 
 namespace {
-constexpr std::size_t kMaxIncoming = 16, kMaxBuffered = 16 * 1024;
+constexpr std::size_t kMaxIncoming = 16;
+// Of reports passed on, several hundred may wait for one turn; a node takes them within milliseconds.
+constexpr std::size_t kMaxBuffered = 256 * 1024;
 constexpr double kSilence = 3.0; // after which a link is closed and dialled anew
 } // namespace
 
@@ -37,7 +39,7 @@
   link->id = next_++;
   link->sibling = sibling;
   link->fd = std::move(fd);
-  link->heard = mono_now();
+  link->heard = loop_.now();
   auto *raw = link.get();
   link->watch = std::make_unique<IoWatch>(loop_, raw->fd.get(), [this, raw](int events) { on_io(*raw, events); });
   link->watch->want(EV_READ);
@@ -58,9 +60,7 @@
   if (!links_.contains(id)) {
     Fd fd = connect_to(siblings_[static_cast<std::size_t>(sibling)]);
     if (!fd) return;
-    auto *l = open(std::move(fd), sibling);
-    l->watch->want(EV_READ | EV_WRITE);
-    id = l->id;
+    id = open(std::move(fd), sibling)->id;
   }
   send_on(id, bytes);
 }
@@ -68,19 +68,24 @@
 void PeerLinks::send_on(LinkId id, std::string_view bytes) {
   auto it = links_.find(id);
   if (it == links_.end() || it->second->out.size() + bytes.size() > kMaxBuffered) return;
+  if (it->second->out.empty()) unsent_.push_back(id);
   it->second->out.append(bytes);
-  it->second->watch->want(EV_READ | EV_WRITE);
+}
+
+void PeerLinks::send_all() {
+  for (LinkId id : std::exchange(unsent_, {}))
+    if (auto it = links_.find(id); it != links_.end()) flush(*it->second);
 }
 
 void PeerLinks::on_io(Link &l, int events) {
   if (!l.fd) return;
   if (events & EV_WRITE) flush(l);
   if (!l.fd || !(events & EV_READ)) return;
-  char buf[4096];
+  char buf[16384];
   ssize_t n = ::recv(l.fd.get(), buf, sizeof buf, 0);
   if (n < 0 && (errno == EAGAIN || errno == EINTR)) return;
   if (n <= 0) return close(l);
-  l.heard = mono_now();
+  l.heard = loop_.now();
   l.in.append(buf, static_cast<std::size_t>(n));
   if (!reader_(l.id, l.sibling, l.in) || l.in.size() > kMaxBuffered) close(l);
 }
@@ -88,7 +93,7 @@
 void PeerLinks::flush(Link &l) {
   while (!l.out.empty()) {
     ssize_t n = ::send(l.fd.get(), l.out.data(), l.out.size(), MSG_NOSIGNAL);
-    if (n < 0 && (errno == EAGAIN || errno == EINTR || errno == ENOTCONN)) return;
+    if (n < 0 && (errno == EAGAIN || errno == EINTR || errno == ENOTCONN)) return l.watch->want(EV_READ | EV_WRITE);
     if (n <= 0) return close(l);
     l.out.erase(0, static_cast<std::size_t>(n));
   }
@@ -109,7 +114,7 @@
   graveyard_.clear();
   std::vector<Link *> silent;
   for (auto &[id, l] : links_)
-    if (mono_now() - l->heard > kSilence) silent.push_back(l.get());
+    if (loop_.now() - l->heard > kSilence) silent.push_back(l.get());
   for (auto *l : silent)
     close(*l);
   sweep_timer_.once(0.5);
--- a/src/net/server.cpp
+++ b/src/net/server.cpp
@@ -53,7 +53,7 @@
     ::setsockopt(fd.get(), IPPROTO_TCP, TCP_NODELAY, &one, sizeof one);
     auto id = next_id_++;
     auto conn = std::make_unique<Conn>(id, std::move(fd));
-    conn->since = mono_now();
+    conn->since = loop_.now();
     auto *raw = conn.get();
     conn->watch = std::make_unique<IoWatch>(loop_, raw->fd.get(), [this, raw](int events) { on_io(*raw, events); });
     conn->watch->want(EV_READ);
@@ -83,7 +83,7 @@
     return;
   }
   if (n < 0) return;
-  if (c.parser.idle()) c.since = mono_now();
+  if (c.parser.idle()) c.since = loop_.now();
   c.parser.feed({buf, static_cast<std::size_t>(n)});
   // While a request is being handled nothing more may be sent; a peer that floods is cut off.
   if (c.waiting && c.parser.buffered() > 16 * 1024) {
@@ -109,7 +109,7 @@
   auto msg = c.parser.take();
   c.waiting = true;
   c.request_keep_alive = msg.keep_alive;
-  c.since = mono_now();
+  c.since = loop_.now();
   handler_(c.id, std::move(msg));
 }
 
@@ -120,7 +120,7 @@
   Conn &c = *it->second;
   c.waiting = false;
   c.closing = !c.request_keep_alive;
-  c.since = mono_now();
+  c.since = loop_.now();
   c.out = format_response(status, body, retry_after, c.request_keep_alive, content_type);
   flush(c);
 }
@@ -160,7 +160,7 @@
 
 void HttpServer::sweep() {
   graveyard_.clear();
-  double now = mono_now();
+  double now = loop_.now();
   std::vector<ConnId> late;
   for (auto &[id, c] : conns_) {
     double age = now - c->since;
--- a/src/wire/admin.cpp
+++ b/src/wire/admin.cpp
@@ -182,7 +182,9 @@
     siblings.push_back({{"node", x.node},
                         {"heard_s_ago", age(x.heard_s)},
                         {"cut_off_from_state_service", x.cut_off},
-                        {"hears_workers", x.hears_workers}});
+                        {"hears_workers", x.hears_workers},
+                        {"passes_reports_on", x.passes_reports},
+                        {"workers_kept", x.keeps}});
   for (const auto &x : s.fleet)
     fleet.push_back({{"type", x.type},
                      {"zone", x.zone},
@@ -201,18 +203,28 @@
                       {"oldest_waiting_s", std::round(x.oldest_s)}});
   Json leader = {{"node", s.leader.empty() ? Json() : Json(s.leader)}, {"term", s.term}};
   if (!s.leader_since.empty()) leader["since"] = s.leader_since;
-  return dump({{"node", s.node},
-               {"role", s.role},
-               {"leader", std::move(leader)},
-               {"troubles", s.troubles},
-               {"state_service", {{"answered_s_ago", age(s.state_age_s)}}},
-               {"cloud", {{"answered_s_ago", age(s.cloud_age_s)}}},
-               {"workers", {{"reported_s_ago", age(s.report_age_s)}}},
-               {"siblings", std::move(siblings)},
-               {"fleet", std::move(fleet)},
-               {"queues", std::move(queues)},
-               {"batch_ms", {{"p50", rounded(s.round_p50)}, {"p99", rounded(s.round_p99)}}},
-               {"queue_wait_ms", {{"p50", rounded(s.queue_p50)}, {"p99", rounded(s.queue_p99)}}}});
+  return dump(
+      {{"node", s.node},
+       {"role", s.role},
+       {"leader", std::move(leader)},
+       {"troubles", s.troubles},
+       {"state_service", {{"answered_s_ago", age(s.state_age_s)}}},
+       {"cloud", {{"answered_s_ago", age(s.cloud_age_s)}}},
+       {"workers",
+        {{"reported_s_ago", age(s.report_age_s)},
+         {"here", s.load.workers},
+         {"here_most", s.load.workers_most},
+         {"reports_a_second", rounded(s.load.reports)},
+         {"reports_a_second_most", rounded(s.load.reports_most)},
+         {"passed_on_a_second", rounded(s.load.passed)},
+         {"siblings_keep_some", s.load.spreads}}},
+       {"processor",
+        {{"used_s", rounded(s.load.cpu_s)}, {"up_s", rounded(s.load.up_s)}, {"allowed_share", s.load.cpu_share}}},
+       {"siblings", std::move(siblings)},
+       {"fleet", std::move(fleet)},
+       {"queues", std::move(queues)},
+       {"batch_ms", {{"p50", rounded(s.round_p50)}, {"p99", rounded(s.round_p99)}}},
+       {"queue_wait_ms", {{"p50", rounded(s.queue_p50)}, {"p99", rounded(s.queue_p99)}}}});
 }
 
 std::string encode_jobs(const std::vector<AdminJob> &jobs, std::string_view next) {
--- a/src/wire/messages.cpp
+++ b/src/wire/messages.cpp
@@ -267,8 +267,8 @@
 class ReportReader final : public nlohmann::json_sax<Json> {
 public:
   std::optional<WorkerReport> take() {
-    constexpr unsigned need = 1U << Machine | 1U << Address | 1U << Type | 1U << Zone | 1U << Session | 1U << Seq |
-                              1U << Token | 1U << Spot;
+    constexpr unsigned need =
+        1U << Machine | 1U << Address | 1U << Type | 1U << Zone | 1U << Session | 1U << Seq | 1U << Token | 1U << Spot;
     if (!whole_ || (good_ & need) != need) return std::nullopt;
     return std::move(report_);
   }
@@ -365,8 +365,24 @@
   bool parse_error(std::size_t, const std::string &, const nlohmann::detail::exception &) override { return false; }
 
 private:
-  enum Field : unsigned { Machine, Address, Type, Zone, Session, Seq, Token, Spot, Notice, Tasks,
-                          Name = 0, Attempt, Phase, Cause, Saved, None = 31 };
+  enum Field : unsigned {
+    Machine,
+    Address,
+    Type,
+    Zone,
+    Session,
+    Seq,
+    Token,
+    Spot,
+    Notice,
+    Tasks,
+    Name = 0,
+    Attempt,
+    Phase,
+    Cause,
+    Saved,
+    None = 31
+  };
   static constexpr std::pair<const char *, Field> kTop[] = {
       {f::machine, Machine}, {f::address, Address}, {f::type, Type}, {f::zone, Zone},     {f::session, Session},
       {f::seq, Seq},         {f::token, Token},     {f::spot, Spot}, {f::notice, Notice}, {f::tasks, Tasks}};
@@ -423,7 +439,7 @@
   unsigned good_ = 0, good_task_ = 0;
   bool tasks_ = false, cause_ = false, whole_ = false;
   std::array<bool, kDepth + 1> map_{};
-  std::array<unsigned, kDepth + 1> known_{};             // fields that a map on this level has shown
+  std::array<unsigned, kDepth + 1> known_{};              // fields that a map on this level has shown
   std::array<std::vector<std::string>, kDepth + 1> keys_; // and names that are not known
 };
 
@@ -462,16 +478,15 @@
 std::string encode_report(const WorkerReport &r) {
   Json tasks = Json::array();
   for (const auto &t : r.tasks) {
-    Json e = {{f::task, task_name(t.job, t.index)},
-              {f::attempt, t.attempt},
-              {f::state, kPhases[static_cast<int>(t.phase)]}};
+    Json e = {
+        {f::task, task_name(t.job, t.index)}, {f::attempt, t.attempt}, {f::state, kPhases[static_cast<int>(t.phase)]}};
     if (t.cause != ExitCause::None) e[f::cause] = kCauses[static_cast<int>(t.cause)];
     if (t.saved) e[f::saved] = true;
     tasks.push_back(std::move(e));
   }
-  Json j = {{f::machine, r.machine}, {f::address, r.address}, {f::type, r.type},   {f::zone, r.zone},
-            {f::spot, r.spot},       {f::session, r.session}, {f::seq, r.seq},     {f::token, r.token},
-            {f::tasks, std::move(tasks)}};
+  Json j = {{f::machine, r.machine}, {f::address, r.address}, {f::type, r.type},
+            {f::zone, r.zone},       {f::spot, r.spot},       {f::session, r.session},
+            {f::seq, r.seq},         {f::token, r.token},     {f::tasks, std::move(tasks)}};
   if (r.notice_s) j[f::notice] = *r.notice_s;
   return encode(j);
 }
--- a/src/wire/peer.cpp
+++ b/src/wire/peer.cpp
@@ -1,6 +1,6 @@
 #include "loftrouter/wire/peer.hpp"
 
-#include <cstring>
+#include <algorithm>
 
 #include "loftrouter/wire/messages.hpp"
 
@@ -9,7 +9,7 @@
 namespace {
 
 constexpr std::uint32_t kMagic = 0x5254464c; // "LFTR"
-constexpr std::uint16_t kVersion = 2;
+constexpr std::uint16_t kVersion = 3;
 
 template <class T> void put(std::string &out, T v) {
   for (std::size_t i = 0; i < sizeof v; ++i)
@@ -30,8 +30,117 @@
     in.remove_prefix(sizeof v);
     return v;
   }
+  // Short text: its length, then its bytes.
+  bool text(std::string &to) {
+    auto n = get<std::uint8_t>();
+    if (!ok || in.size() < n) return ok = false;
+    to = in.substr(0, n);
+    in.remove_prefix(n);
+    return true;
+  }
 };
 
+void put_text(std::string &out, std::string_view text) {
+  text = text.substr(0, 255);
+  put(out, static_cast<std::uint8_t>(text.size()));
+  out += text;
+}
+
+// The tasks of one machine are mostly of a few jobs in a row: an empty name stands for the one before.
+void put_task(std::string &out, const std::string &job, std::string_view &before, std::uint32_t index,
+              std::uint64_t attempt) {
+  put_text(out, job == before ? std::string_view() : std::string_view(job));
+  before = job;
+  put(out, index);
+  put(out, attempt);
+}
+bool get_task(Reader &r, std::string &job, std::string &before, std::uint32_t &index, std::uint64_t &attempt) {
+  if (!r.text(job)) return false;
+  if (job.empty()) job = before;
+  if (!valid_job_id(job)) return r.ok = false;
+  before = job;
+  index = r.get<std::uint32_t>();
+  attempt = r.get<std::uint64_t>();
+  return r.ok;
+}
+
+void put_report(std::string &out, const WorkerReport &w) {
+  for (const auto *text : {&w.machine, &w.address, &w.type, &w.zone})
+    put_text(out, *text);
+  put(out, static_cast<std::uint8_t>(w.spot | w.notice_s.has_value() << 1));
+  put(out, w.session);
+  put(out, w.seq);
+  put(out, w.token);
+  if (w.notice_s) put(out, static_cast<std::uint32_t>(std::min(4e9, *w.notice_s * 1000)));
+  put(out, static_cast<std::uint16_t>(w.tasks.size()));
+  std::string_view before;
+  for (const auto &t : w.tasks) {
+    put_task(out, t.job, before, t.index, t.attempt);
+    put(out, static_cast<std::uint8_t>(static_cast<unsigned>(t.phase) | t.saved << 7));
+    put(out, static_cast<std::uint8_t>(t.cause));
+  }
+}
+bool get_report(Reader &r, WorkerReport &w) {
+  for (auto *text : {&w.machine, &w.address, &w.type, &w.zone})
+    if (!r.text(*text) || text->empty() || !valid_utf8(*text)) return false;
+  const auto flags = r.get<std::uint8_t>();
+  w.spot = flags & 1;
+  w.session = r.get<std::uint64_t>();
+  w.seq = r.get<std::uint64_t>();
+  w.token = r.get<std::uint64_t>();
+  if (flags & 2) w.notice_s = r.get<std::uint32_t>() / 1000.0;
+  const auto count = r.get<std::uint16_t>();
+  std::string before;
+  for (unsigned i = 0; r.ok && i < count; ++i) {
+    TaskReport t;
+    if (!get_task(r, t.job, before, t.index, t.attempt)) return false;
+    const auto phase = r.get<std::uint8_t>(), cause = r.get<std::uint8_t>();
+    if ((phase & 0x7f) > static_cast<unsigned>(TaskPhase::Exited) || cause > static_cast<unsigned>(ExitCause::Unknown))
+      return false;
+    t.phase = static_cast<TaskPhase>(phase & 0x7f);
+    t.saved = phase >> 7;
+    t.cause = static_cast<ExitCause>(cause);
+    w.tasks.push_back(std::move(t));
+  }
+  return r.ok && flags < 4;
+}
+
+void put_orders(std::string &out, const PeerMessage &m) {
+  put(out, m.status);
+  put(out, static_cast<std::uint16_t>(m.orders.size()));
+  std::string_view before;
+  for (const auto &o : m.orders) {
+    put_task(out, o.job, before, o.index, o.attempt);
+    put(out, static_cast<std::uint8_t>(o.verb));
+    put(out, static_cast<std::uint32_t>(std::min(4e9, o.grace_s * 1000)));
+  }
+}
+bool get_orders(Reader &r, PeerMessage &m) {
+  m.status = r.get<std::uint16_t>();
+  const auto count = r.get<std::uint16_t>();
+  std::string before;
+  for (unsigned i = 0; r.ok && i < count; ++i) {
+    TaskOrder o;
+    if (!get_task(r, o.job, before, o.index, o.attempt)) return false;
+    const auto verb = r.get<std::uint8_t>();
+    if (verb > static_cast<unsigned>(TaskOrder::Verb::Forget)) return false;
+    o.verb = static_cast<TaskOrder::Verb>(verb);
+    o.grace_s = r.get<std::uint32_t>() / 1000.0;
+    m.orders.push_back(std::move(o));
+  }
+  return r.ok;
+}
+
+std::string frame(PeerMessage::Kind kind, const std::string &body) {
+  std::string out;
+  out.reserve(kPeerHeader + body.size());
+  put(out, kMagic);
+  put(out, kVersion);
+  put(out, static_cast<std::uint16_t>(kind));
+  put(out, static_cast<std::uint32_t>(body.size()));
+  return out += body;
+}
+
 } // namespace
 
 std::size_t peer_news_size(const PeerMessage::JobNews &n) {
@@ -42,87 +151,88 @@
   std::string body;
   put(body, m.nonce);
   put(body, m.term);
+  put(body, m.sender);
+  if (m.kind == PeerMessage::Kind::Report || m.kind == PeerMessage::Kind::Orders) {
+    if (m.kind == PeerMessage::Kind::Report)
+      put_report(body, m.report);
+    else
+      put_orders(body, m);
+    return frame(m.kind, body);
+  }
   put(body, m.uptime_ms);
   put(body, m.reads);
   put(body, m.writes);
-  put(body, static_cast<std::uint8_t>(m.cut_off | m.hears_workers << 1));
+  put(body,
+      static_cast<std::uint8_t>(m.cut_off | m.hears_workers << 1 | m.leads << 2 | m.spreads << 3 | m.passes << 4));
   auto count = std::min(m.cancelled.size(), kPeerMaxCancelled);
   put(body, static_cast<std::uint8_t>(count));
-  for (std::size_t i = 0; i < count; ++i) {
-    put(body, static_cast<std::uint8_t>(m.cancelled[i].size()));
-    body += m.cancelled[i];
-  }
+  for (std::size_t i = 0; i < count; ++i)
+    put_text(body, m.cancelled[i]);
   if (m.kind == PeerMessage::Kind::Digest) {
     put(body, static_cast<std::uint8_t>(m.news.size()));
     for (const auto &n : m.news) {
-      put(body, static_cast<std::uint8_t>(n.id.size()));
-      body += n.id;
+      put_text(body, n.id);
       put(body, n.done);
       put(body, n.running);
       put(body, static_cast<std::uint8_t>(n.late));
-      auto reason = std::string_view(n.reason).substr(0, kPeerMaxReason);
-      put(body, static_cast<std::uint8_t>(reason.size()));
-      body += reason;
+      put_text(body, std::string_view(n.reason).substr(0, kPeerMaxReason));
     }
   }
-  std::string out;
-  put(out, kMagic);
-  put(out, kVersion);
-  put(out, static_cast<std::uint16_t>(m.kind));
-  put(out, static_cast<std::uint32_t>(body.size()));
-  return out + body;
+  return frame(m.kind, body);
 }
 
-PeerRead read_peer(std::string &buffer, PeerMessage &out) {
+PeerRead read_peer(std::string_view &buffer, PeerMessage &out) {
   Reader head{buffer};
   auto magic = head.get<std::uint32_t>();
   auto version = head.get<std::uint16_t>();
   auto kind = head.get<std::uint16_t>();
   auto length = head.get<std::uint32_t>();
   if (!head.ok) return PeerRead::NeedMore;
-  if (magic != kMagic || version != kVersion || kind < 1 || kind > 3 || length > kPeerMaxBody) return PeerRead::Garbage;
+  if (magic != kMagic || version != kVersion || kind < 1 || kind > 5) return PeerRead::Garbage;
+  if (length > (kind > 3 ? kPeerMaxRelayed : kPeerMaxBody)) return PeerRead::Garbage;
   if (buffer.size() < kPeerHeader + length) return PeerRead::NeedMore;
-  Reader r{std::string_view(buffer).substr(kPeerHeader, length)};
+  Reader r{buffer.substr(kPeerHeader, length)};
   out = {};
   out.kind = static_cast<PeerMessage::Kind>(kind);
   out.nonce = r.get<std::uint64_t>();
   out.term = r.get<std::uint64_t>();
+  out.sender = r.get<std::uint8_t>();
+  auto done = [&](bool good) {
+    if (!good || !r.ok || !r.in.empty()) return PeerRead::Garbage;
+    buffer.remove_prefix(kPeerHeader + length);
+    return PeerRead::Frame;
+  };
+  if (out.kind == PeerMessage::Kind::Report) return done(get_report(r, out.report));
+  if (out.kind == PeerMessage::Kind::Orders) return done(get_orders(r, out));
   out.uptime_ms = r.get<std::uint32_t>();
   out.reads = r.get<std::uint16_t>();
   out.writes = r.get<std::uint16_t>();
   auto flags = r.get<std::uint8_t>();
-  if (flags > 3) return PeerRead::Garbage;
+  if (flags > 31) return PeerRead::Garbage;
   out.cut_off = flags & 1;
   out.hears_workers = flags & 2;
+  out.leads = flags & 4;
+  out.spreads = flags & 8;
+  out.passes = flags & 16;
   auto count = r.get<std::uint8_t>();
   for (unsigned i = 0; r.ok && i < count; ++i) {
-    auto n = r.get<std::uint8_t>();
-    if (!r.ok || r.in.size() < n || !valid_job_id(r.in.substr(0, n))) return PeerRead::Garbage;
-    out.cancelled.emplace_back(r.in.substr(0, n));
-    r.in.remove_prefix(n);
+    std::string id;
+    if (!r.text(id) || !valid_job_id(id)) return PeerRead::Garbage;
+    out.cancelled.push_back(std::move(id));
   }
-  auto text = [&](std::string &to) {
-    auto n = r.get<std::uint8_t>();
-    if (!r.ok || r.in.size() < n) return r.ok = false;
-    to = r.in.substr(0, n);
-    r.in.remove_prefix(n);
-    return true;
-  };
   if (out.kind == PeerMessage::Kind::Digest) {
     auto news = r.get<std::uint8_t>();
     for (unsigned i = 0; r.ok && i < news && i < kPeerMaxNews; ++i) {
       PeerMessage::JobNews n;
-      if (!text(n.id) || !valid_job_id(n.id)) return PeerRead::Garbage;
+      if (!r.text(n.id) || !valid_job_id(n.id)) return PeerRead::Garbage;
       n.done = r.get<std::uint32_t>();
       n.running = r.get<std::uint32_t>();
       n.late = r.get<std::uint8_t>();
-      if (!text(n.reason) || !valid_utf8(n.reason)) return PeerRead::Garbage;
+      if (!r.text(n.reason) || !valid_utf8(n.reason)) return PeerRead::Garbage;
       out.news.push_back(std::move(n));
     }
   }
-  if (!r.ok || !r.in.empty()) return PeerRead::Garbage;
-  buffer.erase(0, kPeerHeader + length);
-  return PeerRead::Frame;
+  return done(true);
 }
 
 } // namespace loft::wire
--- a/tests/wire_test.cpp
+++ b/tests/wire_test.cpp
@@ -120,6 +120,12 @@
   EXPECT_FALSE(progress_from_json("progress/s0", Json{{"jobs", {{"j-1", {{"s", "xyz"}, {"f", "0"}}}}}}));
 }
 
+namespace {
+PeerRead read_one(std::string_view bytes, PeerMessage &m) {
+  return read_peer(bytes, m);
+}
+} // namespace
+
 TEST(Peer, FramesGoThereAndBackInAnySplit) {
   PeerMessage m;
   m.kind = PeerMessage::Kind::Pong;
@@ -136,7 +142,9 @@
   for (char c : bytes) {
     buffer.push_back(c);
     PeerMessage r;
-    auto got = read_peer(buffer, r);
+    std::string_view rest = buffer;
+    auto got = read_peer(rest, r);
+    buffer.erase(0, buffer.size() - rest.size());
     ASSERT_NE(got, PeerRead::Garbage);
     if (got != PeerRead::Frame) continue;
     ++frames;
@@ -160,9 +168,8 @@
   m.news = {{"j-000001", 3, 4, true, "waiting: \u00e4"}, {"j-2", 0, 0, false, ""}};
   auto bytes = encode_peer(m);
   PeerMessage r;
-  auto cut = bytes.substr(0, bytes.size() - 1);
-  EXPECT_EQ(read_peer(cut, r), PeerRead::NeedMore);
-  ASSERT_EQ(read_peer(bytes, r), PeerRead::Frame);
+  EXPECT_EQ(read_one(bytes.substr(0, bytes.size() - 1), r), PeerRead::NeedMore);
+  ASSERT_EQ(read_one(bytes, r), PeerRead::Frame);
   ASSERT_EQ(r.news.size(), 2u);
   EXPECT_EQ(r.news[0].reason, m.news[0].reason);
   EXPECT_EQ(r.news[0].done, 3u);
@@ -171,26 +178,53 @@
   EXPECT_EQ(r.news[1].id, "j-2");
 }
 
+TEST(Peer, ReportsAndOrdersGoThereAndBack) {
+  PeerMessage m, r;
+  m.kind = PeerMessage::Kind::Report;
+  m.nonce = 7;
+  m.term = 9;
+  m.sender = 2;
+  m.report = {"n-000231", "10.1.0.232:9000", "g8", "a", true, 3, 88, 41, 2.5, {}};
+  m.report.tasks = {{"j-000412", 3, 1ULL << 40, TaskPhase::Running, ExitCause::None, false},
+                    {"j-000412", 4, 2, TaskPhase::Exited, ExitCause::Stopped, true},
+                    {"j-77", 0, 3, TaskPhase::Exited, ExitCause::Unknown, false}};
+  ASSERT_EQ(read_one(encode_peer(m), r), PeerRead::Frame);
+  EXPECT_EQ(std::tuple(r.nonce, r.term, r.sender), std::tuple(7u, 9u, 2u));
+  EXPECT_EQ(encode_report(r.report), encode_report(m.report));
+  m.kind = PeerMessage::Kind::Orders;
+  m.status = 200;
+  m.orders = {{TaskOrder::Verb::Start, "j-77", 5, 6, 0}, {TaskOrder::Verb::Stop, "j-77", 6, 7, 3.5}};
+  ASSERT_EQ(read_one(encode_peer(m), r), PeerRead::Frame);
+  EXPECT_EQ(r.status, 200);
+  EXPECT_EQ(encode_orders(1, r.orders), encode_orders(1, m.orders));
+}
+
 TEST(Peer, GarbageClosesTheLink) {
   PeerMessage r, m;
   m.cancelled = {"j-000001"};
   const auto good = encode_peer(m);
+  PeerMessage report;
+  report.kind = PeerMessage::Kind::Report;
+  report.report = {"n-1", "10.1.0.2:9000", "g8", "a", false, 1, 2, 3, {}, {{"j-1", 0, 1}}};
+  PeerMessage orders;
+  orders.kind = PeerMessage::Kind::Orders;
+  orders.orders = {{TaskOrder::Verb::Stop, "j-1", 0, 1, 2}};
   for (std::size_t i : {0, 1, 2, 3, 4, 5, 6, 7, 9, 10, 11}) { // all of the header but a length that may be true
     auto s = good;
     s[i] = static_cast<char>(0xee);
-    EXPECT_EQ(read_peer(s, r), PeerRead::Garbage) << i;
+    EXPECT_EQ(read_one(s, r), PeerRead::Garbage) << i;
   }
   auto s = good;
   s[s.size() - 3] = '/';
-  EXPECT_EQ(read_peer(s, r), PeerRead::Garbage);
+  EXPECT_EQ(read_one(s, r), PeerRead::Garbage);
   s = "GET /up HTTP/1.1\r\n\r\n";
-  EXPECT_EQ(read_peer(s, r), PeerRead::Garbage);
+  EXPECT_EQ(read_one(s, r), PeerRead::Garbage);
   std::mt19937 rng(1);
   for (int i = 0; i < 5000; ++i) {
-    s = good;
+    s = i % 3 == 0 ? good : encode_peer(i % 3 == 1 ? report : orders);
     s[rng() % s.size()] = static_cast<char>(rng());
     s.resize(1 + rng() % s.size());
-    read_peer(s, r);
+    read_one(s, r);
   }
 }
 
@@ -231,7 +265,7 @@
   fail |= !list.is_null() && !list.is_array();
   if (fail) return std::nullopt;
   const std::vector<std::string> phases{"pulling", "gathering", "running", "saving", "exited"};
-  const std::vector<std::string> causes{"",     "done",  "stopped", "mates_gone", "alone",
+  const std::vector<std::string> causes{"",      "done", "stopped", "mates_gone", "alone",
                                         "error", "full", "busy",    "no_such"};
   auto place = [](const std::vector<std::string> &names, const Json &v) {
     return v.is_string() ? std::find(names.begin(), names.end(), v.get<std::string>()) - names.begin()
@@ -268,10 +302,21 @@
 TEST(Wire, ReportsAreReadAsTheSlowModelReadsThem) {
   std::mt19937_64 rng(11);
   auto pick = [&](std::size_t n) { return std::uniform_int_distribution<std::size_t>(0, n - 1)(rng); };
-  const std::vector<Json> odd{nullptr, true, -3, 7, 0.5, "", "exited", "j-1/2", Json::array(), Json::object(),
-                              {{"piece", "j-1/2"}}, Json::array({Json::array()}), std::string(300, 'x')};
-  const std::vector<std::string> names{"box",  "address", "hull",  "yard",   "standby", "shift",  "tick", "baton",
-                                       "warning_s", "pieces", "piece", "try", "status", "cause", "stored", "more"};
+  const std::vector<Json> odd{nullptr,
+                              true,
+                              -3,
+                              7,
+                              0.5,
+                              "",
+                              "exited",
+                              "j-1/2",
+                              Json::array(),
+                              Json::object(),
+                              {{"piece", "j-1/2"}},
+                              Json::array({Json::array()}),
+                              std::string(300, 'x')};
+  const std::vector<std::string> names{"box",       "address", "hull",  "yard", "standby", "shift", "tick",   "baton",
+                                       "warning_s", "pieces",  "piece", "try",  "status",  "cause", "stored", "more"};
   int good = 0, bad = 0;
   for (int n = 0; n < 6000; ++n) {
     WorkerReport r;
--- a/tests/world.cpp
+++ b/tests/world.cpp
@@ -27,6 +27,7 @@
   s.lease_s = o_.core_lease_s > 0 ? o_.core_lease_s : o_.lease_s;
   s.report_s = o_.report_s;
   s.cancel_s = o_.cancel_s;
+  s.cpu_share = o_.cpu_share;
   s.state_write_rps = 15;
   Node &n = nodes_[static_cast<std::size_t>(i)];
   ++n.life;
@@ -178,14 +179,16 @@
     });
   }
   for (const auto &p : effects.peers) {
-    if (chance(o_.loss)) continue;
+    if (chance(o_.loss) || t_ < peers_cut_until_) continue;
+    relayed += p.message.kind == wire::PeerMessage::Kind::Report;
     // Link ids in this world: the asker's index.
     int to = p.sibling >= 0 ? (p.sibling < i ? p.sibling : p.sibling + 1) : static_cast<int>(p.link);
     double there = t_ + (chance(o_.loss) ? uniform(0.1, 30) : uniform(0.001, 0.005));
     schedule(there, [this, to, i, pong = p.sibling < 0, m = p.message] {
       wire::PeerMessage read;
-      auto bytes = wire::encode_peer(m);
-      if (wire::read_peer(bytes, read) != wire::PeerRead::Frame) return break_rule("a peer frame did not survive");
+      const auto bytes = wire::encode_peer(m);
+      std::string_view rest = bytes;
+      if (wire::read_peer(rest, read) != wire::PeerRead::Frame) return break_rule("a peer frame did not survive");
       push(to, core::CmdPeer{pong ? (i < to ? i : i - 1) : -1, static_cast<std::uint64_t>(i), std::move(read)});
     });
   }
--- a/tests/world.hpp
+++ b/tests/world.hpp
@@ -20,6 +20,7 @@
 struct WorldOptions {
   int nodes = 3;
   double lease_s = 10, report_s = 1, cancel_s = 40;
+  double cpu_share = 1;    // decides how many reports a leader takes itself
   double core_lease_s = 0; // what the cores believe, if not 0: a bug to be caught
   double loss = 0;         // of requests, answers, or late by minutes
   double sick = 0;         // share of machines that fail every task
@@ -41,7 +42,8 @@
   // Stands still while its clocks run on; `within`: after it has decided and before what it decided leaves.
   void stall(int node, double for_s, bool within);
   void cut_workers(int node, double for_s, bool hold);
-  void cut_boxes(double share, double for_s); // workers that reach nobody
+  void cut_peers(double for_s) { peers_cut_until_ = t_ + for_s; } // connections between nodes
+  void cut_boxes(double share, double for_s);                     // workers that reach nobody
   void at(double t, std::function<void()> fn) { schedule(t, std::move(fn)); }
 
   std::string submit(JobSpec spec);                  // returns the id; retried until accepted
@@ -55,6 +57,7 @@
 
   std::vector<std::string> broken; // rules broken, in words
   bool lose_watches = false;       // watches of the state service get no answer
+  int relayed = 0;                 // reports passed on from node to node
   int lease_kills = 0;             // tasks ended because their worker's lease ran out
   int starts = 0, finished_jobs = 0, accepted_jobs = 0, cancelled_jobs = 0;
   double now() const { return t_; }
@@ -177,7 +180,7 @@
   std::uint64_t epoch_ = 1, next_lease_ = 1;
   std::deque<wire::Event> history_;
   std::vector<Follower> followers_;
-  double outage_until_ = -1;
+  double outage_until_ = -1, peers_cut_until_ = -1;
   std::vector<MachineType> types_;
   std::deque<Box> boxes_;
   std::map<std::string, std::vector<std::string>> rents_;
--- a/tests/world_test.cpp
+++ b/tests/world_test.cpp
@@ -386,7 +386,7 @@
   w.at(3, [&] { id = w.submit(w.job(Shape::Array, 4, 1, 60)); });
   w.run(20);
   ASSERT_GT(w.starts, 0);
-  w.at(20, [&] { w.look_up(0, id); });   // the node knows it as open
+  w.at(20, [&] { w.look_up(0, id); });  // the node knows it as open
   w.at(21, [&] { w.cut_boxes(1, 5); }); // so that the job stays open for a while
   w.at(21, [&] { w.cancel(id, 1); });
   w.run(22);
@@ -402,6 +402,48 @@
   }
 }
 
+// With little processor a leader lets its siblings read reports for it.
+TEST(World, SiblingsPassReportsOn) {
+  WorldOptions o;
+  o.cpu_share = 0.005;
+  World w(31, o);
+  mixed_load(w, 40);
+  w.run(120);
+  EXPECT_GT(w.relayed, 100);
+  // Nothing goes from node to node any more: the workers find the leader, and no lease runs out.
+  const int kills = w.lease_kills, before = w.relayed;
+  w.cut_peers(40);
+  w.run(160);
+  EXPECT_EQ(w.lease_kills, kills);
+  w.run(200);
+  EXPECT_GT(w.relayed, before); // and they are spread again
+  // A sibling that no worker reaches keeps none of them.
+  const int leader = w.leader();
+  w.cut_workers((leader + 1) % 3, 60, false);
+  w.run(400);
+  EXPECT_EQ(w.lease_kills, kills);
+  EXPECT_EQ(w.leader(), leader);
+  EXPECT_TRUE(w.broken.empty()) << all(w);
+  EXPECT_TRUE(w.all_over()) << w.finished_jobs << " of " << w.accepted_jobs;
+}
+
+TEST(Relay, AnAnswerReachesTheReportItWasMadeForOrNone) {
+  core::ReportRelay r(2, 10, 100);
+  auto a = r.take(1, "m-1", 0), b = r.take(2, "m-2", 0.1);
+  ASSERT_TRUE(a && b);
+  EXPECT_NE(*a, *b);
+  EXPECT_FALSE(r.take(3, "m-3", 0.2)); // no room for a third worker
+  EXPECT_FALSE(r.has_room());
+  EXPECT_EQ(r.answered(*b), 2u);
+  EXPECT_FALSE(r.answered(*b)); // once only
+  EXPECT_TRUE(r.give_up(1.0).empty());
+  EXPECT_EQ(r.give_up(2.0), (std::vector<core::RequestId>{1}));
+  EXPECT_FALSE(r.answered(*a)); // given up: the worker has been told so
+  EXPECT_TRUE(r.broken(2.5));
+  EXPECT_FALSE(r.broken(10));
+  EXPECT_TRUE(r.take(4, "m-3", 20)); // the others have not been heard of for long
+}
+
 TEST(World, DrainedMachinesEmptyAndGoBack) {
   World w(8, {});
   w.at(2, [&] { w.submit(w.job(Shape::Array, 4, 1, 30)); });
@@ -430,12 +472,13 @@
   o.boot_fail = 0.1;
   o.die_per_hour = 10;
   o.hang_per_hour = seed % 2 ? 20 : 0;
+  if (seed % 5 >= 2) o.cpu_share = 0.004; // siblings pass reports on
   World w(seed, o);
   mixed_load(w, 30);
   auto pick = [&](int n) { return static_cast<int>(rng() % static_cast<unsigned>(n)); };
   for (int i = 0; i < 10; ++i) {
     double at = 10 + pick(150);
-    int kind = pick(12), node = pick(3), len = 2 + pick(25);
+    int kind = pick(13), node = pick(3), len = 2 + pick(25);
     bool hold = pick(2);
     auto how = static_cast<World::Cut>(pick(4));
     w.at(at, [&w, kind, node, len, hold, how] {
@@ -472,6 +515,9 @@
       case 10:
         w.cut_state(node, len, how);
         break;
+      case 11:
+        w.cut_peers(len);
+        break;
       default:
         w.cut_boxes(0.1 * (node + 3), len);
       }
