All machines wanted of one kind are rented at once

Change: what all jobs want is gathered by kind and rented in calls of 50 as far as the cloud's calls go; what a job leaves of its new machines is there for the next.

--- a/include/loftrouter/core/core.hpp
+++ b/include/loftrouter/core/core.hpp
@@ -449,7 +449,12 @@
   double cheapest_cpu() const;
   void drain_surplus(double waiting_cpus);
   static bool is_small(const Job &j) { return j.spec.urgency == Urgency::Low && j.spec.spot; }
-  void rent(int type, int zone, bool spot, int count, const Job &why);
+  struct Wanted { // machines of one kind
+    std::tuple<int, int, bool> key;
+    int count = 0, jobs = 0;
+    int job = -1; // the first that wants them
+  };
+  void rent(const Wanted &w);
   void send_rent(CloudRent call, std::tuple<int, int, bool> key, int tries);
   void load_types();
   void set_types(std::vector<MachineType> types);
--- a/src/core/autoscaler.cpp
+++ b/src/core/autoscaler.cpp
@@ -22,6 +22,8 @@
 constexpr double kDefaultDue = 3600.0;  // for jobs without a deadline or an objective: dear machines can wait
 // How often a rented machine's place may be used for one backlog: as often as the time left allows.
 constexpr double kWavesShare = 0.5, kMinWaves = 2.0, kMaxWaves = 6.0;
+constexpr int kMostACall = 50;     // machines, by the cloud's protocol
+constexpr double kCallsKept = 1.0; // of the cloud's, for the list and for returns
 const char *const kTypesKey = "conf/types";
 } // namespace
 
@@ -291,7 +293,7 @@
     group.busy += busy[i];
   }
   double pending = 0;
-  int budget = 3;
+  std::vector<Wanted> wanted; // in the order of the jobs that want them first
   for (int j : order) {
     Job &n = job(j);
     PlaceJob p = place_job(j);
@@ -374,7 +376,7 @@
           if (rest < 0.5) continue;
           int count = static_cast<int>(std::ceil(std::ceil(rest / waves) / per));
           double cost = price * count * (1 + 0.003 * type.boot_s);
-          if (cost < best.cost) best = {t, z, spot, std::min(count, 50), cost};
+          if (cost < best.cost) best = {t, z, spot, count, cost};
         }
       }
     }
@@ -385,20 +387,41 @@
     for (std::size_t i = 0; i < up.size() && !low; ++i)
       if (allowed(p, up[i]) && p.need.fits(up[i].size))
         busy[i] += waiting * est * p.need.cpus / static_cast<double>(up.size());
-    if (best.type < 0 || budget-- <= 0) continue;
-    rent(best.type, best.zone, best.spot, best.count, n);
+    if (best.type < 0) continue;
+    auto key = std::tuple(best.type, best.zone, best.spot);
+    auto it = std::find_if(wanted.begin(), wanted.end(), [&](const Wanted &w) { return w.key == key; });
+    if (it == wanted.end()) it = wanted.insert(it, {key, 0, 0, j});
+    it->count += best.count;
+    ++it->jobs;
+    // What this job leaves of them is there for the next.
+    for (int i = 0; i < best.count; ++i) {
+      Place place{types_[static_cast<std::size_t>(best.type)].size, best.type, best.zone, best.spot};
+      for (; waiting >= 1 && p.need.fits(place.free); waiting -= waves)
+        place.free.add(p.need, -1);
+      booting.push_back(place);
+    }
   }
+  for (const auto &w : wanted)
+    rent(w);
   drain_surplus(pending);
 }
 
-void Core::rent(int type, int zone, bool spot, int count, const Job &why) {
-  auto name = fmt::format("r-{}-{}", term_, ++rent_counter_);
-  auto key = std::tuple(type, zone, spot);
-  rents_open_[key] += count;
-  log(LogLevel::Info, fmt::format("renting {} x {} in {}{} for job {} ({}), {} tasks waiting", count,
-                                  type_names_.name(type), zone_names_.name(zone), spot ? " (spot)" : "", why.spec.id,
-                                  why.spec.job_class, why.spec.tasks - why.done - why.placed - why.unaccounted));
-  send_rent({name, type_names_.name(type), zone_names_.name(zone), spot, count}, key, 3);
+// All that is wanted of one kind at once: a backlog of thousands of tasks is not to be met by a few machines a second.
+void Core::rent(const Wanted &w) {
+  const auto [type, zone, spot] = w.key;
+  const Job &why = job(w.job);
+  for (int left = w.count; left > 0 && cloud_calls_.level(now()) >= 1 + kCallsKept;) {
+    const int count = std::min(left, kMostACall);
+    left -= count;
+    rents_open_[w.key] += count;
+    log(LogLevel::Info,
+        fmt::format("renting {} x {} in {}{} for {} jobs, first of them {} ({}), {} tasks waiting", count,
+                    type_names_.name(type), zone_names_.name(zone), spot ? " (spot)" : "", w.jobs, why.spec.id,
+                    why.spec.job_class, why.spec.tasks - why.done - why.placed - why.unaccounted));
+    send_rent(
+        {fmt::format("r-{}-{}", term_, ++rent_counter_), type_names_.name(type), zone_names_.name(zone), spot, count},
+        w.key, 3);
+  }
 }
 
 void Core::send_rent(CloudRent call, std::tuple<int, int, bool> key, int tries) {
