--- a/bench/load.cpp
+++ b/bench/load.cpp
@@ -48,12 +48,16 @@
   return core_.apply(std::move(batch), now());
 }
 
-void Load::arrive() {
+double Load::lease_s() const {
+  return settings().lease_s;
+}
+
+void Load::arrive(std::uint32_t tasks) {
   JobSpec s;
   s.id = fmt::format("j-{:06}", next_job_++);
   s.job_class = "bulk";
   s.team = "red";
-  s.tasks = 200;
+  s.tasks = tasks;
   s.urgency = Urgency::Low;
   s.need = {1, 0, 1.5};
   s.image = fmt::format("img-{}", next_job_ % 12);
@@ -73,8 +77,8 @@
     cpus += b.report.type == "big" ? 16 : 4;
   if (core_.leading())
     while (next_job_ * 200 < t_ * cpus * 0.95 / kTaskFor + cpus * (1 + kBacklog))
-      arrive();
-  if (watch_ && !news_.empty()) {
+      arrive(200);
+  if (watch_ && (!news_.empty() || t_ - watched_since_ > 2.9)) {
     wire::StoreReply r;
     r.status = 200;
     r.revision = revision_;
@@ -166,6 +170,7 @@
       r.lease = 5;
     } else if (std::holds_alternative<core::StoreFollow>(op.what)) {
       watch_ = op.op;
+      watched_since_ = t_;
       continue;
     }
     answers_.push_back(core::CmdStoreReply{op.op, std::move(r)});
@@ -178,6 +183,8 @@
     } else if (std::holds_alternative<core::CloudRent>(op.what)) {
       r.status = 503;
       r.no_capacity = true;
+    } else if (auto *back = std::get_if<core::CloudReturn>(&op.what)) {
+      returned.insert(back->names.begin(), back->names.end());
     }
     answers_.push_back(core::CmdCloudReply{op.op, std::move(r)});
   }
--- a/bench/load.hpp
+++ b/bench/load.hpp
@@ -4,6 +4,7 @@
 
 #include <deque>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -20,9 +21,11 @@
   std::string report_bytes(int m) const;         // of machine m now, nothing having changed since its last
   std::string answer(const std::string &report); // through wire, core and back
   std::string submit();                          // an accept as a user sees it, until its commit has left
-  core::Core &core() { return core_; }
+  void arrive(std::uint32_t tasks);              // a job that others have submitted
+  double lease_s() const;                        // of its workers
   core::Effects apply(std::vector<core::Command> batch);
   core::Now now() const { return {t_, 1.7e9 + t_}; }
+  std::set<std::string> returned; // machines
   std::uint64_t reports = 0, starts = 0, ends = 0;
 
 private:
@@ -42,7 +45,6 @@
   void report(int m);
   void take(Box &b, const std::string &body);
   void carry_out(core::Effects effects);
-  void arrive();
 
   double t_ = 0;
   core::Core core_;
@@ -53,6 +55,7 @@
   std::vector<core::Command> answers_; // of the state service and the cloud
   std::deque<wire::Event> news_;       // open records not yet told to the watch
   core::OpId watch_ = 0;
+  double watched_since_ = 0;
   std::map<core::RequestId, std::string> replies_;
   core::RequestId next_req_ = 1;
 };
--- a/src/wire/admin.cpp
+++ b/src/wire/admin.cpp
@@ -150,7 +150,8 @@
 
 std::optional<std::string> apply_tunables(const Json &j, Tunables &t) {
   for (const auto &[name, value] : j.items()) {
-    auto x = std::find_if(std::begin(kTunables), std::end(kTunables), [&](const auto &k) { return name == k.name; });
+    auto x = std::find_if(std::begin(kTunables), std::end(kTunables),
+                          [&key = name](const auto &k) { return key == k.name; });
     if (x == std::end(kTunables)) return fmt::format("{}: no such setting", valid_name(name) ? name : "a field");
     const double v = value.is_number() ? value.get<double>() : std::nan("");
     if (!(v >= x->least && v <= x->most))
