Twins made one: the leading sibling, filling of places, names, load bench; moves only

Found on reading the change again: two loops over siblings for who leads, two for placing tasks on machines that boot, two look-ups of a name among a list, the machine looked up twice for each direct report, a member of the load bench nobody read.

--- a/bench/load.cpp
+++ b/bench/load.cpp
@@ -48,6 +48,11 @@
   return core_.apply(std::move(batch), now());
 }
 
+void Load::settle() {
+  while (!answers_.empty())
+    carry_out(apply(std::exchange(answers_, {})));
+}
+
 double Load::lease_s() const {
   return settings().lease_s;
 }
@@ -87,8 +92,7 @@
     answers_.push_back(core::CmdStoreReply{std::exchange(watch_, 0), std::move(r)});
   }
   answers_.push_back(core::CmdTick{});
-  while (!answers_.empty())
-    carry_out(apply(std::exchange(answers_, {})));
+  settle();
   for (int m = 0; m < static_cast<int>(boxes_.size()); ++m) {
     Box &b = boxes_[static_cast<std::size_t>(m)];
     bool ended = false;
@@ -111,7 +115,7 @@
 
 std::string Load::report_bytes(int m) const {
   Box copy = boxes_[static_cast<std::size_t>(m)];
-  return wire::encode_report(const_cast<Load *>(this)->next_report(copy));
+  return wire::encode_report(next_report(copy));
 }
 
 std::string Load::answer(const std::string &bytes) {
@@ -130,8 +134,7 @@
   Box &b = boxes_[static_cast<std::size_t>(m)];
   b.next = t_ + kReportEvery;
   take(b, answer(wire::encode_report(next_report(b))));
-  while (!answers_.empty())
-    carry_out(apply(std::exchange(answers_, {})));
+  settle();
 }
 
 void Load::take(Box &b, const std::string &body) {
@@ -147,7 +150,6 @@
       ++starts;
     } else if (o.verb == TaskOrder::Verb::Forget && it != b.runs.end()) {
       b.runs.erase(it);
-      ++ends;
     }
   }
 }
--- a/bench/load.hpp
+++ b/bench/load.hpp
@@ -23,10 +23,9 @@
   std::string submit();                          // an accept as a user sees it, until its commit has left
   void arrive(std::uint32_t tasks);              // a job that others have submitted
   double lease_s() const;                        // of its workers
-  core::Effects apply(std::vector<core::Command> batch);
   core::Now now() const { return {t_, 1.7e9 + t_}; }
   std::set<std::string> returned; // machines
-  std::uint64_t reports = 0, starts = 0, ends = 0;
+  std::uint64_t reports = 0, starts = 0;
 
 private:
   struct Run {
@@ -41,7 +40,9 @@
     std::vector<Run> runs;
     double next = 0;
   };
-  WorkerReport next_report(Box &b);
+  static WorkerReport next_report(Box &b);
+  core::Effects apply(std::vector<core::Command> batch);
+  void settle(); // what the state service and the cloud have answered, until nothing follows from it
   void report(int m);
   void take(Box &b, const std::string &body);
   void carry_out(core::Effects effects);
--- a/bench/load_bench.cpp
+++ b/bench/load_bench.cpp
@@ -1,5 +1,5 @@
 // Cost of what a leader does, by kind and by the number of machines. Seconds depend on the machine they are
-// measured on: compare rows of one run, or count instructions (docs/fleet-scale.md).
+// measured on: compare rows of one run (docs/fleet-scale.md).
 #include <benchmark/benchmark.h>
 
 #include <memory>
--- a/include/loftrouter/core/core.hpp
+++ b/include/loftrouter/core/core.hpp
@@ -399,9 +399,10 @@
   void send_elsewhere(RequestId req);
   void take_orders(const wire::PeerMessage &m);
   void give_up_relayed();
+  int leading_sibling() const;
   int relay_to() const;
   std::size_t kept_by(int sibling) const; // workers; -1: by this node itself
-  int keeper_for(const WorkerReport &r, const Machine *known);
+  int keeper_for(const WorkerReport &r);
   std::string_view leader_by_word() const;
   int machine_index(const std::string &name, const std::string &type, const std::string &zone, bool spot);
   Machine &machine(int m) { return *machines_[static_cast<std::size_t>(m)]; }
--- a/src/core/autoscaler.cpp
+++ b/src/core/autoscaler.cpp
@@ -310,16 +310,17 @@
     const double due = due_after(n), left = due - p.wait_s;
     const double waves = low ? std::clamp(kWavesShare * left / est, kMinWaves, kMaxWaves) : 1.0;
     double waiting = p.ready;
+    auto fill = [&](Place &place) {
+      for (; waiting >= 1 && p.need.fits(place.free); waiting -= waves)
+        place.free.add(p.need, -1);
+    };
     for (auto &b : booting) { // what is on its way takes them first
       PlaceMachine pm;
       pm.type = b.type;
       pm.zone = b.zone;
       pm.spot = b.spot;
       if (!allowed(p, pm)) continue;
-      while (waiting >= 1 && p.need.fits(b.free)) {
-        b.free.add(p.need, -1);
-        waiting -= waves;
-      }
+      fill(b);
     }
     if (waiting < 1) continue;
     struct Choice {
@@ -396,8 +397,7 @@
     // What this job leaves of them is there for the next.
     for (int i = 0; i < best.count; ++i) {
       Place place{types_[static_cast<std::size_t>(best.type)].size, best.type, best.zone, best.spot};
-      for (; waiting >= 1 && p.need.fits(place.free); waiting -= waves)
-        place.free.add(p.need, -1);
+      fill(place);
       booting.push_back(place);
     }
   }
@@ -414,13 +414,12 @@
     const int count = std::min(left, kMostACall);
     left -= count;
     rents_open_[w.key] += count;
-    log(LogLevel::Info,
-        fmt::format("renting {} x {} in {}{} for {} jobs, first of them {} ({}), {} tasks waiting", count,
-                    type_names_.name(type), zone_names_.name(zone), spot ? " (spot)" : "", w.jobs, why.spec.id,
-                    why.spec.job_class, why.spec.tasks - why.done - why.placed - why.unaccounted));
-    send_rent(
-        {fmt::format("r-{}-{}", term_, ++rent_counter_), type_names_.name(type), zone_names_.name(zone), spot, count},
-        w.key, 3);
+    CloudRent call{fmt::format("r-{}-{}", term_, ++rent_counter_), type_names_.name(type), zone_names_.name(zone), spot,
+                   count};
+    log(LogLevel::Info, fmt::format("renting {} x {} in {}{} for {} jobs, first of them {} ({}), {} tasks waiting",
+                                    count, call.type, call.zone, spot ? " (spot)" : "", w.jobs, why.spec.id,
+                                    why.spec.job_class, why.spec.tasks - why.done - why.placed - why.unaccounted));
+    send_rent(std::move(call), w.key, 3);
   }
 }
 
--- a/src/core/fleet.cpp
+++ b/src/core/fleet.cpp
@@ -48,11 +48,9 @@
   // A machine that was given back can only speak through packets held up on the way.
   if (gone_.contains(r.machine)) return tell_worker(from, 503, {}, "this machine was given back");
   spread_.heard(from.direct());
-  if (from.direct()) {
-    auto it = machine_index_.find(r.machine);
-    if (int s = keeper_for(r, it == machine_index_.end() ? nullptr : &machine(it->second)); s >= 0)
+  if (from.direct())
+    if (int s = keeper_for(r); s >= 0)
       return reply(from.req, 421, wire::encode_redirect(settings_.siblings[static_cast<std::size_t>(s)].node));
-  }
   int m = machine_index(r.machine, r.type, r.zone, r.spot);
   Machine &n = machine(m);
   if (std::pair(r.session, r.seq) <= std::pair(n.session, n.seq))
--- a/src/core/relaying.cpp
+++ b/src/core/relaying.cpp
@@ -11,20 +11,24 @@
 constexpr double kLeaderKnownFor = 3.0; // from the state service
 } // namespace
 
-// The sibling that says it leads and wants reports passed on; -1 if none does.
-int Core::relay_to() const {
-  if (role_ != Role::Follower || relay_.broken(now())) return -1;
+// The sibling that says it leads, with the highest term known here; -1 if none does.
+int Core::leading_sibling() const {
   for (std::size_t i = 0; i < siblings_.size(); ++i) {
     const auto &s = siblings_[i];
-    if (s.leads && s.spreads && s.term >= highest_term_ && now() - s.stated_at < kWordLife) return static_cast<int>(i);
+    if (s.leads && s.term >= highest_term_ && now() - s.stated_at < kWordLife) return static_cast<int>(i);
   }
   return -1;
 }
 
+// The same if it wants reports passed on and this node may do so.
+int Core::relay_to() const {
+  if (role_ != Role::Follower || relay_.broken(now())) return -1;
+  const int i = leading_sibling();
+  return i >= 0 && siblings_[static_cast<std::size_t>(i)].spreads ? i : -1;
+}
+
 std::string_view Core::leader_by_word() const {
-  for (std::size_t i = 0; i < siblings_.size(); ++i)
-    if (siblings_[i].leads && siblings_[i].term >= highest_term_ && now() - siblings_[i].stated_at < kWordLife)
-      return settings_.siblings[i].node;
+  if (const int i = leading_sibling(); i >= 0) return settings_.siblings[static_cast<std::size_t>(i)].node;
   return !leader_name_.empty() && now() - leader_seen_ < kLeaderKnownFor ? std::string_view(leader_name_)
                                                                          : std::string_view();
 }
@@ -93,8 +97,10 @@
 
 // The sibling that this worker is sent to, or -1. Its lease is not renewed by that, so it has to be fresh, and
 // nothing it tells may wait.
-int Core::keeper_for(const WorkerReport &r, const Machine *known) {
+int Core::keeper_for(const WorkerReport &r) {
   if (!active() || !spread_.may_send_away(now())) return -1;
+  const auto it = machine_index_.find(r.machine);
+  Machine *known = it == machine_index_.end() ? nullptr : &machine(it->second);
   if (known && (now() - known->sent_away < kSentAwayAgain || now() - known->last_answer > 2 * settings_.report_s))
     return -1;
   if (!known && !r.tasks.empty()) return -1;
@@ -112,7 +118,7 @@
   }
   if (best < 0) return -1;
   spread_.sent_away(now());
-  if (auto it = machine_index_.find(r.machine); it != machine_index_.end()) machine(it->second).sent_away = now();
+  if (known) known->sent_away = now();
   return best;
 }
 
--- a/src/wire/messages.cpp
+++ b/src/wire/messages.cpp
@@ -35,13 +35,15 @@
 constexpr const char *kVerbs[] = {"start", "kill", "reap"};
 constexpr const char *kJobStates[] = {"queued", "running", "done", "aborted"};
 
-template <std::size_t N> std::optional<int> find_name(const char *const (&names)[N], const Json &j) {
-  if (!j.is_string()) return std::nullopt;
-  const auto &s = j.get_ref<const std::string &>();
+template <std::size_t N> std::optional<int> find_name(const char *const (&names)[N], const std::string &s) {
   for (std::size_t i = 0; i < N; ++i)
     if (s == names[i]) return static_cast<int>(i);
   return std::nullopt;
 }
+template <std::size_t N> std::optional<int> find_name(const char *const (&names)[N], const Json &j) {
+  if (!j.is_string()) return std::nullopt;
+  return find_name(names, j.get_ref<const std::string &>());
+}
 
 const Json kNull;
 
@@ -395,11 +397,6 @@
       if (v == name) return field;
     return None;
   }
-  template <std::size_t N> static std::optional<int> index_of(const std::string &v, const char *const (&names)[N]) {
-    for (std::size_t i = 0; i < N; ++i)
-      if (v == names[i]) return static_cast<int>(i);
-    return std::nullopt;
-  }
   bool in_task() const { return depth_ == 3 && tasks_ && map_[3]; }
   bool in_list() const { return depth_ == 2 && tasks_; }
   // A task has to be a map, the list of tasks a list, and a notice a number.
@@ -421,12 +418,12 @@
     if (key_ == Name) {
       if (v.size() <= 200 && split_task(v, t.job, t.index)) good_task_ |= 1U << Name;
     } else if (key_ == Phase) {
-      if (auto phase = index_of(v, kPhases)) {
+      if (auto phase = find_name(kPhases, v)) {
         t.phase = static_cast<TaskPhase>(*phase);
         good_task_ |= 1U << Phase;
       }
     } else if (key_ == Cause) {
-      if (auto cause = index_of(v, kCauses)) {
+      if (auto cause = find_name(kCauses, v)) {
         t.cause = static_cast<ExitCause>(*cause);
         cause_ = true;
       }
