--- /dev/null
+++ b/include/loftrouter/core/administration.hpp
@@ -0,0 +1,50 @@
+// The administration API: what an operator asks of any node, and changes of the operators' own settings.
+//
+// Owns nothing but the questions under way. Changes are guarded by the record's revision: of two operators at once
+// one is told so.
+#pragma once
+
+#include <string_view>
+
+#include "loftrouter/core/insight.hpp"
+#include "loftrouter/core/reports.hpp"
+
+namespace loft::core {
+
+class Administration {
+public:
+  Administration(Port &port, const Settings &settings, const Catalogue &catalogue, Operators &operators,
+                 StoreBudget &budget, const Leadership &lead, const RecordWatch &watch, const JobTable &jobs,
+                 const FailureJudge &judge, const Fleet &fleet, const Scaler &scaler, const Siblings &siblings,
+                 const ReportDesk &reports, const Insight &insight)
+      : port_(port), settings_(settings), catalogue_(catalogue), operators_(operators), budget_(budget), lead_(lead),
+        watch_(watch), jobs_(jobs), judge_(judge), fleet_(fleet), scaler_(scaler), siblings_(siblings),
+        reports_(reports), insight_(insight) {}
+
+  void take(CmdAdmin &&cmd);
+
+private:
+  void status(RequestId req, const wire::AdminRequest &ask);
+  std::vector<std::string> troubles(const wire::AdminStatus &s, int silent, int ordered) const;
+  void jobs(RequestId req, const wire::AdminRequest &ask, bool foreseen);
+  void report(RequestId req, const wire::AdminRequest &ask);
+  void change(RequestId req, const wire::AdminRequest &ask);
+  void fail(RequestId req, int status, std::string_view text);
+
+  Port &port_;
+  const Settings &settings_;
+  const Catalogue &catalogue_;
+  Operators &operators_;
+  StoreBudget &budget_;
+  const Leadership &lead_;
+  const RecordWatch &watch_;
+  const JobTable &jobs_;
+  const FailureJudge &judge_;
+  const Fleet &fleet_;
+  const Scaler &scaler_;
+  const Siblings &siblings_;
+  const ReportDesk &reports_;
+  const Insight &insight_;
+};
+
+} // namespace loft::core
--- /dev/null
+++ b/include/loftrouter/core/budget.hpp
@@ -0,0 +1,41 @@
+// This node's part of what the state service allows all nodes together: reads and writes for users, and the leader's
+// own writes. (The leader's lease is outside of it.)
+//
+// Owns the three budgets. Siblings say how much they use; a node may use what they leave of the users' share, and its
+// equal part at any time. A sibling that is not heard may be using its part. The leader's own records have what
+// users leave, and a part in any case. Bursts may add up to a little more than one second's worth: what the state
+// service refuses by rate is retried.
+#pragma once
+
+#include <optional>
+#include <vector>
+
+#include "loftrouter/core/settings.hpp"
+#include "loftrouter/core/util.hpp"
+
+namespace loft::core {
+
+class StoreBudget {
+public:
+  struct Use { // a second
+    double reads = 0, writes = 0;
+  };
+  explicit StoreBudget(const Settings &settings);
+
+  bool take_read(double now, double amount = 1) { return reads_.take(now, amount); }
+  bool take_write(double now) { return writes_.take(now); }
+  double leader_writes(double now) { return leader_writes_.level(now); }
+  void take_leader_writes(double now, double amount) { leader_writes_.take(now, amount); }
+
+  // Own use for users, smoothed.
+  const Use &use() const { return use_; }
+  // Every `dt_s`: shares out anew. One entry a sibling; nothing for one that is not heard.
+  void share(double now, double dt_s, const std::vector<std::optional<Use>> &siblings);
+
+private:
+  const Settings &settings_;
+  TokenBucket reads_, writes_, leader_writes_;
+  Use use_, taken_; // the latter: in all, when last looked at
+};
+
+} // namespace loft::core
--- /dev/null
+++ b/include/loftrouter/core/commands.hpp
@@ -0,0 +1,62 @@
+// What the core is asked: plain structs, taken in batches in the order in which they came.
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <variant>
+
+#include "loftrouter/core/types.hpp"
+#include "loftrouter/wire/admin.hpp"
+#include "loftrouter/wire/messages.hpp"
+#include "loftrouter/wire/peer.hpp"
+
+namespace loft::core {
+
+// Seconds. `mono` never goes back and counts for every lease and deadline; `wall` is for people and records.
+struct Now {
+  double mono = 0, wall = 0;
+};
+using RequestId = std::uint64_t; // of a connection that waits for an answer
+using OpId = std::uint64_t;      // of a question to the state service or the cloud
+
+struct CmdTick {};
+struct CmdSubmit {
+  RequestId req;
+  JobSpec spec;
+};
+struct CmdLookup {
+  RequestId req;
+  std::string id;
+};
+struct CmdAbort {
+  RequestId req;
+  std::string id;
+};
+struct CmdUp {
+  RequestId req;
+};
+struct CmdReport {
+  RequestId req;
+  WorkerReport report;
+};
+struct CmdStoreReply {
+  OpId op;
+  wire::StoreReply reply;
+};
+struct CmdCloudReply {
+  OpId op;
+  wire::CloudReply reply;
+};
+struct CmdAdmin {
+  RequestId req;
+  wire::AdminRequest ask;
+};
+struct CmdPeer {
+  int sibling;        // the one that was asked, or -1
+  std::uint64_t link; // where an answer goes
+  wire::PeerMessage message;
+};
+using Command = std::variant<CmdTick, CmdSubmit, CmdLookup, CmdAbort, CmdUp, CmdReport, CmdStoreReply, CmdCloudReply,
+                             CmdPeer, CmdAdmin>;
+
+} // namespace loft::core
--- /dev/null
+++ b/include/loftrouter/core/effects.hpp
@@ -0,0 +1,88 @@
+// What the core wants done: plain structs. Whoever carries them out never blocks the core, and answers every store
+// and cloud operation once, at the latest when its deadline is over (status 0: outcome unknown).
+#pragma once
+
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "loftrouter/core/commands.hpp"
+#include "loftrouter/core/log.hpp"
+
+namespace loft::core {
+
+struct Reply {
+  RequestId req;
+  int status;
+  std::string body;
+  std::optional<int> retry_after; // s
+  bool json = false;              // CBOR otherwise
+};
+struct StoreGet {
+  std::string key;
+};
+struct StoreList {
+  std::string prefix, from;
+};
+struct StoreCommit {
+  std::vector<wire::Guard> guards;
+  std::vector<wire::Write> writes;
+};
+struct StoreLeaseNew {
+  double ttl_s;
+};
+struct StoreLeaseTouch {
+  std::uint64_t lease;
+};
+struct StoreLeaseDrop {
+  std::uint64_t lease;
+};
+struct StoreFollow {
+  std::string prefix;
+  std::uint64_t from;
+  double hold_s;
+};
+struct StoreOp {
+  OpId op;
+  double deadline_s;
+  std::variant<StoreGet, StoreList, StoreCommit, StoreLeaseNew, StoreLeaseTouch, StoreLeaseDrop, StoreFollow> what;
+};
+struct CloudTypes {};
+struct CloudList {
+  std::string from;
+};
+struct CloudRent {
+  std::string request, type, zone;
+  bool spot;
+  int count;
+};
+struct CloudReturn {
+  std::vector<std::string> names;
+};
+struct CloudOp {
+  OpId op;
+  double deadline_s;
+  std::variant<CloudTypes, CloudList, CloudRent, CloudReturn> what;
+};
+struct WorkerCall { // straight to a worker: only ever orders to stop, as it may be carried out minutes late
+  std::string address;
+  std::uint64_t token = 0, session = 0;
+  std::string machine;
+  std::vector<TaskOrder> orders;
+};
+struct PeerSend {
+  int sibling; // -1: on `link`
+  std::uint64_t link;
+  wire::PeerMessage message;
+};
+struct Effects {
+  std::vector<PeerSend> peers;
+  std::vector<Reply> replies;
+  std::vector<StoreOp> store;
+  std::vector<CloudOp> cloud;
+  std::vector<WorkerCall> workers;
+  std::vector<LogLine> logs;
+};
+
+} // namespace loft::core
--- /dev/null
+++ b/include/loftrouter/core/events.hpp
@@ -0,0 +1,125 @@
+// What has happened, as plain structs: published once, by the part that knows, and taken in order by those that
+// care. Nobody needs to know who listens. A decision that a rule of the protocol rests on never waits for an event: it
+// is made by the part that owns the state, at once.
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "loftrouter/core/types.hpp"
+
+namespace loft::core {
+
+// ---- terms ----
+struct TermElected { // this node holds the leader key and reads the records
+  std::uint64_t term;
+  double unaccounted_until; // mono: when whatever earlier leaders kept alive is over or heard of
+};
+struct TermBegun { // and leads
+  std::uint64_t term;
+};
+struct TermEnded {
+  std::uint64_t term;
+  std::string why;
+};
+
+// ---- jobs, by their index in the job table; the index is free once JobOver has been taken ----
+struct JobAccepted { // seen by this leader for the first time
+  int job;
+};
+struct JobCancelled {
+  int job;
+};
+struct JobChanged { // its record is no longer what is so
+  int job;
+  bool ends;   // it can be brought to its end
+  bool urgent; // something waits for the record
+};
+struct JobSuspected { // has failed wherever it was tried
+  int job;
+  std::uint32_t machines;
+};
+struct JobOver { // its final record is written
+  int job;
+  std::string id;
+};
+struct EndLearnt { // of a job, from the state service
+  std::string id;
+};
+
+// ---- tasks ----
+struct TaskRuns {
+  int job;
+  std::uint32_t index;
+  int machine;
+  double after_s; // since it was placed
+};
+struct TaskExited { // by itself or as told, on a machine that has reported so
+  int job;
+  std::uint32_t index;
+  int machine;
+  std::string machine_name;
+  ExitCause cause;
+  double placed_at, running_since; // mono; the latter negative if it was never seen running
+};
+struct TaskRetried { // it has failed, and most likely by its machine's fault
+  int job;
+  std::string machine;
+};
+struct TaskLost { // with its machine
+  int job;
+  std::string machine, why;
+};
+struct TaskPreempted {
+  int job;
+  std::string by; // id of the job that takes its place
+};
+struct TasksGivenUp { // started by earlier leaders and not found again
+  std::uint32_t tasks;
+};
+
+// ---- machines, by their index in the fleet table; free once MachineReturned has been taken ----
+struct MachineUp { // its first report
+  int machine;
+};
+struct MachineLost {
+  int machine;
+  std::string name, why;
+  std::size_t tasks;
+};
+struct MachineCondemned { // it fails the tasks of jobs that succeed elsewhere
+  int machine;
+  std::size_t jobs;
+};
+struct MachineReturned {
+  int machine;
+  std::string name, type, zone;
+  bool spot;
+  double lived_s, up_s, used_share; // the last: of its CPU time
+};
+struct OrdersChanged {}; // operators' orders about machines
+
+using Event = std::variant<TermElected, TermBegun, TermEnded, JobAccepted, JobCancelled, JobChanged, JobSuspected,
+                           JobOver, EndLearnt, TaskRuns, TaskExited, TaskRetried, TaskLost, TaskPreempted, TasksGivenUp,
+                           MachineUp, MachineLost, MachineCondemned, MachineReturned, OrdersChanged>;
+
+class Events {
+public:
+  void publish(Event e) { waiting_.push_back(std::move(e)); }
+  // Those that are published meanwhile are taken too, after the others.
+  template <class Take> void deliver(Take &&take) {
+    for (std::size_t k = 0; k < waiting_.size(); ++k) {
+      const Event e = std::move(waiting_[k]); // publishing may move the others
+      std::visit(take, e);
+    }
+    waiting_.clear();
+  }
+  bool empty() const { return waiting_.empty(); }
+
+private:
+  std::vector<Event> waiting_;
+};
+
+} // namespace loft::core
--- /dev/null
+++ b/include/loftrouter/core/fleet.hpp
@@ -0,0 +1,143 @@
+// The fleet table of a leader: machines, and the tasks that are or may be on them.
+//
+// Owns machines and their slots. Promises that a slot goes only on proof that its attempt is over there: a newer
+// report, a lease that has run out, or the cloud's word. If that were wrong, the task would be started elsewhere while
+// it runs (ran_twice). See docs/safety.md, "ran_twice".
+#pragma once
+
+#include <list>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <tuple>
+#include <unordered_map>
+#include <vector>
+
+#include "loftrouter/core/catalogue.hpp"
+#include "loftrouter/core/events.hpp"
+#include "loftrouter/core/jobs.hpp"
+#include "loftrouter/core/leadership.hpp"
+#include "loftrouter/core/operators.hpp"
+#include "loftrouter/core/recorder.hpp"
+
+namespace loft::core {
+
+struct Slot {
+  int job = -1; // -1: a task of an unknown job, to be stopped
+  std::string job_id;
+  std::uint32_t index = 0;
+  std::uint64_t attempt = 0;
+  TaskPhase phase = TaskPhase::Fetching;
+  bool sent = false; // its start
+  bool seen = false;
+  bool stop = false;
+  bool adopted = false; // started by an earlier leader and unaccounted for until seen
+  double grace_s = 0;
+  double placed_at = 0, running_since = -1;
+  bool finished = false; // exited with success
+  Resources need;
+};
+struct Machine {
+  std::string name, address;
+  int via = -1; // the sibling that its last report came through, or -1
+  int type = -1, zone = -1;
+  bool spot = false;
+  bool heard = false;
+  bool lost = false;      // its lease ran out, or it failed
+  bool returning = false; // no new tasks; given back
+  bool listed_failed = false;
+  bool draining = false;                   // surplus: takes no new tasks and goes back once empty
+  bool stops_news = false;                 // tasks were told to stop that the worker does not know of yet
+  std::optional<wire::MachineOrder> order; // by an operator: takes no new tasks
+  std::uint64_t session = 0, seq = 0;      // of the last report
+  double known_since = 0, last_answer = -1, idle_since = -1, first_heard = -1, rented_at = 0;
+  std::optional<double> taken_at; // notice
+  std::vector<Slot> slots;
+  Resources size, used;
+  std::list<std::pair<int, double>> images; // and their GB, most recent first
+  double busy_cpu_s = 0;                    // CPU seconds of tasks that ran to their end here
+
+  bool silent(double now, double report_s) const { return now - last_answer > 2.5 * report_s + 1; }
+};
+using MachineKind = std::tuple<int, int, bool>; // type, zone, spot
+
+class Fleet {
+public:
+  Fleet(Port &port, Events &events, const Settings &settings, Catalogue &catalogue, const Operators &operators,
+        const Leadership &lead, JobTable &jobs, Recorder &recorder)
+      : port_(port), events_(events), settings_(settings), catalogue_(catalogue), operators_(operators), lead_(lead),
+        jobs_(jobs), recorder_(recorder) {}
+
+  std::size_t slots() const { return machines_.size(); }                                    // indices are below this
+  const Machine *find(int m) const { return machines_[static_cast<std::size_t>(m)].get(); } // null: none there
+  const Machine &operator[](int m) const { return *machines_[static_cast<std::size_t>(m)]; }
+  int index(const std::string &name) const;      // -1: not known
+  template <class Fn> void each(Fn &&fn) const { // fn(index, machine)
+    for (std::size_t m = 0; m < machines_.size(); ++m)
+      if (machines_[m]) fn(static_cast<int>(m), *machines_[m]);
+  }
+  std::size_t live() const;               // heard and not lost
+  std::size_t kept_by(int sibling) const; // workers; -1: by this node itself
+  // When the cloud took it back; nothing if it did not, or that is forgotten.
+  std::optional<double> gone(const std::string &name) const;
+  std::vector<std::uint32_t> running_counts() const; // by job; tasks unaccounted for most likely run too
+  std::uint32_t running(int j) const;
+
+  // What it says of a machine that is not known makes it known.
+  int add(const std::string &name, const std::string &type, const std::string &zone, bool spot);
+  void set_rented_at(int m, double at);
+  void give_back(int m); // takes no new tasks from here on
+  void set_draining(int m, bool draining);
+  void listed_failed(int m); // it stopped on its own
+  void listed_again(const std::string &name) { gone_.erase(name); }
+  void remove(int m); // the cloud has taken it back
+  void forget_gone(double older_s);
+
+  // A report, in two steps: what it says, and, once others have listened to that, its answer.
+  enum class Heard : std::uint8_t { Late, Failed, Taken };
+  Heard hear(int m, const WorkerReport &r, int via);
+  void take_tasks(int m, const WorkerReport &r, std::vector<TaskOrder> &orders);
+  void answer(int m, bool may_start, std::vector<TaskOrder> &orders);
+
+  void put(int m, int j, std::uint32_t i, std::uint64_t attempt); // a task's slot
+  // The task goes: at once if its start was never sent, otherwise when the worker shows it gone.
+  void stop(int m, std::size_t slot, double grace_s);
+  // A gang that can no longer complete its attempt is stopped whole; the next attempt starts when every task of this
+  // one is gone.
+  void tend_gang(int j);
+
+  void tick();       // leases and notices
+  void send_stops(); // at the end of each batch
+  void on(const JobCancelled &e);
+  void on(const JobOver &e);
+  void on(const MachineCondemned &e) { give_back(e.machine); }
+  void on(const OrdersChanged &);
+  void on(const TermBegun &) { gone_.clear(); }
+  void on(const TermEnded &);
+  bool consistent(int m) const; // for asserts and tests
+
+private:
+  Machine &at(int m) { return *machines_[static_cast<std::size_t>(m)]; }
+  void exited(int m, Slot &slot, const TaskReport &t);
+  void adopt(int m, int j, const TaskReport &t, std::vector<TaskOrder> &orders);
+  void drop(int m, std::size_t s);
+  void order_stop(int m, Slot &slot, double grace_s);
+  void lose(int m, std::string_view why);
+  void touch_image(Machine &m, int image, double gb);
+
+  Port &port_;
+  Events &events_;
+  const Settings &settings_;
+  Catalogue &catalogue_;
+  const Operators &operators_;
+  const Leadership &lead_;
+  JobTable &jobs_;
+  Recorder &recorder_;
+  std::vector<std::unique_ptr<Machine>> machines_;
+  std::unordered_map<std::string, int> index_;
+  std::unordered_map<std::string, double> gone_; // names given back, and when
+  std::vector<int> stops_news_;                  // machines whose `stops_news` was set in this batch
+};
+
+} // namespace loft::core
--- /dev/null
+++ b/include/loftrouter/core/insight.hpp
@@ -0,0 +1,84 @@
+// What people are told of jobs: why one waits or was stopped, whether it will be late, and how siblings learn it.
+//
+// Owns what the leader has told of its jobs (on a node that does not lead), and what has been told to siblings. It
+// changes nothing else. Counts may be some seconds old; states come from the state service alone (went_back).
+#pragma once
+
+#include <map>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "loftrouter/core/scaler.hpp"
+#include "loftrouter/core/siblings.hpp"
+
+namespace loft::core {
+
+class Insight {
+public:
+  Insight(Port &port, const Settings &settings, const Catalogue &catalogue, const Operators &operators,
+          const Leadership &lead, const RecordWatch &watch, const JobTable &jobs, const EndedJobs &ended,
+          const FailureJudge &judge, const Reasons &reasons, const Fleet &fleet, const Placer &placer,
+          const Scaler &scaler, const Wishes &wishes, Siblings &siblings)
+      : port_(port), settings_(settings), catalogue_(catalogue), operators_(operators), lead_(lead), watch_(watch),
+        jobs_(jobs), ended_(ended), judge_(judge), reasons_(reasons), fleet_(fleet), placer_(placer), scaler_(scaler),
+        wishes_(wishes), siblings_(siblings) {}
+
+  // What a user is shown of a job that the state service has just said is open.
+  JobView view(const std::string &id, bool cancelled) const;
+  bool foreseen_late(int j) const;
+  bool foreseen_late(const std::string &id) const; // on any node
+  std::size_t foreseen_late_count() const;
+  void log_summary(); // every few seconds
+
+  void tell_siblings();
+  void take_digest(const wire::PeerMessage &m);
+  void on(const JobAccepted &e) { told(e.job) = {}; }
+  void on(const EndLearnt &e) { news_.erase(e.id); }
+  void on(const TermBegun &);
+
+private:
+  struct Supply { // machines of one kind
+    int up = 0, starting = 0;
+  };
+  using Supplies = std::map<MachineKind, Supply>;
+  struct News { // of a job, from the leader
+    std::uint32_t done, running;
+    bool late;
+    std::string reason;
+    double at;
+  };
+  struct Told { // to siblings
+    std::uint32_t done = 0, running = 0;
+  };
+  Supplies supplies() const;
+  std::string why(int j, const Supplies &supply) const;
+  std::string why_waiting(int j, const Supplies &supply) const;
+  bool any_running(int j) const;
+  Told &told(int j);
+
+  Port &port_;
+  const Settings &settings_;
+  const Catalogue &catalogue_;
+  const Operators &operators_;
+  const Leadership &lead_;
+  const RecordWatch &watch_;
+  const JobTable &jobs_;
+  const EndedJobs &ended_;
+  const FailureJudge &judge_;
+  const Reasons &reasons_;
+  const Fleet &fleet_;
+  const Placer &placer_;
+  const Scaler &scaler_;
+  const Wishes &wishes_;
+  Siblings &siblings_;
+  std::unordered_map<std::string, News> news_;
+  std::deque<std::string> news_order_;
+  std::uint64_t news_term_ = 0;
+  std::vector<Told> told_; // by job
+  double next_digest_ = 0, next_summary_ = 0;
+  std::size_t cursor_ = 0; // of the digest, over jobs
+};
+
+} // namespace loft::core
--- /dev/null
+++ b/include/loftrouter/core/jobs.hpp
@@ -0,0 +1,124 @@
+// The job table of a leader: which jobs are open, and where each of their tasks stands.
+//
+// Owns jobs and tasks. Promises that a task is in one state, that the counts agree with the states, and that a task
+// leaves `Placed` only by `release` or `finish`, from the machine that it was placed on. If that were wrong a task
+// could be placed a second time while it runs (ran_twice), or a job be told done with a task missing (not_done).
+#pragma once
+
+#include <deque>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "loftrouter/core/events.hpp"
+#include "loftrouter/core/port.hpp"
+#include "loftrouter/core/settings.hpp"
+#include "loftrouter/core/util.hpp"
+
+namespace loft::core {
+
+// Unaccounted: started by an earlier leader, and not heard of since.
+enum class TaskState : std::uint8_t { Pending, Unaccounted, Placed, Done };
+struct Task {
+  TaskState state = TaskState::Pending;
+  std::int32_t machine = -1, zone = -1; // while placed
+};
+struct Job {
+  JobSpec spec;
+  double submit_wall = 0;
+  std::uint64_t serial = 0;     // tells it from earlier jobs at the same index
+  std::uint64_t open_stamp = 0; // of its open record, as last heard
+  bool cancelled = false;
+  bool ending = false; // its final record is being written
+  std::vector<Task> tasks;
+  std::uint32_t done = 0, placed = 0, unaccounted = 0;
+  std::uint64_t gang_attempt = 0; // current attempt of a gang
+  bool gang_closed = false;       // that attempt takes no replacements any more
+  int team = -1, image = -1;
+  std::vector<int> zone_used; // placed tasks, by zone
+
+  std::uint32_t pending() const { return spec.tasks - done - placed - unaccounted; }
+  // Nothing of it is left to run or may still be running.
+  bool finishable() const {
+    if (ending) return false;
+    if (cancelled) return placed == 0 && unaccounted == 0;
+    return spec.shape != Shape::Service && done == spec.tasks;
+  }
+};
+
+class JobTable {
+public:
+  JobTable(Port &port, Events &events, const Settings &settings);
+
+  std::size_t slots() const { return jobs_.size(); } // indices are below this
+  std::size_t open() const { return index_.size(); }
+  const Job *find(int j) const { return jobs_[static_cast<std::size_t>(j)].get(); } // null: no job there
+  const Job &operator[](int j) const { return *jobs_[static_cast<std::size_t>(j)]; }
+  int index(const std::string &id) const;
+  template <class Fn> void each(Fn &&fn) const { // fn(index, job)
+    for (std::size_t j = 0; j < jobs_.size(); ++j)
+      if (jobs_[j]) fn(static_cast<int>(j), *jobs_[j]);
+  }
+  int find_team(const std::string &name) const { return team_names_.find(name); }
+
+  int add(OpenRecord record, std::uint64_t stamp);
+  // What the records of earlier leaders say. Before any of its tasks is placed.
+  void restore(int j, const ProgressRecord &progress);
+  void remove(int j); // over; its index is free once everybody has heard
+  void on(const JobOver &e) { free_.push_back(e.job); }
+  void on(const TermElected &e) { unaccounted_until_ = e.unaccounted_until; }
+  void on(const TermEnded &);
+
+  void cancel(int j);
+  bool restamp(int j, std::uint64_t stamp); // false: older than what is known
+  void set_ending(int j, bool ending);
+  void changed(int j, bool urgent); // its record has to follow
+
+  void place(int j, std::uint32_t i, int machine, int zone);
+  void finish(int j, std::uint32_t i);
+  // The attempt on `machine` is over. `unaccounted`: an older or a later one may still be alive somewhere.
+  void release(int j, std::uint32_t i, int machine, bool unaccounted);
+
+  std::uint64_t next_gang_attempt(int j, std::uint64_t fresh);
+  void adopt_gang_attempt(int j, std::uint64_t attempt);
+  void close_gang(int j, bool closed);
+
+  // Mono, when every lease that an earlier leader may have kept alive has run out; 0: nothing is waited for.
+  double unaccounted_until() const { return unaccounted_until_; }
+  // What was not seen by then is gone. Which jobs are concerned.
+  std::vector<int> age();
+
+  // Grows whenever a job comes or a task becomes free to be placed.
+  std::uint64_t arrivals() const { return arrivals_; }
+  bool consistent(int j) const; // counts agree with states; for asserts and tests
+
+private:
+  void set(int j, std::uint32_t i, TaskState state, int machine = -1, int zone = -1);
+  Job &at(int j) { return *jobs_[static_cast<std::size_t>(j)]; }
+
+  Port &port_;
+  Events &events_;
+  std::vector<std::unique_ptr<Job>> jobs_;
+  std::vector<int> free_;
+  std::unordered_map<std::string, int> index_;
+  std::uint64_t serial_ = 0, arrivals_ = 0;
+  double unaccounted_until_ = 0;
+  Names team_names_, image_names_;
+};
+
+// What has ended, as far as it is remembered: the newest few thousand. Ended jobs never change.
+class EndedJobs {
+public:
+  explicit EndedJobs(Events &events) : events_(events) {}
+  const EndRecord *find(const std::string &id) const;
+  void remember(const std::string &id, EndRecord end);
+
+private:
+  static constexpr std::size_t kMost = 4000;
+  Events &events_;
+  std::unordered_map<std::string, EndRecord> ends_;
+  std::deque<std::string> order_;
+};
+
+} // namespace loft::core
--- /dev/null
+++ b/include/loftrouter/core/judge.hpp
@@ -0,0 +1,75 @@
+// Whose fault failures are: a sick machine fails the tasks of every job, a job with a mistake fails on every machine.
+//
+// Owns what is held against jobs and machines. Jobs that succeed elsewhere speak against the machine, and machines
+// on which nothing else fails against the job. No rule rests on it: at worst a healthy machine is given back, or a sick
+// one kept.
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "loftrouter/core/events.hpp"
+#include "loftrouter/core/jobs.hpp"
+#include "loftrouter/core/operators.hpp"
+
+namespace loft::core {
+
+class FailureJudge {
+public:
+  FailureJudge(Port &port, Events &events, JobTable &jobs, const Operators &operators)
+      : port_(port), events_(events), jobs_(jobs), operators_(operators) {}
+
+  // Has failed wherever it was tried: more likely a mistake in the job than several sick machines.
+  bool suspect(int j) const { return jobs_[j].done == 0 && failed_on(j) >= 2; }
+  // Machines in a row, none of its tasks having succeeded since.
+  std::uint32_t failed_on(int j) const;
+  double retry_at(int j) const;         // a suspect is held off until then
+  std::vector<int> barred(int j) const; // machines on which it has failed lately
+  bool failed_lately(int j) const { return failed_on(j) > 0; }
+
+  void restore(int j, std::uint32_t failed_on); // from an earlier leader's record
+  void on(const TaskExited &e);
+  void on(const JobCancelled &e);
+  void on(const JobOver &e) { at(jobs_at_, e.job) = {}; }
+  void on(const MachineReturned &e);
+  void on(const TermEnded &);
+
+private:
+  struct Failure {
+    int machine;
+    double at;
+  };
+  struct Record { // of a job
+    std::uint32_t failed_on = 0;
+    std::vector<Failure> failures;
+    double retry_at = 0;
+    int probes = 0; // since it became suspect
+  };
+  struct Blame {
+    std::string job;
+    bool proven; // it has succeeded elsewhere, so the fault is not the job's
+  };
+  struct Machine {
+    std::vector<Blame> blames; // since `failing_since`, while nothing started since then has succeeded
+    int errors = 0;
+    double failing_since = -1, last_good_start = -1;
+    bool condemned = false;
+  };
+  template <class T> static T &at(std::vector<T> &all, int i) {
+    if (static_cast<std::size_t>(i) >= all.size()) all.resize(static_cast<std::size_t>(i) + 1);
+    return all[static_cast<std::size_t>(i)];
+  }
+  void failed(const TaskExited &e);
+  void succeeded(const TaskExited &e);
+  void blame(int m, int j, double at_s);
+  void absolve(int j);
+
+  Port &port_;
+  Events &events_;
+  JobTable &jobs_;
+  const Operators &operators_;
+  std::vector<Record> jobs_at_;
+  std::vector<Machine> machines_;
+};
+
+} // namespace loft::core
--- /dev/null
+++ b/include/loftrouter/core/placer.hpp
@@ -0,0 +1,100 @@
+// The placement rounds: what the leader sees, what goes where, and what makes room.
+//
+// Owns the line of jobs of the last round, and which machines are held for a job or kept for large ones. Promises
+// that tasks go only where their job allows, within their team's limit counting all that may be on a machine (quota,
+// wrong_place). What it places is not started before it is recorded.
+#pragma once
+
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "loftrouter/core/fleet.hpp"
+#include "loftrouter/core/judge.hpp"
+#include "loftrouter/core/placement.hpp"
+#include "loftrouter/core/wishes.hpp"
+
+namespace loft::core {
+
+class Placer {
+public:
+  struct Kept {      // a machine type that some job class needs whole
+    double seen = 0; // when a job last wanted it
+    Resources need;  // the largest such job's
+  };
+  Placer(Port &port, Events &events, const Settings &settings, const Catalogue &catalogue, const Operators &operators,
+         const Leadership &lead, JobTable &jobs, const FailureJudge &judge, Recorder &recorder, Fleet &fleet,
+         const Wishes &wishes)
+      : port_(port), events_(events), settings_(settings), catalogue_(catalogue), operators_(operators), lead_(lead),
+        jobs_(jobs), judge_(judge), recorder_(recorder), fleet_(fleet), wishes_(wishes) {}
+
+  void tick();   // a round if one is due
+  void settle(); // a round if something has come up, at the end of each batch
+  // A round for one machine alone, which has just reported: it lets the next start leave with the very answer, if
+  // the task is recorded ahead. Otherwise the machine would stay empty for a whole report interval.
+  void offer(int m);
+  void plan_ahead();
+
+  PlaceJob place_job(int j) const;
+  // The machines that may take tasks, or the one asked for if it may.
+  std::vector<PlaceMachine> snapshot(std::vector<int> &index, int only) const;
+  // What each team may still use. Everything that may be on a machine counts against the limit, unaccounted tasks
+  // included.
+  std::vector<Resources> team_room() const;
+  bool patient(int j) const;
+  double age(const Job &n) const { return port_.wall() - n.submit_wall; }
+  double up_cpus() const { return up_cpus_; }        // at the last round
+  const Kept *kept(int type, double within_s) const; // wanted within so many seconds
+
+  void on(const JobAccepted &e);
+  void on(const TaskExited &) { room_ = true; }
+  void on(const MachineReturned &e);
+  void on(const TermBegun &);
+  void on(const TermEnded &);
+
+private:
+  struct Hold {
+    std::string job; // id of the one that the machine is being emptied for
+    double until = -1;
+    bool open_to_small = false; // at the last round over all machines: not reserved for large work
+  };
+  struct Offer;
+  bool wanted() const { return room_ || jobs_.arrivals() != seen_; }
+  void seen() {
+    room_ = false;
+    seen_ = jobs_.arrivals();
+  }
+  void round();
+  std::vector<std::uint32_t> carry_out(const std::vector<Assignment> &plan, const std::vector<int> &order,
+                                       const std::vector<int> &index);
+  void place(int j, std::uint32_t i, int m);
+  std::vector<Offer> seek_places(const PlaceJob &p, const std::vector<PlaceMachine> &machines,
+                                 const std::vector<int> &index, int zone) const;
+  void preempt(std::vector<int> starved);
+  PlaceOptions options() const;
+  Hold &hold(int m);
+  const Hold *held(int m) const {
+    return static_cast<std::size_t>(m) < holds_.size() ? &holds_[static_cast<std::size_t>(m)] : nullptr;
+  }
+
+  Port &port_;
+  Events &events_;
+  const Settings &settings_;
+  const Catalogue &catalogue_;
+  const Operators &operators_;
+  const Leadership &lead_;
+  JobTable &jobs_;
+  const FailureJudge &judge_;
+  Recorder &recorder_;
+  Fleet &fleet_;
+  const Wishes &wishes_;
+  double next_round_ = 0, next_ahead_ = 0, up_cpus_ = 0;
+  bool room_ = false; // a task has exited since the last round
+  std::uint64_t seen_ = 0, attempts_ = 0;
+  std::vector<PlaceJob> line_; // jobs with tasks to place at the last round, oldest first
+  std::vector<std::uint64_t> line_serials_;
+  std::vector<Hold> holds_;            // by machine
+  std::unordered_map<int, Kept> kept_; // by type
+};
+
+} // namespace loft::core
--- /dev/null
+++ b/include/loftrouter/core/recorder.hpp
@@ -0,0 +1,121 @@
+// The leader's records: which tasks may have been started and which are finished (progress), and how jobs ended.
+//
+// Owns the progress records, the transaction under way and what is to be written next. Promises that every write is
+// guarded by the leader key's revision and by each record's own; that `recorded` says of a task only what a confirmed
+// write has said; and that records never name too few started tasks. If that were wrong, a task could run twice after
+// a takeover (ran_twice), or a job be told done and then go back (went_back).
+#pragma once
+
+#include <deque>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "loftrouter/core/budget.hpp"
+#include "loftrouter/core/events.hpp"
+#include "loftrouter/core/judge.hpp"
+#include "loftrouter/core/leadership.hpp"
+#include "loftrouter/core/reasons.hpp"
+
+namespace loft::core {
+
+class Recorder {
+public:
+  Recorder(Port &port, Events &events, const Settings &settings, Leadership &lead, StoreBudget &budget, JobTable &jobs,
+           EndedJobs &ended, FailureJudge &judge, const Reasons &reasons, const Wishes &wishes)
+      : port_(port), events_(events), settings_(settings), lead_(lead), budget_(budget), jobs_(jobs), ended_(ended),
+        judge_(judge), reasons_(reasons), wishes_(wishes) {}
+
+  // A task may be on a machine from now on, or may have been. Never taken back.
+  void start(int j, std::uint32_t i) { marks(j)[i] |= kStarted; }
+  // The state service says that it may have been started: its start may be sent.
+  bool recorded(int j, std::uint32_t i) const { return marks(j)[i] & kRecorded; }
+  // The state service says that it is done: its worker may forget it.
+  bool done_recorded(int j, std::uint32_t i) const { return marks(j)[i] & kDoneRecorded; }
+  // How many of a job's waiting tasks are to count as started before they are placed, so that their starts need no
+  // write of their own.
+  void set_ahead(int j, std::uint32_t tasks);
+
+  // Records read before this node leads, progress first; and open records whenever there is news of them. False: a
+  // progress record cannot be read, and what it may have said was started is not known.
+  bool load_progress(const wire::Entry &e);
+  void load_end(const wire::Entry &e); // an open record that says how its job ended, not yet moved
+  void take_open(const std::string &key, const wire::Json &value, std::uint64_t stamp);
+
+  void flush(); // at the end of each batch
+  void on(const TermElected &);
+  void on(const TermBegun &);
+  void on(const TermEnded &);
+  void on(const JobChanged &e) { mark(e.job, e.ends, e.urgent); }
+
+private:
+  // One record that holds the progress of many jobs, since writes are what is scarce.
+  struct Shard {
+    std::string key;
+    std::uint64_t stamp = 0; // 0: not there
+    std::vector<int> jobs;
+    std::size_t reserved = 0;           // characters that its jobs may come to need
+    bool dirty = false, urgent = false; // urgent: starts wait for the write
+    double dirty_since = 0;
+    bool needs_resync = false, resyncing = false; // stamp unknown after an unanswered or refused write
+  };
+  static constexpr std::uint8_t kStarted = 1, kCovered = 2, kRecorded = 4, kDoneCovered = 8, kDoneRecorded = 16;
+  struct Entry {                     // of a job
+    std::vector<std::uint8_t> marks; // by task; `covered`: by the transaction that last wrote its progress
+    int shard = -1;
+    bool dirty = false;        // its progress differs from what was last written
+    bool to_end = false;       // in the queue for that
+    bool needs_resync = false; // stamp unknown after an unanswered or refused write
+    bool resyncing = false;
+    std::uint32_t ahead = 4;
+    wire::Json progress; // as last written
+    EndRecord end;       // while it is being written
+    bool ended_in_place = false;
+  };
+  struct Move { // from open/ to end/, when there is time
+    std::string id;
+    std::uint64_t stamp; // of the open record that says how the job ended
+    wire::Json value;    // what it says
+  };
+  struct Transaction;
+
+  std::vector<std::uint8_t> &marks(int j) { return entry(j).marks; }
+  const std::vector<std::uint8_t> &marks(int j) const { return entries_[static_cast<std::size_t>(j)].marks; }
+  Entry &entry(int j) { return entries_[static_cast<std::size_t>(j)]; }
+  void mark(int j, bool ends, bool urgent);
+  void mark_again(int j);
+  void mark_shard(std::size_t s, bool urgent);
+  std::size_t set_chars() const;
+  std::size_t entry_chars(const Job &n) const;
+  void accept(OpenRecord record, std::uint64_t stamp);
+  void assign_shard(int j);
+  void remove(int j);
+  void record_ahead(int j);
+  void add_end(int j, Transaction &t, bool in_place);
+  void add_moves(Transaction &t, double budget, std::size_t most);
+  void add_shard(std::size_t s, Transaction &t);
+  void flushed(const Transaction &t, const wire::StoreReply &r);
+  void resync(int j);
+  void resync_shard(std::size_t s);
+
+  Port &port_;
+  Events &events_;
+  const Settings &settings_;
+  Leadership &lead_;
+  StoreBudget &budget_;
+  JobTable &jobs_;
+  EndedJobs &ended_;
+  FailureJudge &judge_;
+  const Reasons &reasons_;
+  const Wishes &wishes_;
+  std::vector<Entry> entries_; // by job
+  std::vector<Shard> shards_;
+  std::unordered_map<std::string, ProgressRecord> loaded_;
+  std::unordered_map<std::string, std::size_t> loaded_shard_;
+  std::deque<int> ending_; // jobs whose final record is to be written
+  std::deque<Move> moves_;
+  bool ends_first_ = false, flushing_ = false;
+  double flush_after_ = 0;
+};
+
+} // namespace loft::core
--- /dev/null
+++ b/include/loftrouter/core/scaler.hpp
@@ -0,0 +1,61 @@
+// The fleet's size: what to rent, what to give back, and what the cloud's list says.
+//
+// Owns the calls to the cloud. Promises that no call is made beyond the cloud's limit, that a rental that is asked
+// for again bears the same name, and that a machine counts as gone only when the cloud has said so.
+#pragma once
+
+#include <map>
+#include <string>
+#include <vector>
+
+#include "loftrouter/core/placer.hpp"
+
+namespace loft::core {
+
+class Scaler {
+public:
+  Scaler(Port &port, const Settings &settings, Catalogue &catalogue, const Operators &operators, const Leadership &lead,
+         const JobTable &jobs, const FailureJudge &judge, Fleet &fleet, const Placer &placer, const Wishes &wishes);
+
+  void tick();
+  // The cloud had none of this kind to give, lately.
+  bool refused(const MachineKind &kind) const;
+  std::vector<MachineKind> refused_kinds() const;
+  void on(const TermBegun &);
+  void on(const TermEnded &);
+
+private:
+  struct Wanted { // machines of one kind
+    MachineKind kind;
+    int count = 0, jobs = 0;
+    int job = -1; // the first that wants them
+  };
+  void load_types();
+  void list(std::string from);
+  void merge(const wire::CloudReply &r);
+  void scale();
+  void drain_surplus(double waiting_cpus);
+  void rent(const Wanted &w);
+  void send_rent(CloudRent call, MachineKind kind, int tries);
+  std::vector<std::string> names_to_return();
+  void return_machines();
+
+  Port &port_;
+  const Settings &settings_;
+  Catalogue &catalogue_;
+  const Operators &operators_;
+  const Leadership &lead_;
+  const JobTable &jobs_;
+  const FailureJudge &judge_;
+  Fleet &fleet_;
+  const Placer &placer_;
+  const Wishes &wishes_;
+  TokenBucket calls_;
+  bool types_loading_ = false, listing_ = false, returning_ = false;
+  double next_types_ = 0, next_list_ = 0, next_scale_ = 0, listed_once_at_ = -1;
+  std::uint64_t rents_ = 0;
+  std::map<MachineKind, int> rents_open_;
+  std::map<MachineKind, double> no_capacity_until_;
+};
+
+} // namespace loft::core
--- /dev/null
+++ b/include/loftrouter/core/siblings.hpp
@@ -0,0 +1,82 @@
+// What siblings tell each other, and what follows from it: whether an outage of the state service is everybody's, and
+// how its limits are shared out.
+//
+// Owns the siblings' last statements. Promises that a statement counts from when it was asked for, and that a leader
+// goes on without the state service only while every sibling says that it is cut off too; if that were wrong, two
+// leaders could keep workers alive (ran_twice), or one keep what was cancelled (ran_cancelled). See docs/safety.md,
+// "Outages".
+#pragma once
+
+#include <deque>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "loftrouter/core/budget.hpp"
+#include "loftrouter/core/events.hpp"
+#include "loftrouter/core/jobs.hpp"
+#include "loftrouter/core/leadership.hpp"
+#include "loftrouter/core/watch.hpp"
+
+namespace loft::core {
+
+class Siblings {
+public:
+  struct State {
+    std::uint64_t nonce = 0;
+    double sent_at = -1e9, stated_at = -1e9, uptime_s = 0; // of its last answer: when it was asked for
+    bool cut_off = false, hears_workers = false, leads = false, spreads = false, passes = false;
+    std::uint64_t term = 0; // that it knows of, or leads
+    StoreBudget::Use use;
+  };
+  struct Standing { // of this node, towards workers
+    bool leads = false, spreads = false, passes = false;
+  };
+  static constexpr double kPingEvery = 0.5; // s
+
+  Siblings(Port &port, const Settings &settings, Leadership &lead, StoreBudget &budget, JobTable &jobs,
+           const RecordWatch &watch);
+
+  std::size_t count() const { return states_.size(); }
+  const State &operator[](std::size_t i) const { return states_[i]; }
+  const std::string &name(std::size_t i) const { return settings_.siblings[i].node; }
+  std::uint8_t self() const { return self_; } // index of this node among the sorted names of all
+  int by_sender(std::uint8_t sender) const;   // sibling, or -1
+
+  bool ping_due() const { return port_.now() >= next_ping_; }
+  void ping();
+  void answer_ping(const CmdPeer &cmd, const Standing &standing);
+  bool take_pong(const CmdPeer &cmd); // false: not the answer to the last question
+  void tell_all(const wire::PeerMessage &m);
+
+  // A leader that the workers no longer reach, while they reach a sibling, makes room: siblings can only send the
+  // workers back to it, and all their leases would run out. `live`: machines heard.
+  void abdicate_if_deaf(std::size_t live);
+  void worker_reported() { last_report_at_ = port_.now(); }
+  double last_report_at() const { return last_report_at_; }
+
+  bool cut_off() const; // this node, from the state service
+  // Everybody's outage: nobody can be elected, so the leader may go on answering reports for as long as every sibling
+  // keeps saying so. It starts nothing.
+  bool common_outage() const;
+  bool extended() const;
+  bool answering() const { return (lead_.active() && watch_.informed()) || extended(); }
+  // Told to a user by this node: the leader has to learn of it, also while the state service is out of reach.
+  void cancelled(const std::string &id) { confirmed_cancels_.emplace_back(id, port_.now()); }
+
+private:
+  Port &port_;
+  const Settings &settings_;
+  Leadership &lead_;
+  StoreBudget &budget_;
+  JobTable &jobs_;
+  const RecordWatch &watch_;
+  std::vector<State> states_;
+  std::uint8_t self_ = 0;
+  std::vector<int> by_name_; // sibling, or -1 for this node, by index in the sorted names of all
+  std::uint64_t ping_nonce_;
+  double next_ping_ = 0, last_report_at_ = -1e9, deaf_from_ = -1e9, deaf_tick_at_ = -1e9;
+  std::deque<std::pair<std::string, double>> confirmed_cancels_;
+};
+
+} // namespace loft::core
--- /dev/null
+++ b/include/loftrouter/core/users.hpp
@@ -0,0 +1,68 @@
+// What users ask for. Any node answers: submissions and cancellations go straight to the state service, and an answer
+// about a job comes from a read made after the question arrived.
+//
+// Owns the questions under way and what is known of open records. Promises that nothing is told that the state
+// service has not said since it was asked, and that an answer never goes back behind one given before (forgotten,
+// not_done, went_back). What cannot be answered in time is refused at once.
+#pragma once
+
+#include <deque>
+#include <string>
+#include <unordered_map>
+
+#include "loftrouter/core/insight.hpp"
+
+namespace loft::core {
+
+class UserDesk {
+public:
+  UserDesk(Port &port, const Settings &settings, const Catalogue &catalogue, StoreBudget &budget,
+           const Leadership &lead, JobTable &jobs, EndedJobs &ended, Siblings &siblings, const Insight &insight)
+      : port_(port), settings_(settings), catalogue_(catalogue), budget_(budget), lead_(lead), jobs_(jobs),
+        ended_(ended), siblings_(siblings), insight_(insight) {}
+
+  void take(CmdSubmit &&cmd);
+  void take(CmdLookup &&cmd);
+  void take(CmdAbort &&cmd);
+  void confirm(); // at the end of each batch
+  void on(const EndLearnt &e) { known_open_.erase(e.id); }
+
+private:
+  // Questions about jobs known to be open wait here for the next comparison of their records' revisions.
+  struct Question {
+    RequestId req;
+    std::string id;
+    bool as_submit;
+    double asked;
+  };
+  struct KnownOpen {
+    std::uint64_t stamp;
+    bool cancelled;
+  };
+  enum class Verdict : std::uint8_t { Ok, Never, Unknown };
+  Verdict judge(const JobSpec &spec, std::string &why) const;
+  void answer_state(RequestId req, const std::string &id, bool as_submit);
+  void answer_end(RequestId req, const std::string &id, const EndRecord &end, bool brief);
+  void tell_open(RequestId req, const std::string &id, bool cancelled, bool as_submit);
+  void note_open(const std::string &id, std::uint64_t stamp, bool cancelled);
+  void read_open(RequestId req, const std::string &id, bool as_submit);
+  void read_end(RequestId req, const std::string &id, bool as_submit, bool as_abort);
+
+  Port &port_;
+  const Settings &settings_;
+  const Catalogue &catalogue_;
+  StoreBudget &budget_;
+  const Leadership &lead_;
+  JobTable &jobs_;
+  EndedJobs &ended_;
+  Siblings &siblings_;
+  const Insight &insight_;
+  int under_way_ = 0; // operations for users
+  std::deque<Question> questions_;
+  bool confirming_ = false;
+  double next_confirm_ = 0;
+  std::unordered_map<std::string, KnownOpen> known_open_;
+  std::deque<std::string> known_order_;
+};
+
+} // namespace loft::core
--- /dev/null
+++ b/include/loftrouter/core/watch.hpp
@@ -0,0 +1,44 @@
+// Reads the records when this node is elected, and follows the open ones while it leads.
+//
+// Owns the watch. Promises that every submission and cancellation confirmed before `informed` was last renewed is in
+// the job table. One confirmed later may not be, so after a while without news nothing is started or kept alive:
+// what runs must be gone `cancel_s` after its cancellation (ran_cancelled).
+#pragma once
+
+#include <string>
+
+#include "loftrouter/core/leadership.hpp"
+#include "loftrouter/core/recorder.hpp"
+
+namespace loft::core {
+
+class RecordWatch {
+public:
+  RecordWatch(Port &port, const Settings &settings, Leadership &lead, Recorder &recorder)
+      : port_(port), settings_(settings), lead_(lead), recorder_(recorder) {}
+
+  void tick();
+  bool informed() const;
+  double informed_wall() const { return informed_wall_; }
+
+  void on(const TermElected &);
+  void on(const TermBegun &) { follow(); }
+  void on(const TermEnded &) { following_ = relisting_ = false; }
+
+private:
+  void load_progress(std::string from);
+  void load_open(std::string from);
+  void follow();
+  // Calls `fn` after a pause, if this node's role is still the same.
+  void again(std::function<void()> fn);
+
+  Port &port_;
+  const Settings &settings_;
+  Leadership &lead_;
+  Recorder &recorder_;
+  std::uint64_t follow_from_ = 0;
+  bool following_ = false, relisting_ = false;
+  double listed_from_ = -1e9, informed_at_ = -1e9, informed_wall_ = 0;
+};
+
+} // namespace loft::core
--- /dev/null
+++ b/include/loftrouter/core/wishes.hpp
@@ -0,0 +1,31 @@
+// When its team wants a job to be complete, by its own deadline or by the objectives of the settings. Pure.
+#pragma once
+
+#include <optional>
+
+#include "loftrouter/core/settings.hpp"
+#include "loftrouter/core/types.hpp"
+
+namespace loft::core {
+
+class Wishes {
+public:
+  explicit Wishes(const Settings &settings) : settings_(settings) {}
+
+  // Seconds after its submission: nothing if nobody has said.
+  std::optional<double> wanted_after(const JobSpec &spec) const;
+  // What to work for: of several objectives the first that a job of this age can still meet.
+  double due_after(const JobSpec &spec, double age_s) const;
+  // Small work that nobody wants at a certain time.
+  bool patient(const JobSpec &spec, double age_s) const;
+
+private:
+  const Settings &settings_;
+};
+
+// Leaves machines alone that others need whole.
+inline bool is_small(const JobSpec &spec) {
+  return spec.urgency == Urgency::Low && spec.spot;
+}
+
+} // namespace loft::core
--- a/include/loftrouter/store/store.hpp
+++ b/include/loftrouter/store/store.hpp
@@ -3,7 +3,7 @@
 
 #include <functional>
 
-#include "loftrouter/core/core.hpp"
+#include "loftrouter/core/effects.hpp"
 #include "loftrouter/net/client.hpp"
 
 namespace loft::store {
--- a/src/app/daemon.cpp
+++ b/src/app/daemon.cpp
@@ -22,6 +22,16 @@
 namespace {
 
 constexpr double kTick = 0.1;
+
+bool log_as_json = false;
+
+void write_line(const core::LogLine &l) {
+  const auto level = l.level == core::LogLevel::Error  ? spdlog::level::err
+                     : l.level == core::LogLevel::Info ? spdlog::level::info
+                                                       : spdlog::level::debug;
+  spdlog::log(level, "{}", log_as_json ? core::log_json(l) : core::log_text(l));
+}
+
 // Reports passed on to the leader leave together, so often: a packet costs a node more than reading a report does.
 // Small beside the time between two reports, which is what a worker waits for its next task.
 double pass_on_every(const Settings &s) {
@@ -59,6 +69,9 @@
         }) {}
 
   void run() {
+    core_.log_up_to(spdlog::should_log(spdlog::level::debug)  ? core::LogLevel::Debug
+                    : spdlog::should_log(spdlog::level::info) ? core::LogLevel::Info
+                                                              : core::LogLevel::Error);
     tick_.once(0);
     loop_.run();
   }
@@ -131,10 +144,6 @@
   }
 
   void write_log(const core::LogLine &l) {
-    auto level = l.level == core::LogLevel::Error  ? spdlog::level::err
-                 : l.level == core::LogLevel::Info ? spdlog::level::info
-                                                   : spdlog::level::debug;
-    if (!spdlog::should_log(level)) return; // before the rate: what is not shown must not crowd out what is
     double t = net::mono_now();
     log_level_ = std::min(kLogBurst, log_level_ + (t - log_at_) * kLogRate);
     log_at_ = t;
@@ -143,11 +152,8 @@
       return;
     }
     log_level_ -= 1;
-    if (log_dropped_) {
-      spdlog::info("{} lines left out", log_dropped_);
-      log_dropped_ = 0;
-    }
-    spdlog::log(level, "{}", l.text);
+    if (log_dropped_) write_line({core::LogLevel::Info, "lines_left_out", {{"lines", std::exchange(log_dropped_, 0)}}});
+    write_line(l);
   }
 
   void on_request(net::ConnId id, net::HttpMessage &&m) {
@@ -226,10 +232,16 @@
 } // namespace
 
 void setup_logging() {
+  auto setting = [](const char *name) {
+    const char *value = std::getenv(name);
+    return std::string(value ? value : "");
+  };
   auto logger = spdlog::stderr_logger_st("loftrouter");
-  logger->set_pattern("%Y-%m-%dT%H:%M:%S.%eZ %l %v", spdlog::pattern_time_type::utc);
-  const char *env = std::getenv("LOG_LEVEL");
-  std::string level = env ? env : "info";
+  log_as_json = setting("LOG_FORMAT") == "json";
+  logger->set_pattern(log_as_json ? R"({"time":"%Y-%m-%dT%H:%M:%S.%eZ","level":"%l",%v})"
+                                  : "%Y-%m-%dT%H:%M:%S.%eZ %l %v",
+                      spdlog::pattern_time_type::utc);
+  const std::string level = setting("LOG_LEVEL");
   logger->set_level(level == "error"   ? spdlog::level::err
                     : level == "debug" ? spdlog::level::debug
                                        : spdlog::level::info);
--- a/src/core/core.cpp
+++ b/src/core/core.cpp
@@ -1,154 +1,137 @@
 #include "loftrouter/core/core.hpp"
 
-#include <fmt/format.h>
+#include <cassert>
 
 namespace loft::core {
 
-namespace {
-// Sockets are also needed for users, siblings and the services outside.
-constexpr double kRelaySockets = 0.6, kLeaderSockets = 0.4;
-// Reports a second that a leader takes straight from workers, for a whole core: beyond that siblings read them for
-// it, so that most of its processor stays with placing. See docs/fleet-scale.md for the costs behind it.
-constexpr double kDirectReports = 600;
-std::size_t sockets_for(const Settings &s, double share) {
-  return static_cast<std::size_t>(std::max(4.0, share * s.fd_limit));
-}
-} // namespace
-
 Core::Core(Settings settings, std::uint64_t seed)
-    : settings_(std::move(settings)), rng_(seed | 1),
-      relay_(sockets_for(settings_, kRelaySockets), 3 * settings_.report_s + 2,
-             static_cast<std::uint64_t>(random() * 9e15)),
-      spread_({kDirectReports * settings_.cpu_share, sockets_for(settings_, kLeaderSockets)}) {
-  double nodes = static_cast<double>(settings_.siblings.size() + 1);
-  const double w = settings_.state_write_rps, r = settings_.state_rps;
-  // The state service counts all nodes together: the leader's lease is outside these budgets, users' writes come
-  // next, and progress has the rest. What siblings do not use is shared out anew all the time (`share_budgets`). Bursts
-  // may add up to a little more than one second's worth; a refusal by rate is retried.
-  user_writes_ = TokenBucket(kUserWrites * w / nodes, std::max(1.0, 0.25 * w));
-  leader_writes_ = TokenBucket((1 - kUserWrites) * w, std::max<double>(0.5 * w, 3));
-  user_reads_ = TokenBucket(kUserReads * r / nodes, std::max(2.0, 0.7 * r / nodes));
-  cloud_calls_ = TokenBucket(0.7 * settings_.cloud_rps, std::max(1.0, 0.7 * settings_.cloud_rps));
-  siblings_.resize(settings_.siblings.size());
-  // A restarted node must not take an answer to its former self's question for its own.
-  ping_nonce_ = static_cast<std::uint64_t>(random() * 9e15);
-  std::vector<std::pair<std::string, int>> names{{settings_.node, -1}};
-  for (std::size_t i = 0; i < settings_.siblings.size(); ++i)
-    names.emplace_back(settings_.siblings[i].node, static_cast<int>(i));
-  std::sort(names.begin(), names.end());
-  for (const auto &[name, i] : names) {
-    if (i < 0) self_ = static_cast<std::uint8_t>(by_name_.size());
-    by_name_.push_back(i);
-  }
-  for (const auto &t : settings_.teams)
-    team_names_.get(t.name);
-  for (const auto &z : settings_.zones)
-    zone_names_.get(z);
-}
-
-double Core::random() { // xorshift64*: only spreads retries, so quality does not matter
-  rng_ ^= rng_ >> 12;
-  rng_ ^= rng_ << 25;
-  rng_ ^= rng_ >> 27;
-  return static_cast<double>((rng_ * 0x2545F4914F6CDD1DULL) >> 11) / 9007199254740992.0;
-}
+    : settings_(std::move(settings)), port_(seed), wishes_(settings_), catalogue_(settings_.zones),
+      operators_(port_, events_), budget_(settings_), lead_(port_, events_, settings_, catalogue_),
+      jobs_(port_, events_, settings_), ended_(events_), judge_(port_, events_, jobs_, operators_),
+      reasons_(port_, jobs_, judge_, wishes_),
+      recorder_(port_, events_, settings_, lead_, budget_, jobs_, ended_, judge_, reasons_, wishes_),
+      watch_(port_, settings_, lead_, recorder_),
+      fleet_(port_, events_, settings_, catalogue_, operators_, lead_, jobs_, recorder_),
+      siblings_(port_, settings_, lead_, budget_, jobs_, watch_),
+      reports_(port_, settings_, lead_, siblings_, watch_, fleet_),
+      placer_(port_, events_, settings_, catalogue_, operators_, lead_, jobs_, judge_, recorder_, fleet_, wishes_),
+      scaler_(port_, settings_, catalogue_, operators_, lead_, jobs_, judge_, fleet_, placer_, wishes_),
+      insight_(port_, settings_, catalogue_, operators_, lead_, watch_, jobs_, ended_, judge_, reasons_, fleet_,
+               placer_, scaler_, wishes_, siblings_),
+      users_(port_, settings_, catalogue_, budget_, lead_, jobs_, ended_, siblings_, insight_),
+      administration_(port_, settings_, catalogue_, operators_, budget_, lead_, watch_, jobs_, judge_, fleet_, scaler_,
+                      siblings_, reports_, insight_),
+      chronicle_(port_, jobs_, fleet_) {}
 
 Effects Core::apply(std::vector<Command> batch, Now at) {
-  now_ = at;
-  if (started_at_ < 0) started_at_ = at.mono;
-  effects_ = {};
-  for (auto &c : batch)
+  port_.begin(at);
+  for (auto &c : batch) {
     std::visit([this](auto &&cmd) { on(std::move(cmd)); }, std::move(c));
-  confirm_questions();
-  if (role_ == Role::Leading) {
-    if (round_wanted_ && now() >= next_round_) round();
-    flush();
-    send_stops();
+    deliver();
   }
-  return std::move(effects_);
-}
-
-void Core::later(double delay_s, std::function<void()> fn) {
-  later_.emplace_back(now() + delay_s, std::move(fn));
-}
-
-void Core::on(CmdTick &&) {
-  auto waiting = std::move(later_);
-  later_.clear();
-  for (auto &[at, fn] : waiting) {
-    if (now() >= at)
-      fn();
-    else
-      later_.emplace_back(at, std::move(fn));
+  users_.confirm();
+  deliver();
+  if (lead_.leading()) {
+    placer_.settle();
+    deliver();
+    recorder_.flush();
+    deliver();
+    fleet_.send_stops();
   }
-  tick_term();
-  tick_peers();
-  give_up_relayed();
-  tick_cloud();
-  load_conf();
-  if (role_ != Role::Leading) return;
-  age_unaccounted();
-  tick_fleet();
-  if (now() >= next_round_) round();
-  if (now() >= next_ahead_) plan_ahead();
-  tell_siblings();
+  return port_.take();
 }
 
-void Core::on(CmdUp &&cmd) {
-  bool ok = types_known_ && (now() - store_ok_at_ < 3.0 || common_outage());
-  if (ok)
-    reply(cmd.req, 200, "");
-  else
-    refuse(cmd.req, types_known_ ? "state service out of reach" : "starting up");
+// In this order those listen that have something to say about the event: the log, then what decides, then what tells.
+void Core::deliver() {
+  events_.deliver([this](const auto &event) {
+    auto hand = [&event](auto &...parts) {
+      auto one = [&event](auto &part) {
+        if constexpr (requires { part.on(event); }) part.on(event);
+      };
+      (one(parts), ...);
+    };
+    hand(chronicle_, judge_, fleet_, recorder_, watch_, reports_, placer_, scaler_, reasons_, insight_, users_, jobs_);
+  });
 }
 
-void Core::on(CmdStoreReply &&cmd) {
-  auto it = store_ops_.find(cmd.op);
-  if (it == store_ops_.end()) return;
-  auto fn = std::move(it->second);
-  store_ops_.erase(it);
-  int s = cmd.reply.status;
-  if (s == 200 || s == 404 || s == 409 || s == 410) {
-    store_ok_at_ = now();
-    store_ok_wall_ = now_.wall;
+void Core::on(CmdTick &&) {
+  auto step = [this](auto &&fn) {
+    fn();
+    deliver(); // what one part has done is known to the next
+  };
+  step([this] { port_.run_due(); });
+  step([this] { lead_.tick(); });
+  step([this] { watch_.tick(); });
+  step([this] { siblings_.abdicate_if_deaf(fleet_.live()); });
+  if (siblings_.ping_due()) {
+    reports_.count_rates();
+    siblings_.ping();
   }
-  fn(cmd.reply);
+  step([this] { reports_.tick(); });
+  step([this] { scaler_.tick(); });
+  step([this] { operators_.tick(); });
+  if (!lead_.leading()) return;
+  step([this] {
+    for (int j : jobs_.age())
+      fleet_.tend_gang(j);
+  });
+  insight_.log_summary();
+  step([this] { fleet_.tick(); });
+  step([this] { placer_.tick(); });
+  insight_.tell_siblings();
+  assert(consistent());
 }
 
-void Core::on(CmdCloudReply &&cmd) {
-  auto it = cloud_ops_.find(cmd.op);
-  if (it == cloud_ops_.end()) return;
-  auto fn = std::move(it->second);
-  cloud_ops_.erase(it);
-  if (cmd.reply.status == 200 || cmd.reply.no_capacity) cloud_ok_at_ = now();
-  fn(cmd.reply);
+// For asserts: what two parts know of the same thing agrees. A placed task has one slot, on its own machine.
+bool Core::consistent() const {
+  bool good = true;
+  std::vector<std::uint32_t> slots(jobs_.slots(), 0);
+  fleet_.each([&](int m, const Machine &n) {
+    good &= fleet_.consistent(m);
+    for (const auto &s : n.slots)
+      if (s.job >= 0 && !s.finished) ++slots[static_cast<std::size_t>(s.job)];
+  });
+  jobs_.each(
+      [&](int j, const Job &n) { good &= jobs_.consistent(j) && slots[static_cast<std::size_t>(j)] == n.placed; });
+  return good;
 }
 
-OpId Core::store(decltype(StoreOp::what) what, double deadline_s, StoreFn fn) {
-  OpId op = next_op_++;
-  store_ops_.emplace(op, std::move(fn));
-  effects_.store.push_back({op, deadline_s, std::move(what)});
-  return op;
-}
-
-OpId Core::cloud(decltype(CloudOp::what) what, double deadline_s, CloudFn fn) {
-  OpId op = next_op_++;
-  cloud_ops_.emplace(op, std::move(fn));
-  effects_.cloud.push_back({op, deadline_s, std::move(what)});
-  return op;
+void Core::on(CmdUp &&cmd) {
+  if (catalogue_.known() && (port_.now() - port_.state_ok_at() < 3.0 || siblings_.common_outage()))
+    port_.reply(cmd.req, 200, "");
+  else
+    port_.refuse(cmd.req, catalogue_.known() ? "state service out of reach" : "starting up");
 }
 
-void Core::reply(RequestId req, int status, std::string body, std::optional<int> retry) {
-  effects_.replies.push_back({req, status, std::move(body), retry});
+void Core::on(CmdReport &&cmd) {
+  answer(reports_.take(std::move(cmd)));
 }
 
-void Core::refuse(RequestId req, std::string_view why, int retry) {
-  log(LogLevel::Debug, fmt::format("refused: {}", why));
-  reply(req, 503, wire::encode_error(why), retry);
+// What a report says is listened to before anything new is started by its answer: a machine may have been condemned
+// by it, and room may have come up.
+void Core::answer(std::optional<ReportDesk::Pending> report) {
+  if (!report) return;
+  deliver();
+  placer_.offer(report->machine);
+  reports_.answer(std::move(*report));
 }
 
-void Core::log(LogLevel level, std::string text) {
-  effects_.logs.push_back({level, std::move(text)});
+void Core::on(CmdPeer &&cmd) {
+  using Kind = wire::PeerMessage::Kind;
+  const auto &m = cmd.message;
+  lead_.hear_of(m.term, "a sibling knows a higher term");
+  switch (m.kind) {
+  case Kind::Digest:
+    return insight_.take_digest(m);
+  case Kind::Orders:
+    return reports_.take_orders(m);
+  case Kind::Report:
+    return answer(reports_.take_passed(cmd));
+  case Kind::Ping:
+    return siblings_.answer_ping(cmd, reports_.standing());
+  case Kind::Pong:
+    if (siblings_.take_pong(cmd)) reports_.pong_taken(m);
+  }
 }
 
 } // namespace loft::core
--- a/src/core/fleet.cpp
+++ b/src/core/fleet.cpp
@@ -1,22 +1,44 @@
-// Machines, their reports, and what runs on them.
-#include "loftrouter/core/core.hpp"
+#include "loftrouter/core/fleet.hpp"
 
+#include <algorithm>
+#include <cassert>
 #include <cmath>
 
-#include <fmt/format.h>
-
 namespace loft::core {
 
 namespace {
-constexpr double kDrift = 0.002;
-constexpr double kSummaryEvery = 10.0;
-constexpr std::size_t kMaxStartsPerReply = 400; // keeps a response below the protocol's 64 KiB
-constexpr std::size_t kMostBarred = 8;          // machines that a job keeps off after it has failed there
-constexpr double kMostProbePause = 80.0;        // between tries of a job that fails everywhere
+constexpr std::size_t kMostOrders = 400; // in one message; keeps it below the protocol's 64 KiB
 } // namespace
 
-int Core::machine_index(const std::string &name, const std::string &type, const std::string &zone, bool spot) {
-  if (auto it = machine_index_.find(name); it != machine_index_.end()) return it->second;
+// ---- machines come and go ----
+
+int Fleet::index(const std::string &name) const {
+  auto it = index_.find(name);
+  return it == index_.end() ? -1 : it->second;
+}
+
+std::size_t Fleet::live() const {
+  return static_cast<std::size_t>(
+      std::count_if(machines_.begin(), machines_.end(), [](const auto &m) { return m && m->heard && !m->lost; }));
+}
+
+std::size_t Fleet::kept_by(int sibling) const {
+  return static_cast<std::size_t>(std::count_if(machines_.begin(), machines_.end(), [sibling](const auto &m) {
+    return m && m->heard && !m->lost && m->via == sibling;
+  }));
+}
+
+std::optional<double> Fleet::gone(const std::string &name) const {
+  auto it = gone_.find(name);
+  return it == gone_.end() ? std::nullopt : std::optional(it->second);
+}
+
+void Fleet::forget_gone(double older_s) {
+  std::erase_if(gone_, [&](const auto &g) { return port_.now() - g.second > older_s; });
+}
+
+int Fleet::add(const std::string &name, const std::string &type, const std::string &zone, bool spot) {
+  if (const int known = index(name); known >= 0) return known;
   int m = -1;
   for (std::size_t i = 0; i < machines_.size() && m < 0; ++i)
     if (!machines_[i]) m = static_cast<int>(i);
@@ -24,59 +46,101 @@
     m = static_cast<int>(machines_.size());
     machines_.emplace_back();
   }
-  auto owned = std::make_unique<Machine>();
-  Machine &n = *owned;
+  machines_[static_cast<std::size_t>(m)] = std::make_unique<Machine>();
+  Machine &n = at(m);
   n.name = name;
-  n.type = type_names_.find(type);
-  n.zone = zone_names_.get(zone);
+  n.type = catalogue_.find_type(type);
+  n.zone = catalogue_.zone(zone);
   n.spot = spot;
-  n.known_since = n.rented_at = now();
-  if (auto it = machine_orders_.find(name); it != machine_orders_.end()) n.order = it->second;
-  if (n.type >= 0) n.size = types_[static_cast<std::size_t>(n.type)].size;
-  machines_[static_cast<std::size_t>(m)] = std::move(owned);
-  machine_index_[name] = m;
+  n.known_since = n.rented_at = port_.now();
+  n.order = operators_.order(name);
+  if (n.type >= 0) n.size = catalogue_.type(n.type).size;
+  index_[name] = m;
   return m;
 }
 
-void Core::hear(const Asker &from, const WorkerReport &r) {
-  last_report_at_ = now();
-  highest_term_ = std::max(highest_term_, r.token);
-  if (role_ != Role::Follower && r.token > term_ && term_ > 0 && role_ != Role::Acquiring)
-    step_down("a worker has seen a higher term");
-  if (role_ != Role::Leading) return tell_worker(from, 421);
-  if (!answering()) return tell_worker(from, 503, {}, "leadership is being renewed");
-  // A machine that was given back can only speak through packets held up on the way.
-  if (gone_.contains(r.machine)) return tell_worker(from, 503, {}, "this machine was given back");
-  spread_.heard(from.direct());
-  if (from.direct())
-    if (int s = keeper_for(r); s >= 0)
-      return reply(from.req, 421, wire::encode_redirect(settings_.siblings[static_cast<std::size_t>(s)].node));
-  int m = machine_index(r.machine, r.type, r.zone, r.spot);
-  Machine &n = machine(m);
-  if (std::pair(r.session, r.seq) <= std::pair(n.session, n.seq))
-    return tell_worker(from, 503, {}, "a newer report is known"); // late: as old as its task list
-  if (n.listed_failed) return tell_worker(from, 503, {}, "this machine has failed");
-  if (!n.heard) n.first_heard = now();
+void Fleet::set_rented_at(int m, double at_s) {
+  at(m).rented_at = at_s;
+}
+
+void Fleet::give_back(int m) {
+  at(m).returning = true;
+}
+
+void Fleet::set_draining(int m, bool draining) {
+  at(m).draining = draining;
+}
+
+void Fleet::listed_failed(int m) {
+  if (std::exchange(at(m).listed_failed, true)) return;
+  lose(m, "it stopped on its own");
+  at(m).returning = true;
+}
+
+void Fleet::lose(int m, std::string_view why) {
+  Machine &n = at(m);
+  if (n.lost) return;
+  n.lost = true;
+  events_.publish(MachineLost{m, n.name, std::string(why), n.slots.size()});
+  std::vector<int> touched;
+  while (!n.slots.empty()) {
+    if (const int j = n.slots.back().job; j >= 0) {
+      touched.push_back(j);
+      events_.publish(TaskLost{j, n.name, std::string(why)});
+    }
+    drop(m, n.slots.size() - 1);
+  }
+  for (int j : touched)
+    tend_gang(j);
+}
+
+void Fleet::remove(int m) {
+  lose(m, "given back");
+  const Machine &n = at(m);
+  const double lived = port_.now() - n.rented_at;
+  events_.publish(MachineReturned{m, n.name, n.type >= 0 ? catalogue_.type_name(n.type) : "",
+                                  catalogue_.zone_name(n.zone), n.spot, lived,
+                                  n.first_heard >= 0 ? port_.now() - n.first_heard : 0.0,
+                                  lived > 0 && n.size.cpus > 0 ? n.busy_cpu_s / lived / n.size.cpus : 0.0});
+  gone_[n.name] = port_.now();
+  index_.erase(n.name);
+  machines_[static_cast<std::size_t>(m)].reset();
+}
+
+void Fleet::on(const TermEnded &) {
+  machines_.clear();
+  index_.clear();
+  stops_news_.clear();
+}
+
+void Fleet::on(const OrdersChanged &) {
+  for (auto &m : machines_)
+    if (m) m->order = operators_.order(m->name);
+}
+
+// ---- reports ----
+
+Fleet::Heard Fleet::hear(int m, const WorkerReport &r, int via) {
+  Machine &n = at(m);
+  if (std::pair(r.session, r.seq) <= std::pair(n.session, n.seq)) return Heard::Late; // as old as its task list
+  if (n.listed_failed) return Heard::Failed;
+  if (!n.heard) {
+    n.first_heard = port_.now();
+    events_.publish(MachineUp{m});
+  }
   n.address = r.address;
   n.heard = true;
   n.lost = false;
-  n.via = from.sibling;
+  n.via = via;
   n.session = r.session;
   n.seq = r.seq;
-  n.taken_at = r.notice_s ? std::optional(now() + *r.notice_s) : std::nullopt;
-  n.last_answer = now();
-  std::vector<TaskOrder> orders;
-  take_report(m, r, orders);
-  if (n.slots.empty()) {
-    if (n.idle_since < 0) n.idle_since = now();
-  } else {
-    n.idle_since = -1;
-  }
-  tell_worker(from, 200, orders);
+  n.taken_at = r.notice_s ? std::optional(port_.now() + *r.notice_s) : std::nullopt;
+  n.last_answer = port_.now();
+  return Heard::Taken;
 }
 
-void Core::take_report(int m, const WorkerReport &r, std::vector<TaskOrder> &orders) {
-  Machine &n = machine(m);
+void Fleet::take_tasks(int m, const WorkerReport &r, std::vector<TaskOrder> &orders) {
+  Machine &n = at(m);
   std::vector<char> in_report(n.slots.size(), 0);
   std::vector<const TaskReport *> unknown;
   std::vector<std::pair<std::size_t, const TaskReport *>> exits;
@@ -90,9 +154,8 @@
       slot.seen = slot.sent = true;
       slot.phase = t.phase;
       if (t.phase == TaskPhase::Running && slot.running_since < 0) {
-        slot.running_since = now();
-        log(LogLevel::Debug, fmt::format("task {}/{} runs on {}, {:.1f} s after it was placed", slot.job_id, slot.index,
-                                         n.name, now() - slot.placed_at));
+        slot.running_since = port_.now();
+        if (slot.job >= 0) events_.publish(TaskRuns{slot.job, slot.index, m, port_.now() - slot.placed_at});
       }
       if (t.phase == TaskPhase::Exited) exits.emplace_back(s, &t);
     }
@@ -101,93 +164,103 @@
   for (auto [s, t] : exits) {
     Slot &slot = n.slots[s];
     if (slot.finished) {
-      if (slot.recorded || slot.job < 0)
+      if (slot.job < 0 || recorder_.done_recorded(slot.job, slot.index))
         orders.push_back({TaskOrder::Verb::Forget, slot.job_id, slot.index, slot.attempt, 0});
       continue;
     }
-    task_exited(m, slot, *t);
+    exited(m, slot, *t);
     if (!slot.finished) {
       orders.push_back({TaskOrder::Verb::Forget, slot.job_id, slot.index, slot.attempt, 0});
       in_report[s] = 2; // gone
     }
   }
-  // Proof of absence: the report is newer than every response that could have carried the start.
+  // Proof of absence: the report is newer than every response that could have carried the start. What is neither
+  // there nor was ever seen there is not there yet; its start is sent (again) with the answer.
   for (std::size_t s = in_report.size(); s-- > 0;) {
-    Slot &slot = n.slots[s];
-    if (in_report[s] == 1) continue;
-    if (in_report[s] == 2) {
-      int j = slot.job;
-      drop_slot(m, s, true);
-      if (j >= 0) tend_gang(j);
-    } else if (slot.seen || slot.stop) {
-      int j = slot.job;
-      drop_slot(m, s, true);
-      if (j >= 0) tend_gang(j);
-    }
-    // else: not there yet; the start is (re)sent below
+    const Slot &slot = n.slots[s];
+    if (in_report[s] == 1 || (in_report[s] == 0 && !slot.seen && !slot.stop)) continue;
+    const int j = slot.job;
+    drop(m, s);
+    if (j >= 0) tend_gang(j);
   }
   for (const auto *t : unknown) {
-    auto it = job_index_.find(t->job);
-    Job *j = it != job_index_.end() ? &job(it->second) : nullptr;
-    bool adopt = false;
-    if (j && t->index < j->spec.tasks) {
-      TaskState state = j->tasks[t->index].state;
-      adopt = state == TaskState::Unaccounted || state == TaskState::Pending;
-      if (adopt && j->spec.shape == Shape::Gang) {
-        if (j->gang_attempt < t->attempt)
-          j->gang_attempt = t->attempt;
-        else if (j->gang_attempt > t->attempt)
-          adopt = t->phase == TaskPhase::Exited;
+    const int j = jobs_.index(t->job);
+    bool wanted = false;
+    if (j >= 0 && t->index < jobs_[j].spec.tasks) {
+      const Job &k = jobs_[j];
+      const TaskState state = k.tasks[t->index].state;
+      wanted = state == TaskState::Unaccounted || state == TaskState::Pending;
+      if (wanted && k.spec.shape == Shape::Gang) {
+        if (k.gang_attempt > t->attempt)
+          wanted = t->phase == TaskPhase::Exited;
+        else
+          jobs_.adopt_gang_attempt(j, t->attempt);
       }
     }
-    if (!adopt) { // ended, or a duplicate: it has to go
-      if (t->phase == TaskPhase::Exited) {
-        orders.push_back({TaskOrder::Verb::Forget, t->job, t->index, t->attempt, 0});
-      } else {
-        orders.push_back({TaskOrder::Verb::Stop, t->job, t->index, t->attempt, 0});
-        Slot slot;
-        slot.job_id = t->job;
-        slot.index = t->index;
-        slot.attempt = t->attempt;
-        slot.phase = t->phase;
-        slot.durable = slot.sent = slot.seen = slot.stop = true;
-        slot.placed_at = now();
-        if (j) slot.need = j->spec.need;
-        n.used.add(slot.need);
-        n.slots.push_back(std::move(slot));
-      }
-      continue;
-    }
-    Slot slot;
-    slot.job = it->second;
-    slot.job_id = t->job;
-    slot.index = t->index;
-    slot.attempt = t->attempt;
-    slot.phase = t->phase;
-    slot.durable = slot.sent = slot.seen = true;
-    slot.adopted = j->tasks[t->index].state == TaskState::Unaccounted;
-    slot.need = j->spec.need;
-    slot.placed_at = now();
-    if (t->phase == TaskPhase::Running) slot.running_since = now();
-    j->tasks[t->index].started = true;
-    set_task(it->second, t->index, TaskState::Placed, m);
-    n.used.add(slot.need);
-    touch_image(n, j->image, j->spec.image_gb);
-    n.slots.push_back(std::move(slot));
-    std::size_t s = n.slots.size() - 1;
-    if (t->phase == TaskPhase::Exited) {
-      task_exited(m, n.slots[s], *t);
-      if (!n.slots[s].finished) {
-        orders.push_back({TaskOrder::Verb::Forget, t->job, t->index, t->attempt, 0});
-        drop_slot(m, s, true);
-      }
-    } else if (j->cancelled) {
-      stop_slot(m, n.slots[s], 0);
+    if (wanted) {
+      adopt(m, j, *t, orders);
+    } else if (t->phase == TaskPhase::Exited) { // ended, or a duplicate
+      orders.push_back({TaskOrder::Verb::Forget, t->job, t->index, t->attempt, 0});
+    } else { // it has to go
+      orders.push_back({TaskOrder::Verb::Stop, t->job, t->index, t->attempt, 0});
+      Slot slot;
+      slot.job_id = t->job;
+      slot.index = t->index;
+      slot.attempt = t->attempt;
+      slot.phase = t->phase;
+      slot.sent = slot.seen = slot.stop = true;
+      slot.placed_at = port_.now();
+      if (j >= 0) slot.need = jobs_[j].spec.need;
+      n.used.add(slot.need);
+      n.slots.push_back(std::move(slot));
     }
   }
-  // Room has appeared: a round right now, for this machine alone, lets the next start leave with this very
-  // answer, if the task is recorded ahead. Otherwise the machine would stay empty for a whole report interval.
-  if (round_wanted_ && !n.returning) round_on(m);
+}
+
+// A task that an earlier leader started.
+void Fleet::adopt(int m, int j, const TaskReport &t, std::vector<TaskOrder> &orders) {
+  Machine &n = at(m);
+  const Job &k = jobs_[j];
+  Slot slot;
+  slot.job = j;
+  slot.job_id = t.job;
+  slot.index = t.index;
+  slot.attempt = t.attempt;
+  slot.phase = t.phase;
+  slot.sent = slot.seen = true;
+  slot.adopted = k.tasks[t.index].state == TaskState::Unaccounted;
+  slot.need = k.spec.need;
+  slot.placed_at = port_.now();
+  if (t.phase == TaskPhase::Running) slot.running_since = port_.now();
+  recorder_.start(j, t.index);
+  jobs_.place(j, t.index, m, n.zone);
+  n.used.add(slot.need);
+  touch_image(n, k.image, k.spec.image_gb);
+  n.slots.push_back(std::move(slot));
+  const std::size_t s = n.slots.size() - 1;
+  if (t.phase == TaskPhase::Exited) {
+    exited(m, n.slots[s], t);
+    if (n.slots[s].finished) return;
+    orders.push_back({TaskOrder::Verb::Forget, t.job, t.index, t.attempt, 0});
+    drop(m, s);
+  } else if (k.cancelled) {
+    order_stop(m, n.slots[s], 0);
+  }
+}
+
+void Fleet::exited(int m, Slot &slot, const TaskReport &t) {
+  Machine &n = at(m);
+  if (slot.job < 0) return;
+  events_.publish(TaskExited{slot.job, slot.index, m, n.name, t.cause, slot.placed_at, slot.running_since});
+  if (t.cause != ExitCause::Done || jobs_[slot.job].spec.shape == Shape::Service) return;
+  slot.finished = true;
+  n.used.add(slot.need, -1);
+  jobs_.finish(slot.job, slot.index);
+  if (slot.running_since >= 0) n.busy_cpu_s += (port_.now() - slot.running_since) * slot.need.cpus;
+}
+
+void Fleet::answer(int m, bool may_start, std::vector<TaskOrder> &orders) {
+  Machine &n = at(m);
   n.stops_news = false;
   std::size_t starts = 0;
   for (auto &slot : n.slots) {
@@ -195,229 +268,174 @@
     if (slot.stop) {
       if (slot.seen && slot.phase != TaskPhase::Exited)
         orders.push_back({TaskOrder::Verb::Stop, slot.job_id, slot.index, slot.attempt, slot.grace_s});
-    } else if (active() && informed() && !slot.seen && slot.durable && slot.job >= 0 && !n.returning &&
-               starts < kMaxStartsPerReply) {
+    } else if (may_start && !slot.seen && slot.job >= 0 && recorder_.recorded(slot.job, slot.index) && !n.returning &&
+               starts < kMostOrders) {
       slot.sent = true;
       ++starts;
       orders.push_back({TaskOrder::Verb::Start, slot.job_id, slot.index, slot.attempt, 0});
     }
   }
+  if (!n.slots.empty())
+    n.idle_since = -1;
+  else if (n.idle_since < 0)
+    n.idle_since = port_.now();
+  assert(consistent(m));
 }
 
-void Core::task_exited(int m, Slot &slot, const TaskReport &t) {
-  Machine &n = machine(m);
-  if (slot.job < 0) return;
-  int j = slot.job;
-  Job &k = job(j);
-  log(LogLevel::Debug, fmt::format("task {}/{} ended on {}: cause {}, {:.1f} s after it was placed", slot.job_id,
-                                   slot.index, n.name, static_cast<int>(t.cause), now() - slot.placed_at));
-  if (t.cause == ExitCause::Done && k.spec.shape != Shape::Service) {
-    slot.finished = true;
-    n.used.add(slot.need, -1);
-    set_task(j, slot.index, TaskState::Done);
-    if (slot.running_since >= 0) n.busy_cpu_s += (now() - slot.running_since) * slot.need.cpus;
-    // What had begun before the failures says nothing about what begins now.
-    n.last_good_start = std::max(n.last_good_start, slot.placed_at);
-    if (slot.placed_at >= n.failing_since) {
-      n.blames.clear();
-      n.errors = 0;
-    }
-    k.failed_on = 0;
-    std::erase_if(k.failures, [this](const Failure &f) { return now() - f.at >= kBarredFor; });
-    for (const auto &f : k.failures)
-      blame(f.machine, k, f.at); // so it was the machines
-    mark_dirty(j, finishable(k));
-    round_wanted_ = true;
-    return;
-  }
-  if (t.cause == ExitCause::Error) task_failed(m, j);
-  round_wanted_ = true;
-}
-
-// A sick machine fails the tasks of every job, a job with a mistake fails on every machine. Jobs that succeed
-// elsewhere speak against the machine, and machines on which nothing else fails against the job.
-void Core::task_failed(int m, int j) {
-  Machine &n = machine(m);
-  Job &k = job(j);
-  const bool was_suspect = suspect(k);
-  auto here = std::find_if(k.failures.begin(), k.failures.end(), [m](const Failure &f) { return f.machine == m; });
-  if (here != k.failures.end()) {
-    here->at = now();
-  } else {
-    ++k.failed_on;
-    if (k.failures.size() >= kMostBarred) k.failures.erase(k.failures.begin());
-    k.failures.push_back({m, now()});
-  }
-  if (!suspect(k)) {
-    happened(k, fmt::format("a task failed on machine {} and is started again elsewhere", n.name));
-    ++n.errors;
-    blame(m, k, now());
-    return;
-  }
-  if (!was_suspect) {
-    k.probes = 0;
-    absolve(k);
-    log(LogLevel::Info, fmt::format("job {} has failed on {} machines and succeeded on none; tried seldom from now on",
-                                    k.spec.id, k.failed_on));
-    mark_dirty(j, false);
-  }
-  if (now() >= k.retry_at) {
-    k.retry_at = now() + std::min(std::max(kMostProbePause, tunables_.probe_pause_s),
-                                  tunables_.probe_pause_s * std::pow(2.0, k.probes));
-    if (k.probes < 10) ++k.probes;
-  }
-}
+// ---- slots ----
 
-void Core::blame(int m, const Job &k, double at) {
-  Machine &n = machine(m);
-  if (n.last_good_start > at) return;
-  if (n.blames.empty()) n.failing_since = at;
-  const bool proven = k.done > 0;
-  auto it = std::find_if(n.blames.begin(), n.blames.end(), [&](const auto &b) { return b.job == k.spec.id; });
-  if (it == n.blames.end())
-    n.blames.push_back({k.spec.id, proven});
-  else
-    it->proven |= proven;
-  const auto sure = std::count_if(n.blames.begin(), n.blames.end(), [](const auto &b) { return b.proven; });
-  if (n.returning || (sure < 2 && n.blames.size() < 3 && !(sure && n.errors >= 3))) return;
-  log(LogLevel::Info, fmt::format("machine {} fails tasks of {} jobs; given back", n.name, n.blames.size()));
-  n.returning = true;
-}
-
-void Core::absolve(const Job &k) {
-  for (const auto &f : k.failures) {
-    auto &n = machines_[static_cast<std::size_t>(f.machine)];
-    if (!n) continue;
-    std::erase_if(n->blames, [&](const auto &b) { return b.job == k.spec.id; });
-    if (n->blames.empty()) n->errors = 0;
-  }
+void Fleet::put(int m, int j, std::uint32_t i, std::uint64_t attempt) {
+  Machine &n = at(m);
+  const Job &k = jobs_[j];
+  Slot slot;
+  slot.job = j;
+  slot.job_id = k.spec.id;
+  slot.index = i;
+  slot.attempt = attempt;
+  slot.need = k.spec.need;
+  slot.placed_at = port_.now();
+  n.used.add(slot.need);
+  n.idle_since = -1;
+  touch_image(n, k.image, k.spec.image_gb);
+  n.slots.push_back(std::move(slot));
 }
 
-void Core::drop_slot(int m, std::size_t s, bool to_pending) {
-  Machine &n = machine(m);
-  Slot slot = std::move(n.slots[s]);
+void Fleet::drop(int m, std::size_t s) {
+  Machine &n = at(m);
+  const Slot slot = std::move(n.slots[s]);
   n.slots.erase(n.slots.begin() + static_cast<long>(s));
   if (slot.finished) return;
   n.used.add(slot.need, -1);
-  if (slot.job < 0 || !to_pending) return;
-  Job &k = job(slot.job);
   // An attempt that an earlier leader started may be an old one, shown by a report that was held up: its end
   // says nothing about a later attempt elsewhere, which may not be heard of yet.
-  if (k.tasks[slot.index].state == TaskState::Placed && k.tasks[slot.index].machine == m)
-    set_task(slot.job, slot.index,
-             slot.adopted && unaccounted_until_ > 0 ? TaskState::Unaccounted : TaskState::Pending);
-  if (finishable(k)) mark_dirty(slot.job, true);
+  if (slot.job >= 0) jobs_.release(slot.job, slot.index, m, slot.adopted && jobs_.unaccounted_until() > 0);
+}
+
+void Fleet::stop(int m, std::size_t s, double grace_s) {
+  Slot &slot = at(m).slots[s];
+  if (!slot.sent && !slot.seen)
+    drop(m, s);
+  else
+    order_stop(m, slot, grace_s);
 }
 
-void Core::stop_slot(int m, Slot &slot, double grace) {
+void Fleet::order_stop(int m, Slot &slot, double grace_s) {
   if (slot.finished) return;
-  if (!slot.stop && !std::exchange(machine(m).stops_news, true)) stops_news_.push_back(m);
-  if (!slot.stop || grace < slot.grace_s) slot.grace_s = grace;
+  if (!slot.stop && !std::exchange(at(m).stops_news, true)) stops_news_.push_back(m);
+  if (!slot.stop || grace_s < slot.grace_s) slot.grace_s = grace_s;
   slot.stop = true;
 }
 
+void Fleet::tend_gang(int j) {
+  const Job &n = jobs_[j];
+  if (n.spec.shape != Shape::Gang || n.placed == 0) return;
+  bool started = n.gang_closed;
+  const bool missing = n.placed + n.done + n.unaccounted < n.spec.tasks;
+  for (const auto &m : machines_)
+    if (m)
+      for (const auto &s : m->slots)
+        if (s.job == j && (s.phase == TaskPhase::Running || s.phase == TaskPhase::Saving || s.stop)) started = true;
+  if (!started || !missing) return jobs_.close_gang(j, started);
+  jobs_.close_gang(j, true);
+  for (int m = 0; m < static_cast<int>(machines_.size()); ++m)
+    if (machines_[static_cast<std::size_t>(m)])
+      for (std::size_t s = at(m).slots.size(); s-- > 0;)
+        if (at(m).slots[s].job == j && !at(m).slots[s].finished) stop(m, s, n.spec.save_s + 1);
+}
+
+void Fleet::on(const JobCancelled &e) {
+  for (int m = 0; m < static_cast<int>(machines_.size()); ++m)
+    if (machines_[static_cast<std::size_t>(m)])
+      for (std::size_t s = at(m).slots.size(); s-- > 0;)
+        if (at(m).slots[s].job == e.job) stop(m, s, 0);
+}
+
+void Fleet::on(const JobOver &e) {
+  for (auto &m : machines_)
+    if (m)
+      for (auto &s : m->slots)
+        if (s.job == e.job) {
+          s.job = -1; // stopped at the next report, as any task of an unknown job
+          s.stop = true;
+          s.grace_s = 0;
+        }
+}
+
+// ---- time ----
+
+void Fleet::tick() {
+  for (int m = 0; m < static_cast<int>(machines_.size()); ++m) {
+    if (!machines_[static_cast<std::size_t>(m)]) continue;
+    Machine &n = at(m);
+    // The last 200 that could reach it is ours: earlier leaders' were over before our term began.
+    if (lead_.active() && n.heard && !n.lost && port_.now() > n.last_answer + settings_.lease_s * (1 + kDrift) + 0.5)
+      lose(m, "silent for longer than its lease");
+    if (n.taken_at && n.heard && !n.lost) { // drained: tasks that can save do so in time
+      const double left = *n.taken_at - port_.now();
+      for (auto &s : n.slots)
+        if (s.job >= 0 && !s.stop && !s.finished && jobs_[s.job].spec.checkpoint_s > 0 &&
+            left < jobs_[s.job].spec.save_s + 2 * settings_.report_s + 1)
+          order_stop(m, s, jobs_[s.job].spec.save_s + 1);
+    }
+  }
+}
+
 // The worker learns at once what the answer to its next report would tell it. When its tasks have stopped it reports
 // by itself, and the answer to that can start their successors: a report interval is won.
-void Core::send_stops() {
+void Fleet::send_stops() {
   for (int m : std::exchange(stops_news_, {})) {
     const auto &p = machines_[static_cast<std::size_t>(m)];
     if (!p || !p->stops_news) continue; // gone, or told with an answer since
     p->stops_news = false;
-    if (!active() || p->lost || p->address.empty()) continue;
-    WorkerCall call{p->address, term_, p->session, p->name, {}};
+    if (!lead_.active() || p->lost || p->address.empty()) continue;
+    WorkerCall call{p->address, lead_.term(), p->session, p->name, {}};
     for (const auto &slot : p->slots)
-      if (slot.stop && slot.seen && slot.phase != TaskPhase::Exited && call.orders.size() < kMaxStartsPerReply)
+      if (slot.stop && slot.seen && slot.phase != TaskPhase::Exited && call.orders.size() < kMostOrders)
         call.orders.push_back({TaskOrder::Verb::Stop, slot.job_id, slot.index, slot.attempt, slot.grace_s});
-    if (!call.orders.empty()) effects_.workers.push_back(std::move(call));
+    if (!call.orders.empty()) port_.call(std::move(call));
   }
 }
 
-void Core::lose_machine(int m, std::string_view why) {
-  Machine &n = machine(m);
-  if (n.lost) return;
-  n.lost = true;
-  if (!n.slots.empty())
-    log(LogLevel::Info, fmt::format("machine {} lost ({}), {} tasks on it", n.name, why, n.slots.size()));
-  std::vector<int> touched;
-  while (!n.slots.empty()) {
-    if (n.slots.back().job >= 0) {
-      touched.push_back(n.slots.back().job);
-      happened(job(touched.back()), fmt::format("machine {} was lost, {}: its tasks are started again", n.name, why));
-    }
-    drop_slot(m, n.slots.size() - 1, true);
-  }
-  for (int j : touched)
-    if (jobs_[static_cast<std::size_t>(j)]) tend_gang(j);
-}
-
-void Core::remove_machine(int m) {
-  lose_machine(m, "given back");
-  const Machine &n = machine(m);
-  if (n.type >= 0) {
-    double lived = now() - n.rented_at;
-    log(LogLevel::Info,
-        fmt::format("gave back {} ({}{}, {}) after {:.0f} s, up for {:.0f} s, {:.0f}% of its CPU time used", n.name,
-                    type_names_.name(n.type), n.spot ? ", spot" : "", zone_names_.name(n.zone), lived,
-                    n.first_heard >= 0 ? now() - n.first_heard : 0.0,
-                    lived > 0 && n.size.cpus > 0 ? 100 * n.busy_cpu_s / lived / n.size.cpus : 0.0));
-  }
-  gone_[machine(m).name] = now();
-  machine_index_.erase(machine(m).name);
-  for (auto &j : jobs_)
-    if (j) std::erase_if(j->failures, [m](const Failure &f) { return f.machine == m; });
-  machines_[static_cast<std::size_t>(m)].reset();
+// ---- looking on ----
+
+std::vector<std::uint32_t> Fleet::running_counts() const {
+  std::vector<std::uint32_t> out(jobs_.slots(), 0);
+  jobs_.each([&](int j, const Job &n) { out[static_cast<std::size_t>(j)] = n.unaccounted; });
+  for (const auto &m : machines_)
+    if (m)
+      for (const auto &s : m->slots)
+        if (s.job >= 0 && !s.finished && s.phase == TaskPhase::Running) ++out[static_cast<std::size_t>(s.job)];
+  return out;
 }
 
-void Core::log_summary() {
-  next_summary_ = now() + kSummaryEvery;
-  struct Kind {
-    int up = 0, booting = 0;
-    double cpus = 0, used = 0;
-  } kinds[2]; // ordinary, spot
-  for (const auto &m : machines_) {
-    if (!m || m->lost) continue;
-    Kind &k = kinds[m->spot];
-    ++(m->heard ? k.up : k.booting);
-    if (!m->heard) continue;
-    k.cpus += m->size.cpus;
-    k.used += m->used.cpus;
-  }
-  std::uint64_t waiting = 0;
-  int open = 0;
-  for (const auto &j : jobs_)
-    if (j && !j->cancelled) {
-      ++open;
-      waiting += j->spec.tasks - j->done - j->placed - j->unaccounted;
-    }
-  log(LogLevel::Info, fmt::format("{} jobs open, {} tasks waiting; ordinary machines: {} up, {} booting, {:.0f} of "
-                                  "{:.0f} CPUs placed; spot: {} up, {} booting, {:.0f} of {:.0f}",
-                                  open, waiting, kinds[0].up, kinds[0].booting, kinds[0].used, kinds[0].cpus,
-                                  kinds[1].up, kinds[1].booting, kinds[1].used, kinds[1].cpus));
+std::uint32_t Fleet::running(int j) const {
+  std::uint32_t out = jobs_[j].unaccounted;
+  for (const auto &m : machines_)
+    if (m)
+      for (const auto &s : m->slots)
+        out += s.job == j && !s.finished && s.phase == TaskPhase::Running;
+  return out;
 }
 
-void Core::tick_fleet() {
-  if (now() >= next_summary_) log_summary();
-  for (int m = 0; m < static_cast<int>(machines_.size()); ++m) {
-    if (!machines_[static_cast<std::size_t>(m)]) continue;
-    Machine &n = machine(m);
-    // The last 200 that could reach it is ours: earlier leaders' were over before our term began.
-    if (active() && n.heard && !n.lost && now() > n.last_answer + settings_.lease_s * (1 + kDrift) + 0.5)
-      lose_machine(m, "silent for longer than its lease");
-    if (n.taken_at && n.heard && !n.lost) { // drained: tasks that can save do so in time
-      double left = *n.taken_at - now();
-      for (auto &s : n.slots)
-        if (s.job >= 0 && !s.stop && !s.finished && job(s.job).spec.checkpoint_s > 0 &&
-            left < job(s.job).spec.save_s + 2 * settings_.report_s + 1)
-          stop_slot(m, s, job(s.job).spec.save_s + 1);
-    }
+bool Fleet::consistent(int m) const {
+  const Machine &n = *find(m);
+  Resources used;
+  for (const auto &s : n.slots) {
+    if (!s.finished) used.add(s.need);
+    // A task that was placed here is bound to this machine until its slot goes.
+    if (s.job < 0 || s.finished) continue;
+    const Task &t = jobs_[s.job].tasks[s.index];
+    if (t.state != TaskState::Placed || t.machine != m) return false;
   }
+  return std::abs(used.cpus - n.used.cpus) < 1e-3 && std::abs(used.memory - n.used.memory) < 1e-3;
 }
 
-void Core::touch_image(Machine &m, int image, double gb) {
+void Fleet::touch_image(Machine &m, int image, double gb) {
   if (image < 0) return;
   m.images.remove_if([&](const auto &x) { return x.first == image; });
   m.images.emplace_front(image, gb);
-  double sum = 0, cache = m.type >= 0 ? types_[static_cast<std::size_t>(m.type)].cache_gb : 0;
+  double sum = 0;
+  const double cache = m.type >= 0 ? catalogue_.type(m.type).cache_gb : 0;
   for (auto it = m.images.begin(); it != m.images.end(); ++it)
     if ((sum += it->second) > cache && it != m.images.begin()) {
       m.images.erase(it, m.images.end());
--- a/src/core/insight.cpp
+++ b/src/core/insight.cpp
@@ -1,5 +1,4 @@
-// What people are told: why a job waits or was stopped, whether it will be late, and how siblings learn it.
-#include "loftrouter/core/core.hpp"
+#include "loftrouter/core/insight.hpp"
 
 #include <algorithm>
 
@@ -8,8 +7,9 @@
 namespace loft::core {
 
 namespace {
-constexpr double kDigestEvery = 0.5;
-constexpr double kNewsLife = 10.0; // after which a sibling's word about a job is too old to be passed on
+constexpr double kDigestEvery = 0.5;   // s
+constexpr double kSummaryEvery = 10.0; // s
+constexpr double kNewsLife = 10.0;     // s, after which a sibling's word about a job is too old to be passed on
 constexpr std::size_t kMaxNews = 4000;
 
 std::string plural(std::uint64_t n, std::string_view what) {
@@ -17,175 +17,211 @@
 }
 } // namespace
 
-Core::Supplies Core::supplies() const {
-  Supplies out;
-  for (const auto &m : machines_) {
-    if (!m || m->type < 0 || m->lost || m->returning || m->order) continue;
-    auto &s = out[{m->type, m->zone, m->spot}];
-    ++(m->heard ? s.up : s.starting);
-  }
-  return out;
+Insight::Told &Insight::told(int j) {
+  if (static_cast<std::size_t>(j) >= told_.size()) told_.resize(static_cast<std::size_t>(j) + 1);
+  return told_[static_cast<std::size_t>(j)];
 }
 
-// Something worth telling the job's owner, with the time of day. It stays until the next such thing.
-void Core::happened(Job &k, std::string_view what) {
-  k.reason = fmt::format("{} ({})", what, wire::clock_time(now_.wall));
+Insight::Supplies Insight::supplies() const {
+  Supplies out;
+  fleet_.each([&](int, const Machine &m) {
+    if (m.type < 0 || m.lost || m.returning || m.order) return;
+    auto &s = out[{m.type, m.zone, m.spot}];
+    ++(m.heard ? s.up : s.starting);
+  });
+  return out;
 }
 
-bool Core::any_running(int j) const {
-  for (const auto &t : jobs_[static_cast<std::size_t>(j)]->tasks)
+bool Insight::any_running(int j) const {
+  for (const auto &t : jobs_[j].tasks)
     if (t.state == TaskState::Placed)
-      for (const auto &s : machines_[static_cast<std::size_t>(t.machine)]->slots)
+      for (const auto &s : fleet_[t.machine].slots)
         if (s.job == j && s.phase == TaskPhase::Running) return true;
   return false;
 }
 
 // Why the job's tasks wait, or what last happened to them, in words for its owner.
-std::string Core::why(int j, const Supplies &supply) const {
-  const Job &n = *jobs_[static_cast<std::size_t>(j)];
+std::string Insight::why(int j, const Supplies &supply) const {
+  const Job &n = jobs_[j];
   if (n.cancelled) return "stopped: cancelled by its user";
   if (n.done == n.spec.tasks) return "all tasks have completed; this is being recorded";
-  if (suspect(n)) {
+  if (judge_.suspect(j)) {
     if (n.placed)
-      return fmt::format("failed with an error on {} machines; being tried again: check the job", n.failed_on);
-    return fmt::format("failed with an error on {} machines; next try in {:.0f} s: check the job", n.failed_on,
-                       std::max(0.0, n.retry_at - now()));
+      return fmt::format("failed with an error on {} machines; being tried again: check the job", judge_.failed_on(j));
+    return fmt::format("failed with an error on {} machines; next try in {:.0f} s: check the job", judge_.failed_on(j),
+                       std::max(0.0, judge_.retry_at(j) - port_.now()));
   }
-  const std::uint32_t pending = n.spec.tasks - n.done - n.placed - n.unaccounted;
+  const std::string &last = reasons_.of(j);
   std::string wait;
-  if (!lease_valid()) {
+  if (!lead_.lease_valid())
     wait = fmt::format("nothing is started: the state service has not answered since {}",
-                       wire::clock_time(store_ok_wall_));
-  } else if (!informed()) {
+                       wire::clock_time(port_.state_ok_wall()));
+  else if (!watch_.informed())
     wait = fmt::format("nothing is started: the state service has told of no cancellations since {}",
-                       wire::clock_time(informed_wall_));
-  } else if (n.unaccounted) {
-    wait = fmt::format(
-        "{} started by an earlier leader {} looked for on the machines; what is not found by {} starts again",
-        plural(n.unaccounted, "task"), n.unaccounted == 1 ? "is" : "are",
-        wire::clock_time(now_.wall + std::max(0.0, unaccounted_until_ - now())));
-  } else if (pending) {
-    const Team *team = n.team >= 0 ? &settings_.teams[static_cast<std::size_t>(n.team)] : nullptr;
-    int up = 0, starting = 0;
-    bool refused = true;
-    PlaceJob p = place_job(j);
-    p.barred.clear();
-    for (std::size_t t = 0; t < types_.size(); ++t)
-      for (const auto &zone : types_[t].zones)
-        for (bool spot : {false, true}) {
-          PlaceMachine m;
-          m.type = static_cast<int>(t);
-          m.zone = zone_names_.find(zone);
-          m.spot = spot;
-          if (!allowed(p, m) || !p.need.fits(types_[t].size)) continue;
-          const auto key = std::tuple(m.type, m.zone, spot);
-          if (auto s = supply.find(key); s != supply.end()) {
-            up += s->second.up;
-            starting += s->second.starting;
-          }
-          auto none = no_capacity_until_.find(key);
-          refused &= none != no_capacity_until_.end() && now() < none->second;
-        }
-    const std::string what = fmt::format("{:g} CPUs and {:g} GB{}", n.spec.need.cpus, n.spec.need.memory,
-                                         n.spec.zone ? " in " + *n.spec.zone : "");
-    if (team && team->cpus_max > 0 && team_room()[static_cast<std::size_t>(n.team)].cpus < n.spec.need.cpus)
-      wait = fmt::format("team {} uses all of its limit of {:g} CPUs", n.spec.team, team->cpus_max);
-    else if (p.gang && n.placed)
-      wait = "the tasks of its earlier attempt have to stop first";
-    else if (up == 0 && starting == 0)
-      wait = refused ? "the cloud has no machine to give with " + what : "no machine with " + what + " is up yet";
-    else if (up == 0)
-      wait = fmt::format("{} with {} {} starting", plural(static_cast<std::uint64_t>(starting), "machine"), what,
-                         starting == 1 ? "is" : "are");
-    else
-      wait = fmt::format("all {} with {} are in use{}", plural(static_cast<std::uint64_t>(up), "machine"), what,
-                         starting ? fmt::format("; {} more starting", starting)
-                                  : (refused ? "; the cloud has no more to give" : ""));
-    wait = (pending == n.spec.tasks ? "waiting: " : fmt::format("{} of {} tasks wait: ", pending, n.spec.tasks)) + wait;
-  }
-  if (wait.empty() && n.placed && n.done == 0 && n.reason.empty() && !any_running(j))
+                       wire::clock_time(watch_.informed_wall()));
+  else if (n.unaccounted)
+    wait = fmt::format("{} started by an earlier leader {} looked for on the machines; what is not found by {} starts "
+                       "again",
+                       plural(n.unaccounted, "task"), n.unaccounted == 1 ? "is" : "are",
+                       wire::clock_time(port_.wall() + std::max(0.0, jobs_.unaccounted_until() - port_.now())));
+  else if (n.pending())
+    wait = why_waiting(j, supply);
+  if (wait.empty() && n.placed && n.done == 0 && last.empty() && !any_running(j))
     wait = n.placed == 1 ? "its task has a machine and fetches its image"
                          : fmt::format("its {} tasks have machines and fetch their images", n.placed);
-  if (wait.empty()) return n.reason;
-  return n.reason.empty() ? wait : wait + "; " + n.reason;
+  if (wait.empty()) return last;
+  return last.empty() ? wait : wait + "; " + last;
 }
 
-// After how long its team wants the job complete: nothing if nobody has said.
-std::optional<double> Core::wanted_after(const Job &n) const {
-  if (n.spec.deadline_s) return n.spec.deadline_s;
-  std::optional<double> last;
-  for (const auto &o : settings_.objectives)
-    if (o.kind == "finished" && o.job_class == n.spec.job_class) last = std::max(last.value_or(0), o.within_s);
-  return last;
+std::string Insight::why_waiting(int j, const Supplies &supply) const {
+  const Job &n = jobs_[j];
+  const Team *team = n.team >= 0 ? &settings_.teams[static_cast<std::size_t>(n.team)] : nullptr;
+  int up = 0, starting = 0;
+  bool refused = true;
+  PlaceJob p = placer_.place_job(j);
+  p.barred.clear();
+  const auto &types = catalogue_.types();
+  for (std::size_t t = 0; t < types.size(); ++t)
+    for (const auto &zone : types[t].zones)
+      for (bool spot : {false, true}) {
+        PlaceMachine m;
+        m.type = static_cast<int>(t);
+        m.zone = catalogue_.find_zone(zone);
+        m.spot = spot;
+        if (!allowed(p, m) || !p.need.fits(types[t].size)) continue;
+        const MachineKind kind(m.type, m.zone, spot);
+        if (auto s = supply.find(kind); s != supply.end()) {
+          up += s->second.up;
+          starting += s->second.starting;
+        }
+        refused &= scaler_.refused(kind);
+      }
+  const std::string what = fmt::format("{:g} CPUs and {:g} GB{}", n.spec.need.cpus, n.spec.need.memory,
+                                       n.spec.zone ? " in " + *n.spec.zone : "");
+  std::string wait;
+  if (team && team->cpus_max > 0 && placer_.team_room()[static_cast<std::size_t>(n.team)].cpus < n.spec.need.cpus)
+    wait = fmt::format("team {} uses all of its limit of {:g} CPUs", n.spec.team, team->cpus_max);
+  else if (p.gang && n.placed)
+    wait = "the tasks of its earlier attempt have to stop first";
+  else if (up == 0 && starting == 0)
+    wait = refused ? "the cloud has no machine to give with " + what : "no machine with " + what + " is up yet";
+  else if (up == 0)
+    wait = fmt::format("{} with {} {} starting", plural(static_cast<std::uint64_t>(starting), "machine"), what,
+                       starting == 1 ? "is" : "are");
+  else
+    wait = fmt::format("all {} with {} are in use{}", plural(static_cast<std::uint64_t>(up), "machine"), what,
+                       starting ? fmt::format("; {} more starting", starting)
+                                : (refused ? "; the cloud has no more to give" : ""));
+  return (n.pending() == n.spec.tasks ? "waiting: " : fmt::format("{} of {} tasks wait: ", n.pending(), n.spec.tasks)) +
+         wait;
 }
 
-bool Core::foreseen_late(const Job &n) const {
-  auto wanted = wanted_after(n);
+bool Insight::foreseen_late(int j) const {
+  const Job &n = jobs_[j];
+  const auto wanted = wishes_.wanted_after(n.spec);
   if (!wanted || n.cancelled || n.done == n.spec.tasks) return false;
-  const double age = std::max(0.0, now_.wall - n.submit_wall);
-  const std::uint32_t pending = n.spec.tasks - n.done - n.placed - n.unaccounted;
-  const double queue = pending * n.spec.need.cpus / std::max(1.0, up_cpus_);
-  return age + (pending ? n.spec.estimate_s * (1 + queue) : 0.0) > tunables_.late_notice_share * *wanted;
+  const double age = std::max(0.0, placer_.age(n));
+  const double queue = n.pending() * n.spec.need.cpus / std::max(1.0, placer_.up_cpus());
+  return age + (n.pending() ? n.spec.estimate_s * (1 + queue) : 0.0) >
+         operators_.tunables().late_notice_share * *wanted;
 }
 
-std::vector<std::uint32_t> Core::running_counts() const {
-  std::vector<std::uint32_t> out(jobs_.size(), 0);
-  for (std::size_t j = 0; j < jobs_.size(); ++j)
-    if (jobs_[j]) out[j] = jobs_[j]->unaccounted; // most likely running
-  for (const auto &m : machines_)
-    if (m)
-      for (const auto &s : m->slots)
-        if (s.job >= 0 && !s.finished && s.phase == TaskPhase::Running) ++out[static_cast<std::size_t>(s.job)];
-  return out;
+bool Insight::foreseen_late(const std::string &id) const {
+  if (lead_.leading()) {
+    const int j = jobs_.index(id);
+    return j >= 0 && foreseen_late(j);
+  }
+  auto it = news_.find(id);
+  return it != news_.end() && it->second.late;
+}
+
+std::size_t Insight::foreseen_late_count() const {
+  std::size_t late = 0;
+  if (!lead_.leading())
+    return static_cast<std::size_t>(
+        std::count_if(news_.begin(), news_.end(), [](const auto &n) { return n.second.late; }));
+  jobs_.each([&](int j, const Job &n) { late += !n.cancelled && n.team >= 0 && foreseen_late(j); });
+  return late;
+}
+
+void Insight::log_summary() {
+  if (port_.now() < next_summary_) return;
+  next_summary_ = port_.now() + kSummaryEvery;
+  struct Kind {
+    int up = 0, booting = 0;
+    double cpus = 0, used = 0;
+  } kinds[2]; // ordinary, spot
+  fleet_.each([&](int, const Machine &m) {
+    if (m.lost) return;
+    Kind &k = kinds[m.spot];
+    ++(m.heard ? k.up : k.booting);
+    if (!m.heard) return;
+    k.cpus += m.size.cpus;
+    k.used += m.used.cpus;
+  });
+  std::uint64_t waiting = 0;
+  int open = 0;
+  jobs_.each([&](int, const Job &n) {
+    if (n.cancelled) return;
+    ++open;
+    waiting += n.pending();
+  });
+  port_.log(LogLevel::Info, "summary",
+            {{"jobs_open", open},
+             {"tasks_waiting", waiting},
+             {"ordinary_up", kinds[0].up},
+             {"ordinary_booting", kinds[0].booting},
+             {"ordinary_cpus_used", kinds[0].used},
+             {"ordinary_cpus", kinds[0].cpus},
+             {"spot_up", kinds[1].up},
+             {"spot_booting", kinds[1].booting},
+             {"spot_cpus_used", kinds[1].used},
+             {"spot_cpus", kinds[1].cpus}});
 }
 
 // A frame each half second: the jobs whose counts have changed first, then the others in turn. What does not fit
 // waits for the next frame.
-void Core::tell_siblings() {
-  if (role_ != Role::Leading || now() < next_digest_ || siblings_.empty()) return;
-  next_digest_ = now() + kDigestEvery;
-  const auto running = running_counts();
+void Insight::tell_siblings() {
+  if (!lead_.leading() || port_.now() < next_digest_ || siblings_.count() == 0) return;
+  next_digest_ = port_.now() + kDigestEvery;
+  const auto running = fleet_.running_counts();
   std::vector<int> first, rest;
-  const std::size_t n = jobs_.size();
+  const std::size_t n = jobs_.slots();
   for (std::size_t k = 0; k < n; ++k) {
-    const std::size_t j = (digest_cursor_ + k) % n;
-    if (!jobs_[j] || jobs_[j]->cancelled) continue;
-    const bool changed = jobs_[j]->told_done != jobs_[j]->done || jobs_[j]->told_running != running[j];
-    (changed ? first : rest).push_back(static_cast<int>(j));
+    const int j = static_cast<int>((cursor_ + k) % n);
+    const Job *job = jobs_.find(j);
+    if (!job || job->cancelled) continue;
+    const bool changed = told(j).done != job->done || told(j).running != running[static_cast<std::size_t>(j)];
+    (changed ? first : rest).push_back(j);
   }
   const auto supply = supplies();
   wire::PeerMessage m;
   m.kind = wire::PeerMessage::Kind::Digest;
-  m.term = term_;
+  m.term = lead_.term();
   std::size_t room = wire::kPeerMaxBody - 64;
   for (const auto *list : {&first, &rest})
     for (int j : *list) {
       if (m.news.size() >= wire::kPeerMaxNews || room < 256) break;
-      Job &k = job(j);
-      wire::PeerMessage::JobNews news{k.spec.id, k.done, running[static_cast<std::size_t>(j)], foreseen_late(k),
-                                      why(j, supply)};
-      k.told_done = news.done;
-      k.told_running = news.running;
+      wire::PeerMessage::JobNews news{jobs_[j].spec.id, jobs_[j].done, running[static_cast<std::size_t>(j)],
+                                      foreseen_late(j), why(j, supply)};
+      told(j) = {news.done, news.running};
       room -= std::min(room, wire::peer_news_size(news));
-      if (list == &rest) digest_cursor_ = static_cast<std::size_t>(j) + 1;
+      if (list == &rest) cursor_ = static_cast<std::size_t>(j) + 1;
       m.news.push_back(std::move(news));
     }
-  for (std::size_t i = 0; i < siblings_.size(); ++i)
-    effects_.peers.push_back({static_cast<int>(i), 0, m});
+  siblings_.tell_all(m);
 }
 
-void Core::take_digest(const wire::PeerMessage &m) {
-  if (m.term < news_term_ || role_ == Role::Leading) return;
+void Insight::take_digest(const wire::PeerMessage &m) {
+  if (m.term < news_term_ || lead_.leading()) return;
   if (m.term > news_term_) {
     news_.clear();
     news_order_.clear();
   }
   news_term_ = m.term;
-  news_at_ = now();
   for (const auto &n : m.news) {
-    if (ends_.contains(n.id)) continue;
-    auto [it, fresh] = news_.insert_or_assign(n.id, News{n.done, n.running, n.late, n.reason, now()});
-    if (!fresh) continue;
+    if (ended_.find(n.id)) continue;
+    if (!news_.insert_or_assign(n.id, News{n.done, n.running, n.late, n.reason, port_.now()}).second) continue;
     news_order_.push_back(n.id);
     while (news_order_.size() > kMaxNews) {
       news_.erase(news_order_.front());
@@ -194,32 +230,31 @@
   }
 }
 
-// What a user is shown of a job that the state service has just said is open.
-JobView Core::view_of(const std::string &id, bool cancelled) {
+void Insight::on(const TermBegun &) {
+  news_.clear();
+  news_order_.clear();
+}
+
+JobView Insight::view(const std::string &id, bool cancelled) const {
   JobView view{id, cancelled ? JobState::Cancelled : JobState::Queued, 0, 0, {}};
-  if (auto mine = job_index_.find(id); role_ == Role::Leading && mine != job_index_.end()) {
-    const Job &j = job(mine->second);
-    view.done = j.done;
-    view.running = j.unaccounted;
-    for (const auto &m : machines_)
-      if (m)
-        for (const auto &slot : m->slots)
-          view.running += slot.job == mine->second && !slot.finished && slot.phase == TaskPhase::Running;
-    view.reason = why(mine->second, supplies());
+  if (const int j = lead_.leading() ? jobs_.index(id) : -1; j >= 0) {
+    view.done = jobs_[j].done;
+    view.running = fleet_.running(j);
+    view.reason = why(j, supplies());
   } else if (cancelled) {
     view.reason = "stopped: cancelled by its user";
   } else if (auto it = news_.find(id);
-             it != news_.end() && news_term_ >= leader_term_ && now() - it->second.at < kNewsLife) {
+             it != news_.end() && news_term_ >= lead_.leader_term() && port_.now() - it->second.at < kNewsLife) {
     view.done = it->second.done;
     view.running = it->second.running;
     view.reason = it->second.reason;
-  } else if (leader_name_.empty()) {
-    view.reason = leaderless_since_wall_ > 0 ? fmt::format("no leader since {}; the next one starts what waits",
-                                                           wire::clock_time(leaderless_since_wall_))
-                                             : "no leader is known yet";
+  } else if (lead_.leader_name().empty()) {
+    view.reason = lead_.leaderless_since_wall() > 0 ? fmt::format("no leader since {}; the next one starts what waits",
+                                                                  wire::clock_time(lead_.leaderless_since_wall()))
+                                                    : "no leader is known yet";
   } else {
-    view.reason =
-        fmt::format("how far it is cannot be told by this node: no word of it from the leader, {}", leader_name_);
+    view.reason = fmt::format("how far it is cannot be told by this node: no word of it from the leader, {}",
+                              lead_.leader_name());
   }
   if (!cancelled && view.running) view.state = JobState::Running;
   return view;
--- a/src/core/jobs.cpp
+++ b/src/core/jobs.cpp
@@ -1,130 +1,103 @@
-// Jobs in the leader's memory.
-#include "loftrouter/core/core.hpp"
+#include "loftrouter/core/jobs.hpp"
 
-#include <cmath>
-
-#include <fmt/format.h>
+#include <cassert>
 
 namespace loft::core {
 
-namespace {
-constexpr double kPauseAfterTakeover = 20.0; // of a job that failed everywhere under the last leader
-} // namespace
+JobTable::JobTable(Port &port, Events &events, const Settings &settings) : port_(port), events_(events) {
+  for (const auto &t : settings.teams)
+    team_names_.get(t.name);
+}
 
-int Core::add_job(OpenRecord record, std::uint64_t stamp) {
+int JobTable::index(const std::string &id) const {
+  auto it = index_.find(id);
+  return it == index_.end() ? -1 : it->second;
+}
+
+int JobTable::add(OpenRecord record, std::uint64_t stamp) {
+  assert(!index_.contains(record.spec.id));
   int j;
-  if (!free_jobs_.empty()) {
-    j = free_jobs_.back();
-    free_jobs_.pop_back();
+  if (!free_.empty()) {
+    j = free_.back();
+    free_.pop_back();
   } else {
     j = static_cast<int>(jobs_.size());
     jobs_.emplace_back();
   }
-  auto owned = std::make_unique<Job>();
-  Job &n = *owned;
-  jobs_[static_cast<std::size_t>(j)] = std::move(owned);
+  assert(!jobs_[static_cast<std::size_t>(j)]);
+  jobs_[static_cast<std::size_t>(j)] = std::make_unique<Job>();
+  Job &n = at(j);
   n.spec = std::move(record.spec);
   n.submit_wall = record.submit_wall;
   n.cancelled = record.cancelled;
   n.open_stamp = stamp;
-  n.serial = ++job_counter_;
+  n.serial = ++serial_;
   n.tasks.resize(n.spec.tasks);
   n.team = team_names_.find(n.spec.team);
   n.image = image_names_.get(n.spec.image);
-  n.class_ix = class_names_.get(n.spec.job_class);
-  job_index_[n.spec.id] = j;
-  if (auto it = loaded_progress_.find(n.spec.id); it != loaded_progress_.end()) {
-    for (auto [a, b] : it->second.started)
-      for (auto i = a; i < b && i < n.spec.tasks; ++i) {
-        n.tasks[i].started = n.tasks[i].recorded = true;
-        if (n.tasks[i].state == TaskState::Pending) set_task(j, i, TaskState::Unaccounted);
-      }
-    for (auto [a, b] : it->second.finished)
-      for (auto i = a; i < b && i < n.spec.tasks; ++i)
-        set_task(j, i, TaskState::Done);
-    n.failed_on = it->second.failed_on;
-    if (suspect(n)) n.retry_at = now() + kPauseAfterTakeover;
-  }
-  assign_shard(j);
-  if (n.cancelled) cancel_job(j);
-  mark_dirty(j, n.spec.urgency != Urgency::Low);
-  note_whole_machine_job(n);
-  round_wanted_ = true;
+  index_[n.spec.id] = j;
+  ++arrivals_;
   return j;
 }
 
-void Core::remove_job(int j) {
-  Job &n = job(j);
-  for (auto &m : machines_)
-    if (m)
-      for (auto &s : m->slots)
-        if (s.job == j) {
-          s.job = -1; // stopped at the next report, as any task of an unknown job
-          s.stop = true;
-          s.grace_s = 0;
-        }
-  job_index_.erase(n.spec.id);
-  Shard &shard = shards_[static_cast<std::size_t>(n.shard)];
-  std::erase(shard.jobs, j);
-  shard.reserved -= kEntryChars + 2 * std::min<std::size_t>(n.spec.tasks / 4 + 3, set_chars());
-  mark_shard(static_cast<std::size_t>(n.shard), false);
-  std::erase(ending_, j);
+void JobTable::restore(int j, const ProgressRecord &progress) {
+  Job &n = at(j);
+  assert(n.placed == 0);
+  for (auto [a, b] : progress.started)
+    for (auto i = a; i < b && i < n.spec.tasks; ++i)
+      if (n.tasks[i].state == TaskState::Pending) set(j, i, TaskState::Unaccounted);
+  for (auto [a, b] : progress.finished)
+    for (auto i = a; i < b && i < n.spec.tasks; ++i)
+      set(j, i, TaskState::Done);
+  assert(consistent(j));
+}
+
+void JobTable::remove(int j) {
+  events_.publish(JobOver{j, at(j).spec.id});
+  index_.erase(at(j).spec.id);
   jobs_[static_cast<std::size_t>(j)].reset();
-  free_jobs_.push_back(j);
 }
 
-void Core::update_open(const std::string &key, const wire::Json &value, std::uint64_t stamp) {
-  if (wire::final_from_json(value)) return; // this leader's own doing
-  auto record = wire::open_from_json(value);
-  if (!record || key != "open/" + record->spec.id) {
-    log(LogLevel::Error, fmt::format("record {} cannot be read; left alone", key.substr(0, 60)));
-    return;
-  }
-  // Guards against news that is older than what this leader itself has ended since.
-  if (ends_.contains(record->spec.id)) return;
-  auto it = job_index_.find(record->spec.id);
-  if (it == job_index_.end()) {
-    add_job(std::move(*record), stamp);
-    return;
-  }
-  Job &n = job(it->second);
-  if (stamp <= n.open_stamp) return;
+void JobTable::on(const TermEnded &) {
+  jobs_.clear();
+  free_.clear();
+  index_.clear();
+}
+
+void JobTable::cancel(int j) {
+  Job &n = at(j);
+  if (n.cancelled) return;
+  n.cancelled = true;
+  events_.publish(JobCancelled{j});
+  if (n.finishable()) changed(j, true);
+}
+
+bool JobTable::restamp(int j, std::uint64_t stamp) {
+  Job &n = at(j);
+  if (stamp <= n.open_stamp) return false;
   n.open_stamp = stamp;
-  if (record->cancelled && !n.cancelled) {
-    n.cancelled = true;
-    cancel_job(it->second);
-  }
+  return true;
 }
 
-void Core::cancel_job(int j) {
-  Job &n = job(j);
-  if (n.done == 0) absolve(n); // its failures were more likely its own
-  for (int m = 0; m < static_cast<int>(machines_.size()); ++m) {
-    if (!machines_[static_cast<std::size_t>(m)]) continue;
-    for (std::size_t s = machine(m).slots.size(); s-- > 0;) {
-      Slot &slot = machine(m).slots[s];
-      if (slot.job != j) continue;
-      if (!slot.sent && !slot.seen)
-        drop_slot(m, s, true);
-      else
-        stop_slot(m, slot, 0);
-    }
-  }
-  if (finishable(n)) mark_dirty(j, true);
+void JobTable::set_ending(int j, bool ending) {
+  at(j).ending = ending;
+}
+
+void JobTable::changed(int j, bool urgent) {
+  events_.publish(JobChanged{j, at(j).finishable(), urgent});
 }
 
-void Core::set_task(int j, std::uint32_t i, TaskState state, int m) {
-  Job &n = job(j);
+void JobTable::set(int j, std::uint32_t i, TaskState state, int machine, int zone) {
+  Job &n = at(j);
   Task &t = n.tasks[i];
-  auto zone = [&](int mm) -> int & {
-    auto z = static_cast<std::size_t>(machine(mm).zone);
-    if (z >= n.zone_used.size()) n.zone_used.resize(z + 1);
-    return n.zone_used[z];
+  auto in_zone = [&n](int z) -> int & {
+    if (static_cast<std::size_t>(z) >= n.zone_used.size()) n.zone_used.resize(static_cast<std::size_t>(z) + 1);
+    return n.zone_used[static_cast<std::size_t>(z)];
   };
   switch (t.state) {
   case TaskState::Placed:
     --n.placed;
-    --zone(t.machine);
+    --in_zone(t.zone);
     break;
   case TaskState::Unaccounted:
     --n.unaccounted;
@@ -135,12 +108,11 @@
   case TaskState::Pending:
     break;
   }
-  t.state = state;
-  t.machine = m;
+  t = {state, machine, zone};
   switch (state) {
   case TaskState::Placed:
     ++n.placed;
-    ++zone(m);
+    ++in_zone(zone);
     break;
   case TaskState::Unaccounted:
     ++n.unaccounted;
@@ -149,72 +121,91 @@
     ++n.done;
     break;
   case TaskState::Pending:
-    round_wanted_ = true;
+    ++arrivals_;
     break;
   }
+  assert(n.done + n.placed + n.unaccounted <= n.spec.tasks);
 }
 
-bool Core::finishable(const Job &n) const {
-  if (n.ending) return false;
-  if (n.cancelled) return n.placed == 0 && n.unaccounted == 0;
-  return n.spec.shape != Shape::Service && n.done == n.spec.tasks;
+void JobTable::place(int j, std::uint32_t i, int machine, int zone) {
+  // Guards against a second start of a task that may still run: only a waiting one is placed, and one of an earlier
+  // leader's when its worker shows it.
+  assert(at(j).tasks[i].state == TaskState::Pending || at(j).tasks[i].state == TaskState::Unaccounted);
+  set(j, i, TaskState::Placed, machine, zone);
 }
 
-void Core::mark_dirty(int j, bool urgent) {
-  Job &n = job(j);
-  n.dirty = true;
-  if (finishable(n)) {
-    if (!n.to_end) ending_.push_back(j);
-    n.to_end = true;
-  } else {
-    mark_shard(static_cast<std::size_t>(n.shard), urgent);
-  }
+void JobTable::finish(int j, std::uint32_t i) {
+  set(j, i, TaskState::Done);
+  changed(j, at(j).finishable());
+}
+
+void JobTable::release(int j, std::uint32_t i, int machine, bool unaccounted) {
+  const Task &t = at(j).tasks[i];
+  if (t.state == TaskState::Placed && t.machine == machine)
+    set(j, i, unaccounted ? TaskState::Unaccounted : TaskState::Pending);
+  if (at(j).finishable()) changed(j, true);
+}
+
+std::uint64_t JobTable::next_gang_attempt(int j, std::uint64_t fresh) {
+  Job &n = at(j);
+  assert(n.placed == 0);
+  n.gang_attempt = std::max(n.gang_attempt + 1, fresh);
+  n.gang_closed = false;
+  return n.gang_attempt;
+}
+
+void JobTable::adopt_gang_attempt(int j, std::uint64_t attempt) {
+  at(j).gang_attempt = std::max(at(j).gang_attempt, attempt);
+}
+
+void JobTable::close_gang(int j, bool closed) {
+  at(j).gang_closed = closed;
 }
 
-// When every lease that an earlier leader may have kept alive has run out, what was not seen is gone.
-void Core::age_unaccounted() {
-  if (unaccounted_until_ <= 0 || now() < unaccounted_until_) return;
+std::vector<int> JobTable::age() {
+  std::vector<int> concerned;
+  if (unaccounted_until_ <= 0 || port_.now() < unaccounted_until_) return concerned;
   unaccounted_until_ = 0;
   std::uint32_t count = 0;
   for (int j = 0; j < static_cast<int>(jobs_.size()); ++j) {
-    if (!jobs_[static_cast<std::size_t>(j)] || job(j).unaccounted == 0) continue;
-    for (std::uint32_t i = 0; i < job(j).spec.tasks; ++i)
-      if (job(j).tasks[i].state == TaskState::Unaccounted) {
-        set_task(j, i, TaskState::Pending);
+    if (!find(j) || at(j).unaccounted == 0) continue;
+    for (std::uint32_t i = 0; i < at(j).spec.tasks; ++i)
+      if (at(j).tasks[i].state == TaskState::Unaccounted) {
+        set(j, i, TaskState::Pending);
         ++count;
       }
-    if (finishable(job(j))) mark_dirty(j, true);
-    if (job(j).spec.shape == Shape::Gang) tend_gang(j);
+    if (at(j).finishable()) changed(j, true);
+    concerned.push_back(j);
   }
-  if (count) log(LogLevel::Info, fmt::format("{} tasks were not seen in time and count as lost", count));
-}
-
-// A gang that can no longer complete its attempt is stopped whole; the next attempt starts when
-// every task of this one is gone.
-void Core::tend_gang(int j) {
-  Job &n = job(j);
-  if (n.spec.shape != Shape::Gang || n.placed == 0) return;
-  bool started = n.gang_closed;
-  bool missing = n.placed + n.done + n.unaccounted < n.spec.tasks;
-  for (const auto &m : machines_)
-    if (m)
-      for (const auto &s : m->slots)
-        if (s.job == j && (s.phase == TaskPhase::Running || s.phase == TaskPhase::Saving || s.stop)) started = true;
-  if (!started || !missing) {
-    n.gang_closed = started;
-    return;
+  if (count) events_.publish(TasksGivenUp{count});
+  return concerned;
+}
+
+bool JobTable::consistent(int j) const {
+  const Job &n = *find(j);
+  std::uint32_t done = 0, placed = 0, unaccounted = 0;
+  for (const auto &t : n.tasks) {
+    done += t.state == TaskState::Done;
+    placed += t.state == TaskState::Placed;
+    unaccounted += t.state == TaskState::Unaccounted;
+    if ((t.state == TaskState::Placed) != (t.machine >= 0)) return false;
+  }
+  return done == n.done && placed == n.placed && unaccounted == n.unaccounted;
+}
+
+const EndRecord *EndedJobs::find(const std::string &id) const {
+  auto it = ends_.find(id);
+  return it == ends_.end() ? nullptr : &it->second;
+}
+
+void EndedJobs::remember(const std::string &id, EndRecord end) {
+  events_.publish(EndLearnt{id});
+  if (!ends_.emplace(id, std::move(end)).second) return;
+  order_.push_back(id);
+  if (order_.size() > kMost) {
+    ends_.erase(order_.front());
+    order_.pop_front();
   }
-  n.gang_closed = true;
-  for (int m = 0; m < static_cast<int>(machines_.size()); ++m)
-    if (machines_[static_cast<std::size_t>(m)])
-      for (std::size_t s = machine(m).slots.size(); s-- > 0;) {
-        Slot &slot = machine(m).slots[s];
-        if (slot.job != j || slot.finished) continue;
-        if (!slot.sent && !slot.seen)
-          drop_slot(m, s, true);
-        else
-          stop_slot(m, slot, n.spec.save_s + 1);
-      }
 }
 
 } // namespace loft::core
--- /dev/null
+++ b/src/core/leadership.cpp
@@ -0,0 +1,131 @@
+#include "loftrouter/core/leadership.hpp"
+
+namespace loft::core {
+
+namespace {
+constexpr double kTtl = 4.0;
+constexpr double kRenewEvery = 1.0;
+constexpr double kPollEvery = 0.4;
+const char *const kLeaderKey = "leader";
+} // namespace
+
+void Leadership::tick() {
+  if (role_ == Role::Follower) {
+    if (port_.now() >= next_poll_ && !polling_) poll_leader();
+    return;
+  }
+  if (role_ != Role::Acquiring && port_.now() >= next_renew_ && !renewing_) renew();
+  if (role_ == Role::Loading && !lease_valid()) step_down("lease ran out while loading");
+  // A leader whose lease ran out by its own clock only pauses: it starts nothing, answers reports only
+  // while every sibling says that it is cut off too, and goes on if the state service still knows the lease (after an
+  // outage it does).
+}
+
+void Leadership::poll_leader() {
+  next_poll_ = port_.now() + kPollEvery * (0.8 + 0.4 * port_.random());
+  polling_ = true;
+  port_.store(StoreGet{kLeaderKey}, 1.0, [this](const wire::StoreReply &r) {
+    polling_ = false;
+    if (role_ != Role::Follower) return;
+    if (r.status == 200 && r.entries.size() == 1) {
+      if (auto rec = wire::leader_from_json(r.entries[0].value)) {
+        leader_name_ = rec->node == settings_.node ? "" : rec->node;
+        leader_term_ = r.entries[0].stamp;
+        highest_term_ = std::max(highest_term_, leader_term_);
+        leader_seen_ = port_.now();
+      }
+    } else if (r.status == 404) {
+      if (!leader_name_.empty() || leaderless_since_wall_ <= 0) leaderless_since_wall_ = port_.wall();
+      leader_name_.clear();
+      if (port_.now() >= acquire_after_ && catalogue_.known()) acquire();
+    }
+  });
+}
+
+void Leadership::acquire() {
+  role_ = Role::Acquiring;
+  const auto epoch = ++epoch_;
+  const double sent = port_.now();
+  auto back = [this, epoch](std::uint64_t lease) {
+    if (epoch != epoch_) return;
+    if (lease) port_.store(StoreLeaseDrop{lease}, 2.0, [](const wire::StoreReply &) {});
+    role_ = Role::Follower;
+    ++epoch_;
+    acquire_after_ = port_.now() + 0.2 * port_.random();
+    next_poll_ = port_.now() + 0.05;
+  };
+  port_.store(StoreLeaseNew{kTtl}, 1.0, [this, epoch, sent, back](const wire::StoreReply &r) {
+    if (epoch != epoch_) return;
+    if (r.status != 200 || !r.lease) return back(0);
+    const auto lease = r.lease;
+    const LeaderRecord record{settings_.node, port_.nonce()};
+    port_.store(StoreCommit{{{kLeaderKey, 0}}, {{kLeaderKey, wire::to_json(record), lease}}}, 1.0,
+                [this, epoch, lease, sent, back](const wire::StoreReply &c) {
+                  if (epoch != epoch_) return;
+                  // An unknown outcome is given up with its lease: a commit that arrives later finds no lease.
+                  if (c.status != 200) return back(lease);
+                  role_ = Role::Loading;
+                  ++epoch_;
+                  term_ = c.revision;
+                  lease_ = lease;
+                  highest_term_ = std::max(highest_term_, term_);
+                  lease_valid_until_ = sent + kTtl * (1 - kDrift) - 0.02;
+                  next_renew_ = port_.now();
+                  // By now the last leader's lease has run out by its own clock too, and our last word that we
+                  // are cut off lies behind us: it may have prolonged that leader by a statement's life at most.
+                  // Every worker it kept alive is heard or dead by this time.
+                  events_.publish(TermElected{term_, port_.now() + kStatementLife * (1 + kDrift) +
+                                                         settings_.lease_s * (1 + kDrift) + 0.7});
+                });
+  });
+}
+
+void Leadership::renew() {
+  renewing_ = true;
+  const double sent = port_.now();
+  next_renew_ = port_.now() + kRenewEvery;
+  port_.store(StoreLeaseTouch{lease_}, 1.0, [this, sent, epoch = epoch_](const wire::StoreReply &r) {
+    renewing_ = false;
+    if (epoch != epoch_ || role_ == Role::Follower) return;
+    if (r.status == 200)
+      lease_valid_until_ = std::max(lease_valid_until_, sent + kTtl * (1 - kDrift) - 0.02);
+    else if (r.status == 404)
+      step_down("lease is gone");
+    else
+      next_renew_ = port_.now() + 0.3;
+  });
+}
+
+void Leadership::hear_of(std::uint64_t term, std::string_view who) {
+  highest_term_ = std::max(highest_term_, term);
+  if ((role_ == Role::Leading || role_ == Role::Loading) && term > term_) step_down(who);
+}
+
+void Leadership::begin_term() {
+  role_ = Role::Leading;
+  leading_since_ = port_.now();
+  leading_since_wall_ = port_.wall();
+  leader_name_ = settings_.node;
+  events_.publish(TermBegun{term_});
+}
+
+void Leadership::step_down(std::string_view why) {
+  if (role_ == Role::Follower) return;
+  events_.publish(TermEnded{term_, std::string(why)});
+  role_ = Role::Follower;
+  ++epoch_;
+  lease_valid_until_ = -1e9;
+  if (lease_) port_.store(StoreLeaseDrop{lease_}, 2.0, [](const wire::StoreReply &) {});
+  lease_ = 0;
+  renewing_ = false;
+  leader_name_.clear();
+  leaderless_since_wall_ = port_.wall();
+  next_poll_ = port_.now();
+  acquire_after_ = port_.now() + 0.5;
+}
+
+void Leadership::stand_back(double for_s) {
+  acquire_after_ = port_.now() + for_s;
+}
+
+} // namespace loft::core
--- /dev/null
+++ b/src/core/reasons.cpp
@@ -0,0 +1,55 @@
+#include "loftrouter/core/reasons.hpp"
+
+#include <fmt/format.h>
+
+namespace loft::core {
+
+std::string &Reasons::at(int j) {
+  if (static_cast<std::size_t>(j) >= last_.size()) last_.resize(static_cast<std::size_t>(j) + 1);
+  return last_[static_cast<std::size_t>(j)];
+}
+
+const std::string &Reasons::of(int j) const {
+  static const std::string none;
+  return static_cast<std::size_t>(j) < last_.size() ? last_[static_cast<std::size_t>(j)] : none;
+}
+
+// It stays until the next such thing.
+void Reasons::set(int j, std::string_view what) {
+  at(j) = fmt::format("{} ({})", what, wire::clock_time(port_.wall()));
+}
+
+void Reasons::on(const TaskRetried &e) {
+  set(e.job, fmt::format("a task failed on machine {} and is started again elsewhere", e.machine));
+}
+
+void Reasons::on(const TaskLost &e) {
+  set(e.job, fmt::format("machine {} was lost, {}: its tasks are started again", e.machine, e.why));
+}
+
+void Reasons::on(const TaskPreempted &e) {
+  set(e.job, fmt::format("a task was stopped to make room for job {} of higher priority", e.by));
+}
+
+EndRecord Reasons::end_record(int j) const {
+  const Job &n = jobs_[j];
+  EndRecord e;
+  e.cancelled = n.cancelled;
+  e.tasks = n.spec.tasks;
+  e.job_class = n.spec.job_class;
+  e.team = n.spec.team;
+  e.submit_wall = n.submit_wall;
+  e.end_wall = port_.wall();
+  const double took = port_.wall() - n.submit_wall;
+  const auto wanted = wishes_.wanted_after(n.spec);
+  e.late = !n.cancelled && wanted && took > *wanted;
+  if (n.cancelled)
+    e.reason = judge_.failed_on(j)
+                   ? fmt::format("stopped: cancelled by its user; it had failed on {} machines", judge_.failed_on(j))
+                   : "stopped: cancelled by its user";
+  else if (e.late)
+    e.reason = fmt::format("finished {:.0f} s late{}{}", took - *wanted, of(j).empty() ? "" : "; ", of(j));
+  return e;
+}
+
+} // namespace loft::core
--- /dev/null
+++ b/src/core/recorder.cpp
@@ -0,0 +1,450 @@
+#include "loftrouter/core/recorder.hpp"
+
+#include <algorithm>
+#include <cassert>
+
+#include <fmt/format.h>
+
+namespace loft::core {
+
+namespace {
+constexpr double kLazyWrite = 0.8;     // s, progress that nothing waits for
+constexpr double kLazyWriteBusy = 2.5; // s, while many jobs end
+constexpr std::size_t kManyEnds = 4, kMostMoves = 1000;
+constexpr std::size_t kEntryChars = 85; // of a job in a progress record, beside its two sets of tasks
+} // namespace
+
+// One transaction at a time. Each is guarded by the leader key's revision and by every record's own.
+struct Recorder::Transaction {
+  std::vector<wire::Guard> guards;
+  std::vector<wire::Write> writes;
+  std::vector<std::string> jobs, ends; // ids: of jobs whose progress is in it, and of those that end
+  std::vector<Move> moves;
+  std::vector<std::size_t> shards, emptied;
+  std::size_t bytes = 0;
+};
+
+// ---- what is read ----
+
+bool Recorder::load_progress(const wire::Entry &e) {
+  auto records = wire::progress_from_json(e.key, e.value);
+  if (!records) return false;
+  Shard s;
+  s.key = e.key;
+  s.stamp = e.stamp;
+  for (auto &[id, p] : *records) {
+    loaded_shard_[id] = shards_.size();
+    auto &known = loaded_[id];
+    known.started.insert(known.started.end(), p.started.begin(), p.started.end());
+    known.finished.insert(known.finished.end(), p.finished.begin(), p.finished.end());
+    known.failed_on = std::max(known.failed_on, p.failed_on);
+  }
+  shards_.push_back(std::move(s));
+  return true;
+}
+
+void Recorder::load_end(const wire::Entry &e) {
+  auto end = wire::final_from_json(e.value);
+  if (!end) return;
+  moves_.push_back({e.key.substr(5), e.stamp, wire::to_json(*end)});
+  ended_.remember(moves_.back().id, std::move(*end));
+}
+
+void Recorder::take_open(const std::string &key, const wire::Json &value, std::uint64_t stamp) {
+  if (wire::final_from_json(value)) return; // this leader's own doing
+  auto record = wire::open_from_json(value);
+  if (!record || key != "open/" + record->spec.id) {
+    port_.log(LogLevel::Error, "record_unreadable", {{"key", key.substr(0, 60)}, {"then", "left alone"}});
+    return;
+  }
+  // Guards against news that is older than what this leader itself has ended since.
+  if (ended_.find(record->spec.id)) return;
+  const int j = jobs_.index(record->spec.id);
+  if (j < 0) return accept(std::move(*record), stamp);
+  if (jobs_.restamp(j, stamp) && record->cancelled) jobs_.cancel(j);
+}
+
+void Recorder::accept(OpenRecord record, std::uint64_t stamp) {
+  const int j = jobs_.add(std::move(record), stamp);
+  const Job &n = jobs_[j];
+  if (static_cast<std::size_t>(j) >= entries_.size()) entries_.resize(static_cast<std::size_t>(j) + 1);
+  entry(j) = {};
+  marks(j).assign(n.spec.tasks, 0);
+  if (auto it = loaded_.find(n.spec.id); it != loaded_.end()) {
+    for (auto [a, b] : it->second.started)
+      for (auto i = a; i < b && i < n.spec.tasks; ++i)
+        marks(j)[i] = kStarted | kRecorded;
+    jobs_.restore(j, it->second);
+    judge_.restore(j, it->second.failed_on);
+  }
+  assign_shard(j);
+  events_.publish(JobAccepted{j});
+  jobs_.changed(j, n.spec.urgency != Urgency::Low);
+}
+
+void Recorder::on(const TermElected &) {
+  loaded_.clear();
+  loaded_shard_.clear();
+}
+
+void Recorder::on(const TermBegun &) {
+  loaded_.clear();
+  loaded_shard_.clear();
+  for (std::size_t s = 0; s < shards_.size(); ++s)
+    if (shards_[s].jobs.empty()) mark_shard(s, false);
+}
+
+void Recorder::on(const TermEnded &) {
+  entries_.clear();
+  shards_.clear();
+  ending_.clear();
+  moves_.clear();
+  flushing_ = false;
+}
+
+// ---- what is to be written ----
+
+void Recorder::mark(int j, bool ends, bool urgent) {
+  Entry &e = entry(j);
+  e.dirty = true;
+  if (ends) {
+    if (!e.to_end) ending_.push_back(j);
+    e.to_end = true;
+  } else {
+    mark_shard(static_cast<std::size_t>(e.shard), urgent);
+  }
+}
+
+void Recorder::mark_again(int j) {
+  mark(j, jobs_[j].finishable(), true);
+}
+
+void Recorder::mark_shard(std::size_t s, bool urgent) {
+  Shard &shard = shards_[s];
+  if (!shard.dirty) shard.dirty_since = port_.now();
+  shard.dirty = true;
+  shard.urgent |= urgent;
+}
+
+// What one set of a job's tasks may take of a value, in characters.
+std::size_t Recorder::set_chars() const {
+  return static_cast<std::size_t>(settings_.state_value_kb * 1024 / 5);
+}
+
+std::size_t Recorder::entry_chars(const Job &n) const {
+  return kEntryChars + 2 * std::min<std::size_t>(n.spec.tasks / 4 + 3, set_chars());
+}
+
+// A job stays in its shard for as long as this node leads; room for its largest form is reserved.
+void Recorder::assign_shard(int j) {
+  const Job &n = jobs_[j];
+  const std::size_t chars = entry_chars(n);
+  const auto limit = static_cast<std::size_t>(settings_.state_value_kb * 1024 * 0.95);
+  std::size_t s = shards_.size();
+  if (auto it = loaded_shard_.find(n.spec.id); it != loaded_shard_.end()) s = it->second;
+  for (std::size_t k = 0; k < shards_.size() && s == shards_.size(); ++k)
+    if (shards_[k].reserved + chars <= limit) s = k;
+  if (s == shards_.size()) {
+    Shard fresh;
+    for (std::size_t name = 0; fresh.key.empty(); ++name) {
+      auto key = fmt::format("progress/s{}", name);
+      if (std::none_of(shards_.begin(), shards_.end(), [&](const Shard &x) { return x.key == key; })) fresh.key = key;
+    }
+    shards_.push_back(std::move(fresh));
+  }
+  entry(j).shard = static_cast<int>(s);
+  shards_[s].jobs.push_back(j);
+  shards_[s].reserved += chars;
+}
+
+void Recorder::remove(int j) {
+  const auto s = static_cast<std::size_t>(entry(j).shard);
+  std::erase(shards_[s].jobs, j);
+  shards_[s].reserved -= entry_chars(jobs_[j]);
+  mark_shard(s, false);
+  std::erase(ending_, j);
+  entry(j) = {};
+  jobs_.remove(j);
+}
+
+void Recorder::set_ahead(int j, std::uint32_t tasks) {
+  entry(j).ahead = tasks;
+  const Job &n = jobs_[j];
+  std::uint32_t there = 0;
+  for (std::uint32_t i = 0; i < n.spec.tasks; ++i)
+    there += n.tasks[i].state == TaskState::Pending && (marks(j)[i] & kStarted);
+  if (there < (tasks + 1) / 2) jobs_.changed(j, true);
+}
+
+// The next tasks in line count as started before they are placed. Too many "started" are safe: after a takeover they
+// wait until leases have run out.
+void Recorder::record_ahead(int j) {
+  const Job &n = jobs_[j];
+  if (n.cancelled) return;
+  std::uint32_t ahead = n.spec.shape == Shape::Gang ? (n.spec.tasks <= 64 ? n.spec.tasks : 0) : entry(j).ahead;
+  for (std::uint32_t i = 0; i < n.spec.tasks && ahead > 0; ++i)
+    if (n.tasks[i].state == TaskState::Pending) {
+      start(j, i);
+      --ahead;
+    }
+}
+
+// ---- writing ----
+
+void Recorder::flush() {
+  if (flushing_ || !lead_.active() || port_.now() < flush_after_) return;
+  std::vector<std::size_t> due;
+  const double lazy = ending_.size() > kManyEnds ? kLazyWriteBusy : kLazyWrite;
+  for (std::size_t s = 0; s < shards_.size(); ++s)
+    if (shards_[s].dirty && (shards_[s].urgent || port_.now() - shards_[s].dirty_since >= lazy)) due.push_back(s);
+  if (due.empty() && ending_.empty() && moves_.empty()) return;
+  std::sort(due.begin(), due.end(), [this](std::size_t a, std::size_t b) {
+    return std::pair(!shards_[a].urgent, shards_[a].dirty_since) <
+           std::pair(!shards_[b].urgent, shards_[b].dirty_since);
+  });
+  const double level = budget_.leader_writes(port_.now());
+  const auto max_ops = static_cast<std::size_t>(std::max(3, settings_.state_txn_ops));
+  Transaction t;
+  t.guards = {{"leader", lead_.term()}};
+  bool full = false;
+  auto room = [&](std::size_t ops) {
+    full |= t.writes.size() + ops > max_ops || static_cast<double>(t.writes.size() + ops) > level || t.bytes > 48'000;
+    return !full;
+  };
+  // Where many jobs end at once, one write says so for each and the record is moved later: three writes
+  // instead of two, but people wait for the first alone.
+  const bool in_place = ending_.size() > kManyEnds && moves_.size() < kMostMoves;
+  auto put_ends = [&] {
+    for (std::size_t k = ending_.size(); k-- > 0 && !full;) {
+      const int j = ending_.front();
+      if (!jobs_[j].finishable()) { // a task of a cancelled job has turned up
+        ending_.pop_front();
+        entry(j).to_end = false;
+        mark(j, false, false);
+      } else if (entry(j).needs_resync) {
+        resync(j);
+        ending_.pop_front();
+        ending_.push_back(j);
+      } else if (room(in_place ? 1 : 2)) {
+        ending_.pop_front();
+        entry(j).to_end = false;
+        add_end(j, t, in_place);
+      }
+    }
+  };
+  auto put_shards = [&] {
+    for (std::size_t s : due) {
+      if (shards_[s].needs_resync)
+        resync_shard(s);
+      else if (room(1))
+        add_shard(s, t);
+    }
+  };
+  // They take turns at the front, as either alone may use up the budget.
+  ends_first_ = !ends_first_;
+  if (ends_first_) put_ends();
+  put_shards();
+  if (!ends_first_) put_ends();
+  if (t.writes.empty()) add_moves(t, level, max_ops);
+  if (t.writes.empty()) return;
+  budget_.take_leader_writes(port_.now(), static_cast<double>(t.writes.size()));
+  flushing_ = true;
+  StoreCommit commit{t.guards, std::move(t.writes)};
+  port_.store(std::move(commit), 1.5, [this, t = std::move(t), epoch = lead_.epoch()](const wire::StoreReply &r) {
+    if (epoch == lead_.epoch()) flushed(t, r);
+  });
+}
+
+// Only with most of the budget at hand, so that nothing else waits for it.
+void Recorder::add_moves(Transaction &t, double budget, std::size_t most) {
+  if (budget < 0.4 * settings_.state_write_rps) return;
+  while (!moves_.empty() && t.writes.size() + 2 <= std::min<std::size_t>(most, static_cast<std::size_t>(budget))) {
+    Move m = std::move(moves_.front());
+    moves_.pop_front();
+    t.guards.push_back({"open/" + m.id, m.stamp});
+    t.guards.push_back({"end/" + m.id, 0});
+    t.writes.push_back({"open/" + m.id, std::nullopt, 0});
+    t.writes.push_back({"end/" + m.id, m.value, 0});
+    t.moves.push_back(std::move(m));
+  }
+}
+
+void Recorder::add_end(int j, Transaction &t, bool in_place) {
+  const Job &n = jobs_[j];
+  Entry &e = entry(j);
+  e.end = reasons_.end_record(j);
+  const double took = e.end.end_wall - e.end.submit_wall;
+  port_.log(e.end.late && !n.cancelled ? LogLevel::Info : LogLevel::Debug, "job_ends",
+            {{"job", n.spec.id},
+             {"class", n.spec.job_class},
+             {"team", n.spec.team},
+             {"outcome", n.cancelled ? "cancelled" : "done"},
+             {"tasks", n.spec.tasks},
+             {"estimate_s", n.spec.estimate_s},
+             {"took_s", took},
+             {"wanted_after_s", wishes_.due_after(n.spec, took)}});
+  t.guards.push_back({"open/" + n.spec.id, n.open_stamp});
+  t.guards.push_back({"end/" + n.spec.id, 0});
+  if (in_place) {
+    t.writes.push_back({"open/" + n.spec.id, wire::final_json(e.end), 0});
+  } else {
+    t.writes.push_back({"open/" + n.spec.id, std::nullopt, 0});
+    t.writes.push_back({"end/" + n.spec.id, wire::to_json(e.end), 0});
+  }
+  e.ended_in_place = in_place;
+  t.bytes += 600;
+  t.ends.push_back(n.spec.id);
+  jobs_.set_ending(j, true);
+}
+
+void Recorder::add_shard(std::size_t s, Transaction &t) {
+  Shard &shard = shards_[s];
+  std::vector<std::pair<std::string, wire::Json>> entries;
+  for (int j : shard.jobs) {
+    const Job &n = jobs_[j];
+    Entry &e = entry(j);
+    if (e.dirty) {
+      record_ahead(j);
+      ProgressRecord p;
+      p.started = make_ranges(n.spec.tasks, [&](std::uint32_t i) { return (e.marks[i] & kStarted) != 0; });
+      p.finished = make_ranges(n.spec.tasks, [&](std::uint32_t i) { return n.tasks[i].state == TaskState::Done; });
+      if (n.spec.tasks / 4 + 3 > set_chars()) { // a range takes 14 characters at most
+        p.started = widen(std::move(p.started), set_chars() / 14);
+        p.finished = narrow(std::move(p.finished), set_chars() / 14);
+      }
+      p.failed_on = judge_.suspect(j) ? judge_.failed_on(j) : 0;
+      e.progress = wire::to_json(p);
+      // What the transaction covers: tasks placed, or done, from here on wait for the next one.
+      for (std::uint32_t i = 0; i < n.spec.tasks; ++i) {
+        auto &mark = e.marks[i];
+        mark = static_cast<std::uint8_t>(mark & ~(kCovered | kDoneCovered));
+        if (mark & kStarted) mark |= kCovered;
+        if (n.tasks[i].state == TaskState::Done) mark |= kDoneCovered;
+      }
+      e.dirty = false;
+      t.jobs.push_back(n.spec.id);
+    }
+    entries.emplace_back(n.spec.id, e.progress);
+    t.bytes += n.spec.tasks / 2 + kEntryChars;
+  }
+  t.guards.push_back({shard.key, shard.stamp});
+  if (!shard.jobs.empty())
+    t.writes.push_back({shard.key, wire::progress_shard(std::move(entries)), 0});
+  else
+    t.writes.push_back({shard.key, std::nullopt, 0});
+  shard.dirty = shard.urgent = false;
+  (shard.jobs.empty() ? t.emptied : t.shards).push_back(s);
+}
+
+void Recorder::flushed(const Transaction &t, const wire::StoreReply &r) {
+  flushing_ = false;
+  auto each = [&](const std::vector<std::string> &names, auto fn) {
+    for (const auto &name : names)
+      if (const int j = jobs_.index(name); j >= 0) fn(j);
+  };
+  if (r.status == 200) {
+    for (std::size_t s : t.shards)
+      shards_[s].stamp = r.revision;
+    for (std::size_t s : t.emptied)
+      shards_[s].stamp = 0;
+    each(t.jobs, [&](int j) {
+      for (auto &mark : marks(j)) {
+        if (mark & kCovered) mark |= kRecorded;
+        if (mark & kDoneCovered) mark |= kDoneRecorded;
+      }
+    });
+    each(t.ends, [&](int j) {
+      const Entry &e = entry(j);
+      const std::string id = jobs_[j].spec.id;
+      if (e.ended_in_place) moves_.push_back({id, r.revision, wire::to_json(e.end)});
+      ended_.remember(id, e.end);
+      remove(j);
+    });
+    return;
+  }
+  if (r.status == 409)
+    for (const auto &k : r.failed)
+      if (k == "leader") return lead_.step_down("the leader key has changed");
+  for (const auto &m : t.moves) // a record that is not there as it was has been moved already, without an answer
+    if (std::none_of(r.failed.begin(), r.failed.end(),
+                     [&](const auto &k) { return k == "open/" + m.id || k == "end/" + m.id; }))
+      moves_.push_back(m);
+  if (r.status == 409) {
+    for (const auto &k : r.failed) {
+      for (auto &shard : shards_)
+        if (shard.key == k) shard.needs_resync = true;
+      each({k.substr(k.find('/') + 1)}, [&](int j) { entry(j).needs_resync = true; });
+    }
+  } else if (r.status == 0) {
+    // May have been applied, or may be yet: the stamps are read again, and whichever of the
+    // two writes comes second fails on them.
+    each(t.ends, [&](int j) { entry(j).needs_resync = true; });
+    for (const auto *list : {&t.shards, &t.emptied})
+      for (std::size_t s : *list)
+        shards_[s].needs_resync = true;
+    flush_after_ = port_.now() + 0.2;
+  } else {
+    flush_after_ = port_.now() + 0.3;
+  }
+  each(t.ends, [&](int j) { jobs_.set_ending(j, false); });
+  each(t.ends, [&](int j) { mark_again(j); });
+  each(t.jobs, [&](int j) { mark_again(j); });
+  for (const auto *list : {&t.shards, &t.emptied})
+    for (std::size_t s : *list)
+      mark_shard(s, list == &t.shards);
+}
+
+void Recorder::resync_shard(std::size_t s) {
+  if (shards_[s].resyncing) return;
+  shards_[s].resyncing = true;
+  port_.store(StoreGet{shards_[s].key}, 1.0, [this, s, epoch = lead_.epoch()](const wire::StoreReply &r) {
+    if (epoch != lead_.epoch()) return;
+    shards_[s].resyncing = false;
+    if (r.status == 200 && r.entries.size() == 1) {
+      shards_[s].stamp = r.entries[0].stamp;
+    } else if (r.status == 404) {
+      shards_[s].stamp = 0;
+    } else {
+      flush_after_ = port_.now() + 0.2;
+      return;
+    }
+    shards_[s].needs_resync = false;
+  });
+}
+
+void Recorder::resync(int j) {
+  if (entry(j).resyncing) return;
+  entry(j).resyncing = true;
+  const std::string id = jobs_[j].spec.id;
+  auto find = [this, id, epoch = lead_.epoch()] { return epoch == lead_.epoch() ? jobs_.index(id) : -1; };
+  port_.store(StoreGet{"open/" + id}, 1.0, [this, id, find](const wire::StoreReply &r) {
+    const int k = find();
+    if (k < 0) return;
+    if (r.status != 404) {
+      entry(k).resyncing = false;
+      if (auto end =
+              r.status == 200 && r.entries.size() == 1 ? wire::final_from_json(r.entries[0].value) : std::nullopt) {
+        moves_.push_back({id, r.entries[0].stamp, wire::to_json(*end)}); // our own write, applied without an answer
+        ended_.remember(id, std::move(*end));
+        remove(k);
+      } else if (r.status == 200 && r.entries.size() == 1) {
+        entry(k).needs_resync = false;
+        take_open("open/" + id, r.entries[0].value, r.entries[0].stamp);
+      } else {
+        flush_after_ = port_.now() + 0.2;
+      }
+      return;
+    }
+    port_.store(StoreGet{"end/" + id}, 1.0, [this, id, find](const wire::StoreReply &e) {
+      const int jj = find();
+      if (jj < 0) return;
+      entry(jj).resyncing = false;
+      auto end = e.status == 200 && e.entries.size() == 1 ? wire::end_from_json(e.entries[0].value) : std::nullopt;
+      if (!end) return;
+      ended_.remember(id, *end); // our own write, applied without an answer
+      remove(jj);
+    });
+  });
+}
+
+} // namespace loft::core
--- /dev/null
+++ b/src/core/scaler.cpp
@@ -0,0 +1,421 @@
+#include "loftrouter/core/scaler.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+
+#include <fmt/format.h>
+
+namespace loft::core {
+
+namespace {
+constexpr double kScaleEvery = 1.0;
+constexpr double kListEvery = 3.0;
+constexpr double kTypesEvery = 60.0;
+constexpr double kNoCapacityPause = 12.0;
+constexpr double kMinimumCharge = 60.0; // a returned machine costs at least this long
+constexpr double kHoldBootsKept = 1.5;  // boot times an idle machine is held that some job class needs whole
+constexpr double kBootGiveUp = 2.0;     // boot times after which a machine is taken for one that never comes up
+constexpr double kDrainBelow = 0.85;    // dear machines are drained until the rest is used that much
+constexpr double kSlackShare = 0.7;     // of the time left, what the queue may take
+constexpr double kVeryLate = 8.0;       // times the time a job was given
+// How often a rented machine's place may be used for one backlog: as often as the time left allows.
+constexpr double kWavesShare = 0.5, kMinWaves = 2.0, kMaxWaves = 6.0;
+constexpr int kMostACall = 50;     // machines, by the cloud's protocol
+constexpr double kCallsKept = 1.0; // of the cloud's, for the list and for returns
+const char *const kTypesKey = "conf/types";
+} // namespace
+
+Scaler::Scaler(Port &port, const Settings &settings, Catalogue &catalogue, const Operators &operators,
+               const Leadership &lead, const JobTable &jobs, const FailureJudge &judge, Fleet &fleet,
+               const Placer &placer, const Wishes &wishes)
+    : port_(port), settings_(settings), catalogue_(catalogue), operators_(operators), lead_(lead), jobs_(jobs),
+      judge_(judge), fleet_(fleet), placer_(placer), wishes_(wishes),
+      calls_(0.7 * settings.cloud_rps, std::max(1.0, 0.7 * settings.cloud_rps)) {}
+
+void Scaler::on(const TermBegun &) {
+  next_list_ = port_.now();
+  next_scale_ = port_.now() + 1.0;
+  listed_once_at_ = -1;
+}
+
+void Scaler::on(const TermEnded &) {
+  listing_ = returning_ = false;
+  listed_once_at_ = -1;
+  rents_open_.clear();
+}
+
+bool Scaler::refused(const MachineKind &kind) const {
+  auto it = no_capacity_until_.find(kind);
+  return it != no_capacity_until_.end() && port_.now() < it->second;
+}
+
+std::vector<MachineKind> Scaler::refused_kinds() const {
+  std::vector<MachineKind> out;
+  for (const auto &[kind, until] : no_capacity_until_)
+    if (port_.now() < until) out.push_back(kind);
+  return out;
+}
+
+// The types are kept in the state service, so that a node can judge jobs while the cloud is silent.
+void Scaler::load_types() {
+  types_loading_ = true;
+  next_types_ = port_.now() + (catalogue_.known() ? kTypesEvery : 1.0);
+  auto from_cloud = [this] {
+    if (!calls_.take(port_.now())) {
+      types_loading_ = false;
+      return;
+    }
+    port_.cloud(CloudTypes{}, 3.0, [this](const wire::CloudReply &r) {
+      types_loading_ = false;
+      if (r.status != 200 || r.types.empty()) return;
+      const bool first = !catalogue_.known();
+      catalogue_.take(r.types);
+      if (first && lead_.role() == Role::Follower)
+        port_.store(StoreCommit{{{kTypesKey, 0}}, {{kTypesKey, wire::to_json(catalogue_.types()), 0}}}, 2.0,
+                    [](const wire::StoreReply &) {});
+    });
+  };
+  if (catalogue_.known()) return from_cloud();
+  port_.store(StoreGet{kTypesKey}, 1.0, [this, from_cloud](const wire::StoreReply &r) {
+    if (r.status == 200 && r.entries.size() == 1)
+      if (auto types = wire::types_from_json(r.entries[0].value)) {
+        catalogue_.take(std::move(*types));
+        types_loading_ = false;
+        return;
+      }
+    from_cloud();
+  });
+}
+
+void Scaler::tick() {
+  if (!types_loading_ && port_.now() >= next_types_ && (!catalogue_.known() || lead_.leading())) load_types();
+  if (!lead_.active()) return;
+  if (!listing_ && port_.now() >= next_list_ && calls_.take(port_.now())) {
+    listing_ = true;
+    next_list_ = port_.now() + kListEvery;
+    list("");
+  }
+  return_machines();
+  if (port_.now() >= next_scale_) {
+    next_scale_ = port_.now() + kScaleEvery;
+    scale();
+  }
+}
+
+// ---- the cloud's list ----
+
+void Scaler::list(std::string from) {
+  port_.cloud(CloudList{from}, 3.0, [this, epoch = lead_.epoch()](const wire::CloudReply &r) {
+    if (epoch != lead_.epoch()) return;
+    if (r.status != 200) {
+      listing_ = false;
+      return;
+    }
+    merge(r);
+    if (r.more && !r.machines.empty()) return list(r.machines.back().name);
+    listing_ = false;
+    if (listed_once_at_ < 0) listed_once_at_ = port_.now();
+  });
+}
+
+void Scaler::merge(const wire::CloudReply &r) {
+  for (const auto &l : r.machines) {
+    if (const auto gone = fleet_.gone(l.name)) {
+      if (port_.now() - *gone < 4 * settings_.cloud_list_lag_s + 5) continue; // the list lags
+      fleet_.listed_again(l.name);                                            // still there: give it back again
+      fleet_.give_back(fleet_.add(l.name, l.type, l.zone, l.spot));
+      continue;
+    }
+    const bool fresh = fleet_.index(l.name) < 0;
+    const int m = fleet_.add(l.name, l.type, l.zone, l.spot);
+    if (fresh) fleet_.set_rented_at(m, port_.now() - l.age_s);
+    if (l.status == MachineStatus::Failed) fleet_.listed_failed(m);
+  }
+}
+
+// ---- giving back ----
+
+std::vector<std::string> Scaler::names_to_return() {
+  std::vector<std::string> names;
+  int live = 0, lost = 0;
+  fleet_.each([&](int, const Machine &m) {
+    if (m.heard) ++(m.lost ? lost : live);
+  });
+  const double now = port_.now(), cheapest = catalogue_.cheapest_cpu();
+  fleet_.each([&](int m, const Machine &n) {
+    const double age = now - n.rented_at, boot = n.type >= 0 ? catalogue_.type(n.type).boot_s : 60;
+    bool go = !n.heard && now - n.known_since > 10 && age > kBootGiveUp * boot + 10;
+    // Many machines silent at once points at this node's network rather than at them.
+    go |= n.heard && n.lost && (lost <= live || now - n.last_answer > settings_.lease_s + 30);
+    go |= n.taken_at && now > *n.taken_at + 1 && now - n.last_answer > settings_.report_s * 1.5 + 1;
+    if (n.heard && !n.lost && n.slots.empty() && n.idle_since >= 0 && (age >= kMinimumCharge - 2 || n.order)) {
+      const bool keep = !n.spot && placer_.kept(n.type, 300);
+      double hold = boot * (keep ? kHoldBootsKept : operators_.tunables().idle_boots);
+      if (!keep && n.type >= 0 && n.size.cpus > 0)
+        hold *= std::min(1.0, cheapest / Catalogue::cpu_price(catalogue_.type(n.type), n.spot));
+      if (n.draining) hold = std::min(hold, 3.0);
+      if (n.order) hold = *n.order == wire::MachineOrder::Drain ? 0 : 1e9;
+      go |= now - n.idle_since > hold;
+    }
+    if (go) fleet_.give_back(m);
+    if (n.returning && names.size() < 100) names.push_back(n.name);
+  });
+  return names;
+}
+
+void Scaler::return_machines() {
+  fleet_.forget_gone(600);
+  if (returning_) return;
+  auto names = names_to_return();
+  if (names.empty() || !calls_.take(port_.now())) return;
+  returning_ = true;
+  port_.cloud(CloudReturn{names}, 5.0, [this, names, epoch = lead_.epoch()](const wire::CloudReply &r) {
+    if (epoch != lead_.epoch()) return;
+    returning_ = false;
+    if (r.status != 200) return; // asked again: a machine is gone only when the cloud has said so
+    for (const auto &name : names)
+      if (const int m = fleet_.index(name); m >= 0) fleet_.remove(m);
+  });
+}
+
+void Scaler::drain_surplus(double waiting_cpus) {
+  const double cheapest = catalogue_.cheapest_cpu();
+  struct Candidate {
+    double price, used_share;
+    int m;
+    const Machine *machine;
+  };
+  std::vector<Candidate> candidates;
+  double used = waiting_cpus, size = 0;
+  fleet_.each([&](int m, const Machine &n) {
+    if (n.returning || n.lost || !n.heard || n.type < 0) return;
+    if (!n.spot && placer_.kept(n.type, 600)) return;
+    used += n.used.cpus;
+    size += n.size.cpus;
+    for (const auto &s : n.slots) // it keeps no dear machine
+      if (s.job >= 0 && !s.finished && placer_.patient(s.job)) {
+        used -= s.need.cpus;
+        size -= s.need.cpus;
+      }
+    const double price = Catalogue::cpu_price(catalogue_.type(n.type), n.spot);
+    if (port_.now() - n.rented_at < kMinimumCharge || price < kDear * cheapest)
+      fleet_.set_draining(m, false);
+    else
+      candidates.push_back({price, n.used.cpus / std::max(0.01, n.size.cpus), m, &n});
+  });
+  // Of the same price those go on draining that have begun, then those with least on them.
+  std::sort(candidates.begin(), candidates.end(), [](const Candidate &a, const Candidate &b) {
+    return std::tuple(-a.price, !a.machine->draining, a.used_share) <
+           std::tuple(-b.price, !b.machine->draining, b.used_share);
+  });
+  double surplus = size - used / kDrainBelow;
+  for (const auto &c : candidates) {
+    surplus -= c.machine->size.cpus;
+    fleet_.set_draining(c.m, surplus >= 0);
+  }
+}
+
+void Scaler::scale() {
+  if (listed_once_at_ < 0 || port_.now() - listed_once_at_ < 1.0) return;
+  const auto &types = catalogue_.types();
+  struct Place {
+    Resources free;
+    int type, zone;
+    bool spot;
+  };
+  std::vector<Place> booting;
+  fleet_.each([&](int, const Machine &m) {
+    if (!m.heard && !m.returning && m.type >= 0) booting.push_back({m.size, m.type, m.zone, m.spot});
+  });
+  for (const auto &[key, count] : rents_open_)
+    for (int i = 0; i < count; ++i) {
+      auto [t, z, spot] = key;
+      booting.push_back({catalogue_.type(t).size, t, z, spot});
+    }
+  std::vector<int> order;
+  jobs_.each([&](int j, const Job &) { order.push_back(j); });
+  std::sort(order.begin(), order.end(), [this](int a, int b) {
+    return std::pair(-static_cast<int>(jobs_[a].spec.urgency), jobs_[a].submit_wall) <
+           std::pair(-static_cast<int>(jobs_[b].spec.urgency), jobs_[b].submit_wall);
+  });
+  std::vector<int> index;
+  auto up = placer_.snapshot(index, -1);
+  // Machines already up, those alike together, and the CPU seconds that they are expected to still spend.
+  struct Alike {
+    PlaceMachine one;
+    double count = 0, busy = 0;
+  };
+  std::map<std::tuple<int, int, bool, bool, int>, Alike> groups;
+  std::vector<double> busy(up.size(), 0); // machine by machine, for work that needs them whole
+  for (std::size_t i = 0; i < up.size(); ++i) {
+    auto &group = groups[{up[i].type, up[i].zone, up[i].spot, up[i].kept, up[i].held_for}];
+    group.one = up[i];
+    group.one.id = -1;
+    ++group.count;
+    for (const auto &s : fleet_[index[i]].slots) {
+      if (s.job < 0 || s.finished) continue;
+      const double ran = s.running_since >= 0 ? port_.now() - s.running_since : 0;
+      busy[i] += std::max(5.0, jobs_[s.job].spec.estimate_s - ran) * s.need.cpus;
+    }
+    group.busy += busy[i];
+  }
+  double pending = 0;
+  std::vector<Wanted> wanted; // in the order of the jobs that want them first
+  for (int j : order) {
+    const Job &n = jobs_[j];
+    PlaceJob p = placer_.place_job(j);
+    if (p.limit == 0) continue;
+    // For work that fails everywhere nothing is rented, unless it could never be tried again.
+    if (judge_.suspect(j)) {
+      p.barred.clear();
+      if (std::any_of(up.begin(), up.end(), [&](const auto &m) { return allowed(p, m) && p.need.fits(m.size); }))
+        continue;
+    }
+    if (!placer_.patient(j)) pending += p.ready * p.need.cpus;
+    const bool low = p.urgency == Urgency::Low;
+    const double est = std::max(8.0, n.spec.estimate_s);
+    const double due = wishes_.due_after(n.spec, placer_.age(n)), left = due - p.wait_s;
+    const double waves = low ? std::clamp(kWavesShare * left / est, kMinWaves, kMaxWaves) : 1.0;
+    double waiting = p.ready;
+    auto fill = [&](Place &place) {
+      for (; waiting >= 1 && p.need.fits(place.free); waiting -= waves)
+        place.free.add(p.need, -1);
+    };
+    for (auto &b : booting) { // what is on its way takes them first
+      PlaceMachine pm;
+      pm.type = b.type;
+      pm.zone = b.zone;
+      pm.spot = b.spot;
+      if (!allowed(p, pm)) continue;
+      fill(b);
+    }
+    if (waiting < 1) continue;
+    struct Choice {
+      int type = -1, zone = -1;
+      bool spot = false;
+      int count = 0;
+      double cost = std::numeric_limits<double>::infinity();
+    } best;
+    auto places_on = [&](const MachineType &type) {
+      double per = p.need.cpus > 0 ? std::floor(type.size.cpus / p.need.cpus + 1e-6) : 100;
+      if (p.need.memory > 0) per = std::min(per, std::floor(type.size.memory / p.need.memory + 1e-6));
+      if (p.need.gpus > 0) per = std::min(per, std::floor(type.size.gpus / p.need.gpus + 1e-6));
+      return std::max(1.0, per);
+    };
+    double cheapest = std::numeric_limits<double>::infinity();
+    for (int t = 0; t < static_cast<int>(types.size()); ++t) {
+      const auto &type = catalogue_.type(t);
+      if (!p.types[static_cast<std::size_t>(t)] || !p.need.fits(type.size)) continue;
+      cheapest = std::min(cheapest, (p.spot ? std::min(type.spot_price, type.price) : type.price) / places_on(type));
+    }
+    for (int t = 0; t < static_cast<int>(types.size()); ++t) {
+      const auto &type = catalogue_.type(t);
+      if (!p.types[static_cast<std::size_t>(t)] || !p.need.fits(type.size)) continue;
+      const double per = places_on(type);
+      for (const auto &zone : type.zones) {
+        const int z = catalogue_.zone(zone);
+        if (p.zone >= 0 && p.zone != z) continue;
+        for (bool spot : {true, false}) {
+          if (spot && !p.spot) continue;
+          const MachineKind kind(t, z, spot);
+          if (refused(kind) || rents_open_[kind] > 0) continue;
+          // Cheap places are rented for whatever would wait longer than their boot. Dear ones only where they
+          // come early enough to save a deadline that the queue endangers, or against waiting without end.
+          double price = spot ? type.spot_price : type.price;
+          double horizon = type.boot_s + (low ? est : 0.0);
+          if (low && price / per > kDear * cheapest)
+            horizon =
+                std::max(horizon, kSlackShare * (kSlackShare * left > horizon ? left : kVeryLate * due - p.wait_s));
+          double carried = 0; // tasks that machines already up get to within the horizon
+          const double cpus = std::max(p.need.cpus, 0.01);
+          auto carries = [&](const PlaceMachine &m, double count, double spent) {
+            if (!allowed(p, m) || !p.need.fits(m.size) || (m.kept && p.small)) return 0.0;
+            return std::max(0.0, count * std::floor(m.size.cpus / cpus + 1e-6) * cpus * horizon - spent) / (cpus * est);
+          };
+          if (low)
+            for (const auto &[like, g] : groups)
+              carried += carries(g.one, g.count, g.busy);
+          else
+            for (std::size_t i = 0; i < up.size(); ++i)
+              carried += carries(up[i], 1, busy[i]);
+          double rest = waiting - (low ? carried : std::floor(carried));
+          if (rest < 0.5) continue;
+          int count = static_cast<int>(std::ceil(std::ceil(rest / waves) / per));
+          double cost = price * count * (1 + 0.003 * type.boot_s);
+          if (cost < best.cost) best = {t, z, spot, count, cost};
+        }
+      }
+    }
+    // Work counted here is not counted again for later jobs.
+    for (auto &[like, g] : groups)
+      if (allowed(p, g.one) && p.need.fits(g.one.size) && !(g.one.kept && p.small))
+        g.busy += waiting * est * p.need.cpus * g.count / std::max<double>(1, static_cast<double>(up.size()));
+    for (std::size_t i = 0; i < up.size() && !low; ++i)
+      if (allowed(p, up[i]) && p.need.fits(up[i].size))
+        busy[i] += waiting * est * p.need.cpus / static_cast<double>(up.size());
+    if (best.type < 0) continue;
+    const MachineKind kind(best.type, best.zone, best.spot);
+    auto it = std::find_if(wanted.begin(), wanted.end(), [&](const Wanted &w) { return w.kind == kind; });
+    if (it == wanted.end()) it = wanted.insert(it, {kind, 0, 0, j});
+    it->count += best.count;
+    ++it->jobs;
+    // What this job leaves of them is there for the next.
+    for (int i = 0; i < best.count; ++i) {
+      Place place{catalogue_.type(best.type).size, best.type, best.zone, best.spot};
+      fill(place);
+      booting.push_back(place);
+    }
+  }
+  for (const auto &w : wanted)
+    rent(w);
+  drain_surplus(pending);
+}
+
+// ---- renting ----
+
+// All that is wanted of one kind at once: a backlog of thousands of tasks is not to be met by a few machines a second.
+void Scaler::rent(const Wanted &w) {
+  const auto [type, zone, spot] = w.kind;
+  const Job &why = jobs_[w.job];
+  for (int left = w.count; left > 0 && calls_.level(port_.now()) >= 1 + kCallsKept;) {
+    const int count = std::min(left, kMostACall);
+    left -= count;
+    rents_open_[w.kind] += count;
+    CloudRent call{fmt::format("r-{}-{}", lead_.term(), ++rents_), catalogue_.type_name(type),
+                   catalogue_.zone_name(zone), spot, count};
+    port_.log(LogLevel::Info, "renting",
+              {{"request", call.request},
+               {"machines", count},
+               {"type", call.type},
+               {"zone", call.zone},
+               {"spot", spot},
+               {"jobs", w.jobs},
+               {"first_job", why.spec.id},
+               {"class", why.spec.job_class},
+               {"its_waiting_tasks", why.pending()}});
+    send_rent(std::move(call), w.kind, 3);
+  }
+}
+
+void Scaler::send_rent(CloudRent call, MachineKind kind, int tries) {
+  if (!calls_.take(port_.now())) {
+    rents_open_[kind] -= call.count;
+    return;
+  }
+  port_.cloud(call, 3.0, [this, call, kind, tries, epoch = lead_.epoch()](const wire::CloudReply &r) {
+    if (epoch != lead_.epoch()) return;
+    if (r.status == 0 && tries > 1) return send_rent(call, kind, tries - 1); // same name: rents nothing twice
+    rents_open_[kind] -= call.count;
+    const auto pause = port_.now() + kNoCapacityPause;
+    if (r.status == 200) {
+      for (const auto &name : r.names)
+        if (!fleet_.gone(name)) fleet_.add(name, call.type, call.zone, call.spot);
+      if (static_cast<int>(r.names.size()) < call.count) no_capacity_until_[kind] = pause;
+    } else if (r.status == 503 && r.no_capacity) {
+      no_capacity_until_[kind] = pause;
+    }
+  });
+}
+
+} // namespace loft::core
--- /dev/null
+++ b/src/core/siblings.cpp
@@ -0,0 +1,140 @@
+#include "loftrouter/core/siblings.hpp"
+
+#include <algorithm>
+
+namespace loft::core {
+
+namespace {
+constexpr double kCutOffAfter = 1.5; // s, without any answer from the state service
+constexpr double kLately = 3.0;      // s
+constexpr double kDeafPause = 15.0;  // s, before a node that has stepped down as deaf stands again
+} // namespace
+
+Siblings::Siblings(Port &port, const Settings &settings, Leadership &lead, StoreBudget &budget, JobTable &jobs,
+                   const RecordWatch &watch)
+    : port_(port), settings_(settings), lead_(lead), budget_(budget), jobs_(jobs), watch_(watch),
+      states_(settings.siblings.size()),
+      // A restarted node must not take an answer to its former self's question for its own.
+      ping_nonce_(port.nonce()) {
+  std::vector<std::pair<std::string, int>> names{{settings_.node, -1}};
+  for (std::size_t i = 0; i < settings_.siblings.size(); ++i)
+    names.emplace_back(settings_.siblings[i].node, static_cast<int>(i));
+  std::sort(names.begin(), names.end());
+  for (const auto &[name, i] : names) {
+    if (i < 0) self_ = static_cast<std::uint8_t>(by_name_.size());
+    by_name_.push_back(i);
+  }
+}
+
+int Siblings::by_sender(std::uint8_t sender) const {
+  return sender < by_name_.size() ? by_name_[sender] : -1;
+}
+
+bool Siblings::cut_off() const {
+  return port_.now() - port_.state_ok_at() > kCutOffAfter;
+}
+
+void Siblings::ping() {
+  next_ping_ = port_.now() + kPingEvery;
+  std::vector<std::optional<StoreBudget::Use>> uses;
+  for (const auto &s : states_)
+    uses.push_back(port_.now() - s.stated_at < kLately ? std::optional(s.use) : std::nullopt);
+  budget_.share(port_.now(), kPingEvery, uses);
+  std::erase_if(confirmed_cancels_, [this](const auto &c) { return port_.now() - c.second > settings_.cancel_s; });
+  for (std::size_t i = 0; i < states_.size(); ++i) {
+    wire::PeerMessage m;
+    m.kind = wire::PeerMessage::Kind::Ping;
+    m.nonce = ++ping_nonce_;
+    m.term = lead_.highest_term();
+    m.sender = self_;
+    states_[i].nonce = m.nonce;
+    states_[i].sent_at = port_.now();
+    port_.send({static_cast<int>(i), 0, std::move(m)});
+  }
+}
+
+void Siblings::answer_ping(const CmdPeer &cmd, const Standing &standing) {
+  wire::PeerMessage r;
+  r.kind = wire::PeerMessage::Kind::Pong;
+  r.nonce = cmd.message.nonce;
+  r.term = standing.leads ? lead_.term() : lead_.highest_term();
+  // More than can be repeated: the leader is not to go on on this node's word.
+  r.cut_off = cut_off() && confirmed_cancels_.size() <= wire::kPeerMaxCancelled;
+  r.hears_workers = port_.now() - last_report_at_ < kLately;
+  r.sender = self_;
+  r.leads = standing.leads;
+  r.spreads = standing.spreads;
+  r.passes = standing.passes;
+  auto tenths = [](double rate) { return static_cast<std::uint16_t>(std::min(6e4, rate * 10)); };
+  r.reads = tenths(budget_.use().reads);
+  r.writes = tenths(budget_.use().writes);
+  r.uptime_ms = static_cast<std::uint32_t>(std::min(4e9, port_.up_s() * 1000));
+  for (auto it = confirmed_cancels_.rbegin();
+       it != confirmed_cancels_.rend() && r.cancelled.size() < wire::kPeerMaxCancelled; ++it)
+    r.cancelled.push_back(it->first);
+  port_.send({-1, cmd.link, std::move(r)});
+}
+
+bool Siblings::take_pong(const CmdPeer &cmd) {
+  if (cmd.sibling < 0 || static_cast<std::size_t>(cmd.sibling) >= states_.size()) return false;
+  const auto &m = cmd.message;
+  auto &s = states_[static_cast<std::size_t>(cmd.sibling)];
+  if (m.nonce != s.nonce) return false; // an old answer, perhaps held up on the way
+  s.stated_at = s.sent_at;              // it cannot be older than the question
+  s.cut_off = m.cut_off;
+  s.hears_workers = m.hears_workers;
+  s.leads = m.leads;
+  s.spreads = m.spreads;
+  s.passes = m.passes;
+  s.term = m.term;
+  s.uptime_s = m.uptime_ms / 1000.0;
+  s.use = {m.reads / 10.0, m.writes / 10.0};
+  if (lead_.leading())
+    for (const auto &id : m.cancelled)
+      if (const int j = jobs_.index(id); j >= 0) jobs_.cancel(j);
+  return true;
+}
+
+void Siblings::tell_all(const wire::PeerMessage &m) {
+  for (std::size_t i = 0; i < states_.size(); ++i)
+    port_.send({static_cast<int>(i), 0, m});
+}
+
+void Siblings::abdicate_if_deaf(std::size_t live) {
+  // After standing still it has not read yet what workers have sent meanwhile.
+  if (port_.now() - deaf_tick_at_ > 1) deaf_from_ = port_.now();
+  deaf_tick_at_ = port_.now();
+  if (!lead_.active()) return;
+  // Every worker reports within 1.25 of the interval. Each second saved here is one more for workers, which
+  // wait 4 s for an answer before they try elsewhere, to reach the next leader within their lease.
+  // A few machines may hang by chance.
+  const double patience = live >= 4 ? 1.25 * settings_.report_s + 1.5 : std::max(4.5, 2 * settings_.report_s + 2);
+  if (port_.now() - std::max({last_report_at_, lead_.leading_since(), deaf_from_}) < patience) return;
+  // That several fall silent at once is enough. Where few have been heard a sibling has to have heard some: the workers
+  // may be what has failed. Waiting for that with several would send workers that try a sibling back to this node.
+  for (const auto &s : states_)
+    if (!s.cut_off && port_.now() - s.stated_at < kPingEvery * 3 && (live >= 4 || s.hears_workers)) {
+      lead_.step_down("no worker reaches this node");
+      lead_.stand_back(kDeafPause);
+      return;
+    }
+}
+
+bool Siblings::common_outage() const {
+  if (!cut_off() || states_.empty()) return false;
+  return std::all_of(states_.begin(), states_.end(),
+                     [this](const State &s) { return s.cut_off && port_.now() - s.stated_at <= kStatementLife; });
+}
+
+bool Siblings::extended() const {
+  if (!lead_.leading() || lead_.lease_valid() || lead_.highest_term() > lead_.term() || !common_outage()) return false;
+  // A sibling that has restarted since may have confirmed a cancellation that nobody remembers. Its tasks
+  // must not be kept alive beyond the time a cancellation has.
+  const double age = port_.now() - port_.state_ok_at();
+  if (age < settings_.cancel_s - settings_.lease_s * 1.01 - 5) return true;
+  for (const auto &s : states_)
+    if (s.uptime_s < age + 1) return false;
+  return confirmed_cancels_.size() <= wire::kPeerMaxCancelled;
+}
+
+} // namespace loft::core
--- a/src/core/users.cpp
+++ b/src/core/users.cpp
@@ -1,6 +1,4 @@
-// What users ask for. Any node answers: submissions and cancellations go straight to the state
-// service, and an answer about a job comes from a read made after the question arrived.
-#include "loftrouter/core/core.hpp"
+#include "loftrouter/core/users.hpp"
 
 #include <algorithm>
 
@@ -11,13 +9,13 @@
 namespace {
 constexpr double kUserDeadline = 1.4; // a poll waits 2 s, a submission 5 s
 constexpr int kMaxUserOps = 256;
-constexpr std::size_t kMaxEnds = 4000;
+constexpr std::size_t kMostKnown = 4000;   // open records
 constexpr double kConfirmEvery = 0.03;     // least time between comparisons
 constexpr double kQuestionPatience = 0.25; // that a question waits for one
 } // namespace
 
-Core::Verdict Core::judge(const JobSpec &spec, std::string &why) const {
-  int team = team_names_.find(spec.team);
+UserDesk::Verdict UserDesk::judge(const JobSpec &spec, std::string &why) const {
+  const int team = jobs_.find_team(spec.team);
   if (team < 0) {
     why = fmt::format("unknown team {}", spec.team);
     return Verdict::Never;
@@ -30,8 +28,8 @@
     why = fmt::format("needs more than the limit of team {}", spec.team);
     return Verdict::Never;
   }
-  if (!types_known_) return Verdict::Unknown;
-  for (const auto &type : types_) {
+  if (!catalogue_.known()) return Verdict::Unknown;
+  for (const auto &type : catalogue_.types()) {
     if (spec.types && std::find(spec.types->begin(), spec.types->end(), type.name) == spec.types->end()) continue;
     if (spec.zone && std::find(type.zones.begin(), type.zones.end(), *spec.zone) == type.zones.end()) continue;
     if (spec.need.fits(type.size)) return Verdict::Ok;
@@ -40,105 +38,103 @@
   return Verdict::Never;
 }
 
-void Core::on(CmdSubmit &&cmd) {
-  if (auto it = ends_.find(cmd.spec.id); it != ends_.end()) return answer_end(cmd.req, cmd.spec.id, it->second, true);
+void UserDesk::take(CmdSubmit &&cmd) {
+  if (const auto *end = ended_.find(cmd.spec.id)) return answer_end(cmd.req, cmd.spec.id, *end, true);
   std::string why;
   switch (judge(cmd.spec, why)) {
   case Verdict::Never:
-    return reply(cmd.req, 422, wire::encode_error(why));
+    return port_.reply(cmd.req, 422, wire::encode_error(why));
   case Verdict::Unknown:
-    return refuse(cmd.req, "machine types are not known yet");
+    return port_.refuse(cmd.req, "machine types are not known yet");
   case Verdict::Ok:
     break;
   }
-  OpenRecord record{cmd.spec, now_.wall, false};
+  OpenRecord record{cmd.spec, port_.wall(), false};
   auto value = wire::to_json(record);
   if (static_cast<double>(value.dump().size()) > settings_.state_value_kb * 1024 - 64)
-    return reply(cmd.req, 422, wire::encode_error("the job's description is too long to be kept"));
-  if (user_ops_ >= kMaxUserOps || !user_writes_.take(now())) return refuse(cmd.req, "too many submissions at once");
-  ++user_ops_;
+    return port_.reply(cmd.req, 422, wire::encode_error("the job's description is too long to be kept"));
+  if (under_way_ >= kMaxUserOps || !budget_.take_write(port_.now()))
+    return port_.refuse(cmd.req, "too many submissions at once");
+  ++under_way_;
   std::string id = cmd.spec.id;
-  store(StoreCommit{{{"open/" + id, 0}, {"end/" + id, 0}}, {{"open/" + id, std::move(value), 0}}}, kUserDeadline,
-        [this, req = cmd.req, id](const wire::StoreReply &r) {
-          --user_ops_;
-          if (r.status == 200) {
-            note_open(id, r.revision, false);
-            return reply(req, 201, wire::encode_accepted(id, JobState::Queued));
-          }
-          if (r.status == 409) return answer_state(req, id, true);
-          refuse(req, "the state service did not confirm the submission");
-        });
+  port_.store(StoreCommit{{{"open/" + id, 0}, {"end/" + id, 0}}, {{"open/" + id, std::move(value), 0}}}, kUserDeadline,
+              [this, req = cmd.req, id](const wire::StoreReply &r) {
+                --under_way_;
+                if (r.status == 200) {
+                  note_open(id, r.revision, false);
+                  return port_.reply(req, 201, wire::encode_accepted(id, JobState::Queued));
+                }
+                if (r.status == 409) return answer_state(req, id, true);
+                port_.refuse(req, "the state service did not confirm the submission");
+              });
 }
 
-void Core::on(CmdLookup &&cmd) {
-  if (!wire::valid_job_id(cmd.id)) return reply(cmd.req, 404, wire::encode_error("no such job"));
+void UserDesk::take(CmdLookup &&cmd) {
+  if (!wire::valid_job_id(cmd.id)) return port_.reply(cmd.req, 404, wire::encode_error("no such job"));
   answer_state(cmd.req, cmd.id, false);
 }
 
-void Core::answer_state(RequestId req, const std::string &id, bool as_submit) {
-  if (auto it = ends_.find(id); it != ends_.end()) return answer_end(req, id, it->second, as_submit);
+void UserDesk::answer_state(RequestId req, const std::string &id, bool as_submit) {
+  if (const auto *end = ended_.find(id)) return answer_end(req, id, *end, as_submit);
   auto known = known_open_.find(id);
   if (known == known_open_.end()) return read_open(req, id, as_submit);
   // Cancelled is for ever; that it is still open has to be confirmed.
   if (known->second.cancelled) return tell_open(req, id, true, as_submit);
-  if (questions_.size() >= kMaxUserOps) return refuse(req, "too many questions at once");
-  questions_.push_back({req, id, as_submit, now()});
+  if (questions_.size() >= kMaxUserOps) return port_.refuse(req, "too many questions at once");
+  questions_.push_back({req, id, as_submit, port_.now()});
 }
 
-void Core::read_open(RequestId req, const std::string &id, bool as_submit) {
-  if (user_ops_ >= kMaxUserOps || !user_reads_.take(now(), 1.3)) return refuse(req, "too many questions at once");
-  ++user_ops_;
-  store(StoreGet{"open/" + id}, kUserDeadline / 2, [this, req, id, as_submit](const wire::StoreReply &r) {
-    --user_ops_;
+void UserDesk::read_open(RequestId req, const std::string &id, bool as_submit) {
+  if (under_way_ >= kMaxUserOps || !budget_.take_read(port_.now(), 1.3))
+    return port_.refuse(req, "too many questions at once");
+  ++under_way_;
+  port_.store(StoreGet{"open/" + id}, kUserDeadline / 2, [this, req, id, as_submit](const wire::StoreReply &r) {
+    --under_way_;
     if (r.status == 404) return read_end(req, id, as_submit, false);
     if (auto end = r.entries.size() == 1 ? wire::final_from_json(r.entries[0].value) : std::nullopt) {
-      remember_end(id, *end);
+      ended_.remember(id, *end);
       return answer_end(req, id, *end, as_submit);
     }
     auto open = r.status == 200 && r.entries.size() == 1 ? wire::open_from_json(r.entries[0].value) : std::nullopt;
-    if (!open) return refuse(req, "the state service did not answer");
+    if (!open) return port_.refuse(req, "the state service did not answer");
     note_open(id, r.entries[0].stamp, open->cancelled);
     tell_open(req, id, open->cancelled, as_submit);
   });
 }
 
-void Core::tell_open(RequestId req, const std::string &id, bool cancelled, bool as_submit) {
+void UserDesk::tell_open(RequestId req, const std::string &id, bool cancelled, bool as_submit) {
   // What this node has learnt while the question was under way is newer than what was found.
-  if (auto it = ends_.find(id); it != ends_.end()) return answer_end(req, id, it->second, as_submit);
+  if (const auto *end = ended_.find(id)) return answer_end(req, id, *end, as_submit);
   if (auto it = known_open_.find(id); it != known_open_.end()) cancelled |= it->second.cancelled;
-  auto view = view_of(id, cancelled);
-  reply(req, 200, as_submit ? wire::encode_accepted(id, view.state) : wire::encode_job_view(view));
+  auto view = insight_.view(id, cancelled);
+  port_.reply(req, 200, as_submit ? wire::encode_accepted(id, view.state) : wire::encode_job_view(view));
 }
 
-void Core::note_open(const std::string &id, std::uint64_t stamp, bool cancelled) {
+void UserDesk::note_open(const std::string &id, std::uint64_t stamp, bool cancelled) {
   // Whoever tells a user so has to tell the leader too (`extended`), also if another node wrote it, or this one
   // without an answer.
   const auto before = known_open_.find(id);
-  if (cancelled && (before == known_open_.end() || !before->second.cancelled))
-    confirmed_cancels_.emplace_back(id, now());
-  if (auto mine = job_index_.find(id);
-      cancelled && role_ == Role::Leading && mine != job_index_.end() && !job(mine->second).cancelled) {
-    job(mine->second).cancelled = true; // sooner than the watch tells it
-    cancel_job(mine->second);
-  }
+  if (cancelled && (before == known_open_.end() || !before->second.cancelled)) siblings_.cancelled(id);
+  if (const int mine = jobs_.index(id); cancelled && lead_.leading() && mine >= 0)
+    jobs_.cancel(mine); // sooner than the watch tells it
   auto [it, fresh] = known_open_.try_emplace(id, KnownOpen{stamp, cancelled});
   if (!fresh && stamp > it->second.stamp) it->second = {stamp, cancelled};
   if (!fresh) return;
   known_order_.push_back(id);
-  if (known_order_.size() <= kMaxEnds) return;
+  if (known_order_.size() <= kMostKnown) return;
   known_open_.erase(known_order_.front());
   known_order_.pop_front();
 }
 
 // One comparison of revisions answers many questions: a record whose revision is still the one read before
 // is still what it was then. It is sent after the questions have come, so the answer is not older than they are.
-void Core::confirm_questions() {
-  while (!questions_.empty() && now() - questions_.front().asked > kQuestionPatience) {
-    refuse(questions_.front().req, "too many questions at once");
+void UserDesk::confirm() {
+  while (!questions_.empty() && port_.now() - questions_.front().asked > kQuestionPatience) {
+    port_.refuse(questions_.front().req, "too many questions at once");
     questions_.pop_front();
   }
-  if (confirming_ || questions_.empty() || now() < next_confirm_ || !user_reads_.take(now())) return;
-  next_confirm_ = now() + kConfirmEvery;
+  if (confirming_ || questions_.empty() || port_.now() < next_confirm_ || !budget_.take_read(port_.now())) return;
+  next_confirm_ = port_.now() + kConfirmEvery;
   confirming_ = true;
   StoreCommit compare;
   std::vector<Question> asked;
@@ -159,13 +155,13 @@
     confirming_ = false;
     return;
   }
-  store(std::move(compare), kUserDeadline / 2, [this, asked = std::move(asked)](const wire::StoreReply &r) {
+  port_.store(std::move(compare), kUserDeadline / 2, [this, asked = std::move(asked)](const wire::StoreReply &r) {
     confirming_ = false;
     for (const auto &q : asked) {
       if (r.status == 200) {
         tell_open(q.req, q.id, false, q.as_submit);
       } else if (r.status != 409) {
-        refuse(q.req, "the state service did not answer");
+        port_.refuse(q.req, "the state service did not answer");
       } else if (std::find(r.failed.begin(), r.failed.end(), "open/" + q.id) != r.failed.end()) {
         read_open(q.req, q.id, q.as_submit); // cancelled or over by now
       } else {
@@ -175,66 +171,57 @@
   });
 }
 
-void Core::read_end(RequestId req, const std::string &id, bool as_submit, bool as_abort) {
-  ++user_ops_;
-  store(StoreGet{"end/" + id}, kUserDeadline / 2, [this, req, id, as_submit, as_abort](const wire::StoreReply &r) {
-    --user_ops_;
-    if (r.status == 404 && !as_submit) return reply(req, 404, wire::encode_error("no such job"));
-    auto end = r.status == 200 && r.entries.size() == 1 ? wire::end_from_json(r.entries[0].value) : std::nullopt;
-    if (!end) return refuse(req, "the state service did not answer");
-    remember_end(id, *end);
-    answer_end(req, id, *end, as_submit || as_abort);
-  });
+void UserDesk::read_end(RequestId req, const std::string &id, bool as_submit, bool as_abort) {
+  ++under_way_;
+  port_.store(
+      StoreGet{"end/" + id}, kUserDeadline / 2, [this, req, id, as_submit, as_abort](const wire::StoreReply &r) {
+        --under_way_;
+        if (r.status == 404 && !as_submit) return port_.reply(req, 404, wire::encode_error("no such job"));
+        auto end = r.status == 200 && r.entries.size() == 1 ? wire::end_from_json(r.entries[0].value) : std::nullopt;
+        if (!end) return port_.refuse(req, "the state service did not answer");
+        ended_.remember(id, *end);
+        answer_end(req, id, *end, as_submit || as_abort);
+      });
 }
 
-void Core::answer_end(RequestId req, const std::string &id, const EndRecord &end, bool brief) {
+void UserDesk::answer_end(RequestId req, const std::string &id, const EndRecord &end, bool brief) {
   JobState state = end.cancelled ? JobState::Cancelled : JobState::Done;
-  if (brief) return reply(req, 200, wire::encode_accepted(id, state));
+  if (brief) return port_.reply(req, 200, wire::encode_accepted(id, state));
   JobView view{id, state, end.cancelled ? 0 : end.tasks, 0, end.reason};
-  reply(req, 200, wire::encode_job_view(view));
-}
-
-void Core::remember_end(const std::string &id, EndRecord end) {
-  known_open_.erase(id);
-  news_.erase(id);
-  if (!ends_.emplace(id, std::move(end)).second) return;
-  ends_order_.push_back(id);
-  if (ends_order_.size() > kMaxEnds) {
-    ends_.erase(ends_order_.front());
-    ends_order_.pop_front();
-  }
+  port_.reply(req, 200, wire::encode_job_view(view));
 }
 
-void Core::on(CmdAbort &&cmd) {
+void UserDesk::take(CmdAbort &&cmd) {
   const auto &id = cmd.id;
-  if (!wire::valid_job_id(id)) return reply(cmd.req, 404, wire::encode_error("no such job"));
-  if (auto it = ends_.find(id); it != ends_.end()) return answer_end(cmd.req, id, it->second, true);
-  if (user_ops_ >= kMaxUserOps || !user_writes_.take(now())) return refuse(cmd.req, "too many requests at once");
-  ++user_ops_;
-  store(StoreGet{"open/" + id}, kUserDeadline / 2, [this, req = cmd.req, id](const wire::StoreReply &r) {
-    --user_ops_;
+  if (!wire::valid_job_id(id)) return port_.reply(cmd.req, 404, wire::encode_error("no such job"));
+  if (const auto *end = ended_.find(id)) return answer_end(cmd.req, id, *end, true);
+  if (under_way_ >= kMaxUserOps || !budget_.take_write(port_.now()))
+    return port_.refuse(cmd.req, "too many requests at once");
+  ++under_way_;
+  port_.store(StoreGet{"open/" + id}, kUserDeadline / 2, [this, req = cmd.req, id](const wire::StoreReply &r) {
+    --under_way_;
     if (r.status == 404) return read_end(req, id, false, true);
     if (auto end = r.entries.size() == 1 ? wire::final_from_json(r.entries[0].value) : std::nullopt) {
-      remember_end(id, *end);
+      ended_.remember(id, *end);
       return answer_end(req, id, *end, true);
     }
     auto open = r.status == 200 && r.entries.size() == 1 ? wire::open_from_json(r.entries[0].value) : std::nullopt;
-    if (!open) return refuse(req, "the state service did not answer");
+    if (!open) return port_.refuse(req, "the state service did not answer");
     if (open->cancelled) {
       note_open(id, r.entries[0].stamp, true);
-      return reply(req, 200, wire::encode_accepted(id, JobState::Cancelled));
+      return port_.reply(req, 200, wire::encode_accepted(id, JobState::Cancelled));
     }
     open->cancelled = true;
-    ++user_ops_;
-    store(StoreCommit{{{"open/" + id, r.entries[0].stamp}}, {{"open/" + id, wire::to_json(*open), 0}}}, kUserDeadline,
-          [this, req, id](const wire::StoreReply &c) {
-            --user_ops_;
-            if (c.status == 200) {
-              note_open(id, c.revision, true);
-              return reply(req, 200, wire::encode_accepted(id, JobState::Cancelled));
-            }
-            refuse(req, "the state service did not confirm the cancellation");
-          });
+    ++under_way_;
+    port_.store(StoreCommit{{{"open/" + id, r.entries[0].stamp}}, {{"open/" + id, wire::to_json(*open), 0}}},
+                kUserDeadline, [this, req, id](const wire::StoreReply &c) {
+                  --under_way_;
+                  if (c.status == 200) {
+                    note_open(id, c.revision, true);
+                    return port_.reply(req, 200, wire::encode_accepted(id, JobState::Cancelled));
+                  }
+                  port_.refuse(req, "the state service did not confirm the cancellation");
+                });
   });
 }
 
--- /dev/null
+++ b/src/core/watch.cpp
@@ -0,0 +1,88 @@
+#include "loftrouter/core/watch.hpp"
+
+namespace loft::core {
+
+namespace {
+constexpr double kLoadRetry = 0.2;
+constexpr double kFollowHold = 3.0; // short, so that a watch that has died is noticed soon
+} // namespace
+
+void RecordWatch::tick() {
+  if (lead_.leading() && !following_) follow();
+}
+
+void RecordWatch::again(std::function<void()> fn) {
+  port_.later(kLoadRetry, [this, epoch = lead_.epoch(), fn = std::move(fn)] {
+    if (epoch == lead_.epoch()) fn();
+  });
+}
+
+void RecordWatch::on(const TermElected &) {
+  follow_from_ = 0;
+  load_progress("");
+}
+
+// Progress is read before the open jobs: a job that ends in between is then simply not found open.
+void RecordWatch::load_progress(std::string from) {
+  port_.store(StoreList{"progress/", from}, 2.0, [this, from, epoch = lead_.epoch()](const wire::StoreReply &r) {
+    if (epoch != lead_.epoch()) return;
+    if (r.status != 200) return again([this, from] { load_progress(from); });
+    for (const auto &e : r.entries)
+      if (!recorder_.load_progress(e)) { // what it may have said was started is not known, so nothing may be
+        port_.log(LogLevel::Error, "record_unreadable", {{"key", e.key.substr(0, 60)}, {"then", "term ended"}});
+        return lead_.step_down("a progress record cannot be read");
+      }
+    if (r.more && !r.entries.empty()) return load_progress(r.entries.back().key);
+    load_open("");
+  });
+}
+
+// All open records: before leading, and again whenever the watch has failed.
+void RecordWatch::load_open(std::string from) {
+  if (from.empty()) listed_from_ = port_.now();
+  port_.store(StoreList{"open/", from}, 2.0, [this, from, epoch = lead_.epoch()](const wire::StoreReply &r) {
+    if (epoch != lead_.epoch()) return;
+    if (r.status != 200) return again([this, from] { load_open(from); });
+    if (from.empty()) follow_from_ = r.revision;
+    for (const auto &e : r.entries) {
+      if (!relisting_) recorder_.load_end(e);
+      recorder_.take_open(e.key, e.value, e.stamp);
+    }
+    if (r.more && !r.entries.empty()) return load_open(r.entries.back().key);
+    informed_at_ = listed_from_;
+    informed_wall_ = port_.wall();
+    if (relisting_) {
+      relisting_ = false;
+      return;
+    }
+    lead_.begin_term();
+  });
+}
+
+void RecordWatch::follow() {
+  if (following_ || relisting_) return;
+  following_ = true;
+  port_.store(StoreFollow{"open/", follow_from_, kFollowHold}, kFollowHold + 1.5,
+              [this, sent = port_.now(), epoch = lead_.epoch()](const wire::StoreReply &r) {
+                if (epoch != lead_.epoch()) return;
+                following_ = false;
+                if (r.status == 410 || r.status == 0) { // too far behind, or no answer: a list may get one
+                  relisting_ = true;
+                  return load_open("");
+                }
+                if (r.status != 200) return; // tried again with the next tick
+                for (const auto &e : r.events)
+                  if (e.value) recorder_.take_open(e.key, *e.value, e.stamp);
+                follow_from_ = std::max(follow_from_, r.revision);
+                informed_at_ = sent;
+                informed_wall_ = port_.wall();
+                follow();
+              });
+}
+
+bool RecordWatch::informed() const {
+  // Where `cancel_s` leaves no time for a lease to run out, a watch that works must do.
+  return port_.now() - informed_at_ < std::max(settings_.cancel_s - 1.01 * settings_.lease_s - 3, kFollowHold + 2);
+}
+
+} // namespace loft::core
--- /dev/null
+++ b/src/core/wishes.cpp
@@ -0,0 +1,39 @@
+#include "loftrouter/core/wishes.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+
+namespace loft::core {
+
+namespace {
+constexpr double kDefaultDue = 3600.0; // s, for jobs without a deadline or an objective: dear machines can wait
+constexpr double kPatience = 1800.0;   // s, of small work without a wish: afterwards it may use dear machines too
+} // namespace
+
+std::optional<double> Wishes::wanted_after(const JobSpec &spec) const {
+  if (spec.deadline_s) return spec.deadline_s;
+  std::optional<double> last;
+  for (const auto &o : settings_.objectives)
+    if (o.kind == "finished" && o.job_class == spec.job_class) last = std::max(last.value_or(0), o.within_s);
+  return last;
+}
+
+double Wishes::due_after(const JobSpec &spec, double age_s) const {
+  if (spec.deadline_s) return *spec.deadline_s;
+  const double soonest = age_s + spec.estimate_s;
+  double first = std::numeric_limits<double>::infinity(), last = 0;
+  for (const auto &o : settings_.objectives) {
+    if (o.kind != "finished" || o.job_class != spec.job_class) continue;
+    if (o.within_s >= soonest) first = std::min(first, o.within_s);
+    last = std::max(last, o.within_s);
+  }
+  if (last <= 0) return kDefaultDue;
+  return std::isfinite(first) ? first : last;
+}
+
+bool Wishes::patient(const JobSpec &spec, double age_s) const {
+  return is_small(spec) && !wanted_after(spec) && age_s < kPatience;
+}
+
+} // namespace loft::core
