--- /dev/null
+++ b/tests/world_cloud.cpp
@@ -0,0 +1,93 @@
+// The simulated cloud and its machines.
+#include "world.hpp"
+
+#include <algorithm>
+
+namespace loft::test {
+
+void World::cloud_op(int i, const core::CloudOp &op) {
+  int life = nodes_[static_cast<std::size_t>(i)].life;
+  auto done = std::make_shared<bool>(false);
+  auto answer = [this, i, life, id = op.op, done](wire::CloudReply r) {
+    if (*done) return;
+    *done = true;
+    if (nodes_[static_cast<std::size_t>(i)].life == life) push(i, core::CmdCloudReply{id, std::move(r)});
+  };
+  schedule(t_ + op.deadline_s, [answer] { answer({}); });
+  double there = t_ + uniform(0.02, 0.1);
+  bool lose_answer = chance(o_.loss);
+  if (chance(o_.loss)) there = t_ + uniform(1, 60);
+  schedule(there, [this, op, answer, lose_answer] {
+    wire::CloudReply r;
+    r.status = 200;
+    if (std::holds_alternative<core::CloudTypes>(op.what)) {
+      r.types = types_;
+    } else if (auto *l = std::get_if<core::CloudList>(&op.what)) {
+      for (auto &b : boxes_) {
+        if (b.gone || b.name <= l->from || t_ - b.rented < 3) continue;
+        r.machines.push_back({b.name, "", b.type, b.zone, b.spot,
+                              b.failed ? MachineStatus::Failed
+                              : b.up   ? MachineStatus::Running
+                                       : MachineStatus::Booting,
+                              t_ - b.rented});
+      }
+    } else if (auto *h = std::get_if<core::CloudRent>(&op.what)) {
+      auto [it, fresh] = rents_.try_emplace(h->request);
+      if (fresh)
+        for (int k = 0; k < h->count && boxes_.size() < 400; ++k) {
+          Box b;
+          char name[16];
+          std::snprintf(name, sizeof name, "n-%06zu", boxes_.size());
+          b.name = name;
+          b.type = h->type;
+          b.zone = h->zone;
+          b.spot = h->spot;
+          b.rented = t_;
+          b.sick = chance(o_.sick);
+          boxes_.push_back(b);
+          it->second.push_back(b.name);
+          boot(boxes_.back());
+        }
+      r.names = it->second;
+    } else if (auto *d = std::get_if<core::CloudReturn>(&op.what)) {
+      for (auto &b : boxes_)
+        if (std::find(d->names.begin(), d->names.end(), b.name) != d->names.end() && !b.gone) {
+          ++returned;
+          kill_box(b);
+        }
+    }
+    if (!lose_answer) schedule(t_ + 0.02, [answer, r] { answer(r); });
+  });
+}
+
+void World::boot(Box &b) {
+  std::size_t i = boxes_.size() - 1;
+  if (chance(o_.boot_fail)) return;
+  (void)b;
+  schedule(t_ + uniform(1, 12), [this, i] {
+    Box &x = boxes_[i];
+    if (x.gone || x.failed) return; // a machine that stopped while it booted stays down
+    x.up = true;
+    x.lease_from = t_;
+    x.node = static_cast<int>(rng_() % nodes_.size());
+    worker_tick(i);
+  });
+  if (o_.die_per_hour > 0)
+    schedule(t_ + std::exponential_distribution<double>(o_.die_per_hour / 3600)(rng_), [this, i] {
+      if (boxes_[i].gone) return;
+      boxes_[i].runs.clear();
+      boxes_[i].up = false;
+      boxes_[i].failed = true;
+    });
+  if (o_.hang_per_hour > 0)
+    schedule(t_ + std::exponential_distribution<double>(o_.hang_per_hour / 3600)(rng_),
+             [this, i] { boxes_[i].hang_until = t_ + uniform(2, 30); });
+}
+
+void World::kill_box(Box &b) {
+  b.runs.clear();
+  b.gone = true;
+  b.up = false;
+}
+
+} // namespace loft::test
--- /dev/null
+++ b/tests/world_state.cpp
@@ -0,0 +1,172 @@
+// The simulated state service, and what can go wrong on the way to it.
+#include "world.hpp"
+
+#include <algorithm>
+
+namespace loft::test {
+
+using nlohmann::json;
+
+void World::change(const std::string &key, std::optional<json> value, std::uint64_t lease) {
+  if (value)
+    keys_[key] = {*value, epoch_, lease};
+  else
+    keys_.erase(key);
+  history_.push_back({key, value, epoch_});
+}
+
+void World::expire_leases() {
+  if (t_ < outage_until_) return;
+  std::vector<std::uint64_t> over;
+  for (auto &[id, l] : leases_)
+    if (t_ > l.second) over.push_back(id);
+  for (auto id : over) {
+    leases_.erase(id);
+    std::vector<std::string> doomed;
+    for (auto &[k, v] : keys_)
+      if (v.lease == id) doomed.push_back(k);
+    if (doomed.empty()) continue;
+    ++epoch_;
+    for (auto &k : doomed)
+      change(k, std::nullopt, 0);
+  }
+}
+
+wire::StoreReply World::execute(const core::StoreOp &op) {
+  expire_leases();
+  wire::StoreReply r;
+  r.status = 200;
+  r.revision = epoch_;
+  if (auto *g = std::get_if<core::StoreGet>(&op.what)) {
+    auto it = keys_.find(g->key);
+    if (it == keys_.end())
+      r.status = 404;
+    else
+      r.entries.push_back({it->first, it->second.value, it->second.stamp, it->second.lease});
+  } else if (auto *l = std::get_if<core::StoreList>(&op.what)) {
+    for (auto &[k, v] : keys_) {
+      if (k.compare(0, l->prefix.size(), l->prefix) != 0 || k <= l->from) continue;
+      if (r.entries.size() >= 20) { // small pages, so that paging is exercised
+        r.more = true;
+        break;
+      }
+      r.entries.push_back({k, v.value, v.stamp, v.lease});
+    }
+  } else if (auto *c = std::get_if<core::StoreCommit>(&op.what)) {
+    for (auto &g : c->guards) {
+      auto it = keys_.find(g.key);
+      if ((it == keys_.end() ? 0 : it->second.stamp) != g.stamp) r.failed.push_back(g.key);
+    }
+    for (auto &w : c->writes)
+      if (w.lease && !leases_.count(w.lease)) r.status = 400;
+    if (r.status == 200 && !r.failed.empty()) r.status = 409;
+    if (r.status == 200 && !c->writes.empty()) {
+      r.revision = ++epoch_;
+      for (auto &w : c->writes)
+        change(w.key, w.value, w.lease);
+    }
+  } else if (auto *n = std::get_if<core::StoreLeaseNew>(&op.what)) {
+    r.lease = next_lease_++;
+    leases_[r.lease] = {n->ttl_s, t_ + n->ttl_s};
+  } else if (auto *n = std::get_if<core::StoreLeaseTouch>(&op.what)) {
+    auto it = leases_.find(n->lease);
+    if (it == leases_.end())
+      r.status = 404;
+    else
+      it->second.second = t_ + it->second.first;
+  } else if (auto *n = std::get_if<core::StoreLeaseDrop>(&op.what)) {
+    auto it = leases_.find(n->lease);
+    if (it != leases_.end()) {
+      it->second.second = -1;
+      expire_leases();
+    }
+  }
+  notify();
+  return r;
+}
+
+void World::notify() {
+  if (t_ < outage_until_) return;
+  for (std::size_t f = 0; f < followers_.size();) {
+    auto w = followers_[f];
+    wire::StoreReply r;
+    r.status = 200;
+    r.revision = epoch_;
+    for (auto &e : history_)
+      if (e.stamp > w.from && e.key.compare(0, w.prefix.size(), w.prefix) == 0) r.events.push_back(e);
+    Node &n = nodes_[static_cast<std::size_t>(w.node)];
+    if (r.events.empty() || t_ < n.state_cut_until) {
+      ++f;
+      continue;
+    }
+    followers_.erase(followers_.begin() + static_cast<long>(f));
+    schedule(t_ + uniform(0.001, 0.01), [this, w, r] {
+      Node &m = nodes_[static_cast<std::size_t>(w.node)];
+      if (m.life == w.life && m.waiting.erase(w.op)) push(w.node, core::CmdStoreReply{w.op, r});
+    });
+  }
+}
+
+void World::store_op(int i, const core::StoreOp &op) {
+  Node &n = nodes_[static_cast<std::size_t>(i)];
+  int life = n.life;
+  n.waiting[op.op] = true;
+  auto answer = [this, i, life, id = op.op](wire::StoreReply r) {
+    Node &m = nodes_[static_cast<std::size_t>(i)];
+    if (m.life == life && m.waiting.erase(id)) push(i, core::CmdStoreReply{id, std::move(r)});
+  };
+  schedule(t_ + op.deadline_s, [answer] { answer({}); });
+  double there = t_ + uniform(0.001, 0.006);
+  bool lose_answer = false;
+  if (t_ < n.state_cut_until) {
+    if (n.state_cut == Cut::Drop) return;
+    if (n.state_cut == Cut::Hold) there = n.state_cut_until + uniform(0, 0.01); // delivered once the cut is over
+    lose_answer = n.state_cut == Cut::NoAnswers;
+    if (n.state_cut == Cut::Refuse && !std::holds_alternative<core::StoreFollow>(op.what)) {
+      wire::StoreReply refusal;
+      refusal.status = 503;
+      schedule(there, [answer, refusal] { answer(refusal); });
+      return;
+    }
+  } else if (chance(o_.loss)) {
+    switch (rng_() % 3) {
+    case 0:
+      return;
+    case 1:
+      lose_answer = true;
+      break;
+    default:
+      there = t_ + uniform(0.5, 40); // applied late
+    }
+  }
+  auto status = [this](int code) {
+    wire::StoreReply r;
+    r.status = code;
+    r.revision = epoch_;
+    return r;
+  };
+  schedule(there, [this, i, life, op, answer, status, lose_answer] {
+    if (auto *f = std::get_if<core::StoreFollow>(&op.what)) {
+      if (lose_watches) return;
+      if (t_ < outage_until_) return answer(status(503));
+      expire_leases();
+      followers_.push_back({i, life, op.op, f->prefix, f->from});
+      schedule(t_ + f->hold_s, [this, i, life, id = op.op, answer, status] {
+        // Whoever still waits has missed nothing, unless it is cut off: then it waits on.
+        if (t_ < outage_until_ || t_ < nodes_[static_cast<std::size_t>(i)].state_cut_until) return;
+        if (std::erase_if(followers_, [&](auto &x) { return x.op == id && x.node == i && x.life == life; }))
+          answer(status(200));
+      });
+      notify();
+      return;
+    }
+    wire::StoreReply r;
+    if (t_ < outage_until_)
+      r.status = 503;
+    else
+      r = execute(op);
+    if (!lose_answer) schedule(t_ + uniform(0.001, 0.006), [answer, r] { answer(r); });
+  });
+}
+
+} // namespace loft::test
--- /dev/null
+++ b/tests/world_users.cpp
@@ -0,0 +1,174 @@
+// The simulated users and operators, and what they must never be told.
+#include "world.hpp"
+
+#include <algorithm>
+
+namespace loft::test {
+
+using nlohmann::json;
+
+JobSpec World::job(Shape shape, std::uint32_t tasks, double cpus, double run_s, const std::string &team) {
+  JobSpec s;
+  char id[16];
+  std::snprintf(id, sizeof id, "j-%06d", next_job_++);
+  s.id = id;
+  s.job_class = shape == Shape::Gang ? "gang" : "array";
+  s.team = team;
+  s.shape = shape;
+  s.tasks = tasks;
+  s.need = {cpus, 0, cpus * 2};
+  s.estimate_s = run_s;
+  s.image = "img-" + std::to_string(rng_() % 3);
+  s.image_gb = 1;
+  s.spot = chance(0.5);
+  return s;
+}
+
+std::string World::submit(JobSpec spec) {
+  auto &told = told_[spec.id];
+  if (told.finished.empty()) {
+    told.spec = spec;
+    told.finished.assign(spec.tasks, 0);
+  }
+  int node = static_cast<int>(rng_() % nodes_.size());
+  auto settled = std::make_shared<bool>(false);
+  auto retry = [this, spec, settled] {
+    if (*settled) return;
+    *settled = true;
+    submit(spec);
+  };
+  ask(
+      node,
+      [spec](core::RequestId q) {
+        return core::CmdSubmit{q, spec};
+      },
+      [this, spec, settled, retry](const core::Reply &r) {
+        if (*settled) return;
+        Told &x = told_[spec.id];
+        if (r.status == 201 || r.status == 200) {
+          *settled = true;
+          if (!x.accepted) {
+            x.accepted = true;
+            ++accepted_jobs;
+            schedule(t_ + 2, [this, id = spec.id] { poll(id); });
+          }
+        } else {
+          if (r.status == 400 || r.status == 422) break_rule("forgotten: refused " + spec.id);
+          schedule(t_ + 1, retry);
+        }
+      });
+  schedule(t_ + 5, retry);
+  return spec.id;
+}
+
+void World::poll(const std::string &id) {
+  Told &x = told_[id];
+  if (x.done) return;
+  schedule(t_ + 5, [this, id] { poll(id); });
+  bool was_cancelled = x.cancelled;
+  ask(
+      static_cast<int>(rng_() % nodes_.size()),
+      [id](core::RequestId q) {
+        return core::CmdLookup{q, id};
+      },
+      [this, id, was_cancelled](const core::Reply &r) {
+        Told &y = told_[id];
+        if (r.status == 404) break_rule("forgotten " + id);
+        if (r.status != 200) return;
+        auto state = wire::decode(r.body).value()["status"].get<std::string>();
+        if (state == "done") {
+          if (std::count(y.finished.begin(), y.finished.end(), 1) != static_cast<long>(y.finished.size()))
+            break_rule("not_done " + id);
+          if (was_cancelled) break_rule("went_back " + id);
+          if (!y.done) ++finished_jobs;
+          y.done = true;
+        } else if (state == "aborted") {
+          if (!y.cancel_asked) break_rule("went_back: cancelled by nobody " + id);
+        } else if (was_cancelled) {
+          break_rule("went_back " + id + " " + state);
+        }
+      });
+}
+
+std::shared_ptr<World::Answer> World::submit_at(int node, const JobSpec &spec) {
+  auto &told = told_[spec.id];
+  told.spec = spec;
+  told.finished.assign(spec.tasks, 0);
+  auto out = std::make_shared<Answer>();
+  ask(
+      node,
+      [spec](core::RequestId q) {
+        return core::CmdSubmit{q, spec};
+      },
+      [out](const core::Reply &r) {
+        *out = {r.status, json()};
+      });
+  return out;
+}
+
+std::shared_ptr<World::Answer> World::look_up(int node, const std::string &id) {
+  auto out = std::make_shared<Answer>();
+  ask(
+      node,
+      [id](core::RequestId q) {
+        return core::CmdLookup{q, id};
+      },
+      [out](const core::Reply &r) {
+        *out = {r.status, wire::decode(r.body).value_or(json())};
+      });
+  return out;
+}
+
+std::shared_ptr<World::Answer> World::admin(int node, const std::string &method, const std::string &target,
+                                            const std::string &body) {
+  auto out = std::make_shared<Answer>();
+  auto read = wire::read_admin(method, target, body);
+  if (auto *e = std::get_if<wire::AdminError>(&read)) {
+    *out = {e->status, e->text};
+    return out;
+  }
+  ask(
+      node,
+      [&read](core::RequestId q) {
+        return core::CmdAdmin{q, std::get<wire::AdminRequest>(read)};
+      },
+      [out](const core::Reply &r) {
+        *out = {r.status, json::parse(r.body, nullptr, false)};
+      });
+  return out;
+}
+
+void World::cancel(const std::string &id, int node) {
+  Told &x = told_[id];
+  x.cancel_asked = true;
+  if (x.cancelled || x.done) return;
+  auto settled = std::make_shared<bool>(false);
+  auto retry = [this, id, settled] {
+    if (*settled) return;
+    *settled = true;
+    cancel(id);
+  };
+  ask(
+      node >= 0 ? node : static_cast<int>(rng_() % nodes_.size()),
+      [id](core::RequestId q) {
+        return core::CmdAbort{q, id};
+      },
+      [this, id, settled, retry](const core::Reply &r) {
+        if (*settled) return;
+        Told &y = told_[id];
+        if (r.status != 200) {
+          schedule(t_ + 1, retry);
+          return;
+        }
+        *settled = true;
+        auto state = wire::decode(r.body).value()["status"].get<std::string>();
+        if (state == "aborted" && !y.cancelled) {
+          y.cancelled = true;
+          y.cancelled_at = t_;
+          ++cancelled_jobs;
+        }
+      });
+  schedule(t_ + 5, retry);
+}
+
+} // namespace loft::test
