A gang that has waited long gets a machine for each of its tasks

Cause: places were counted as if one could serve several tasks one after the other, also for gangs, which need all of them at once, and in any zone, also for tasks that must be in one.

Change: once a gang has waited so long that it holds machines (reserve_after_s), a place counts for one of its tasks, and in its zone only. Simulated workers no longer wait for their gang for ever either.

--- a/src/core/scaler.cpp
+++ b/src/core/scaler.cpp
@@ -276,20 +276,27 @@
     const bool low = p.urgency == Urgency::Low;
     const double est = std::max(8.0, n.spec.estimate_s);
     const double due = wishes_.due_after(n.spec, placer_.age(n)), left = due - p.wait_s;
-    const double waves = low ? std::clamp(kWavesShare * left / est, kMinWaves, kMaxWaves) : 1.0;
+    // A gang needs all its places at the same time, perhaps in one zone: none serves two of its tasks, one after the
+    // other. Counting so from the start rents more than others leave time for (measured: worse); a gang that has waited
+    // long is what the easier count does not serve.
+    const bool strict = p.gang && p.wait_s > operators_.tunables().reserve_after_s;
+    const bool in_zone = strict && p.one_zone;
+    const double waves = low && !strict ? std::clamp(kWavesShare * left / est, kMinWaves, kMaxWaves) : 1.0;
     double waiting = p.ready;
     auto fill = [&](Place &place) {
       for (; waiting >= 1 && p.need.fits(place.free); waiting -= waves)
         place.free.add(p.need, -1);
     };
-    for (auto &b : booting) { // what is on its way takes them first
+    auto suits = [&](const Place &b) {
       PlaceMachine pm;
       pm.type = b.type;
       pm.zone = b.zone;
       pm.spot = b.spot;
-      if (!allowed(p, pm)) continue;
-      fill(b);
-    }
+      return allowed(p, pm);
+    };
+    // What is on its way takes them first. Tasks that must be in one zone count on that of the place that is chosen.
+    for (auto &b : booting)
+      if (!in_zone && suits(b)) fill(b);
     if (waiting < 1) continue;
     struct Choice {
       int type = -1, zone = -1;
@@ -327,11 +334,19 @@
           if (low && price / per > kDear * cheapest)
             horizon =
                 std::max(horizon, kSlackShare * (kSlackShare * left > horizon ? left : kVeryLate * due - p.wait_s));
+          double booked = 0; // places on their way in this zone
+          for (auto b : booting)
+            if (in_zone && b.zone == z && suits(b))
+              for (; p.need.fits(b.free); ++booked)
+                b.free.add(p.need, -1);
           double carried = 0; // tasks that machines already up get to within the horizon
           const double cpus = std::max(p.need.cpus, 0.01);
           auto carries = [&](const PlaceMachine &m, double count, double spent) {
             if (!allowed(p, m) || !p.need.fits(m.size) || (m.kept && p.small)) return 0.0;
-            return std::max(0.0, count * std::floor(m.size.cpus / cpus + 1e-6) * cpus * horizon - spent) / (cpus * est);
+            if (in_zone && m.zone != z) return 0.0;
+            const double places = count * std::floor(m.size.cpus / cpus + 1e-6);
+            const double tasks = std::max(0.0, places * cpus * horizon - spent) / (cpus * est);
+            return strict ? std::min(tasks, places) : tasks;
           };
           if (low)
             for (const auto &[like, g] : groups)
@@ -339,7 +354,7 @@
           else
             for (std::size_t i = 0; i < up.size(); ++i)
               carried += carries(up[i], 1, busy[i]);
-          double rest = waiting - (low ? carried : std::floor(carried));
+          double rest = waiting - booked - (low ? carried : std::floor(carried));
           if (rest < 0.5) continue;
           int count = static_cast<int>(std::ceil(std::ceil(rest / waves) / per));
           double cost = price * count * (1 + 0.003 * type.boot_s);
@@ -361,6 +376,9 @@
     it->count += best.count;
     ++it->jobs;
     // What this job leaves of them is there for the next.
+    if (in_zone)
+      for (auto &b : booting)
+        if (b.zone == best.zone && suits(b)) fill(b);
     for (int i = 0; i < best.count; ++i) {
       Place place{catalogue_.type(best.type).size, best.type, best.zone, best.spot};
       fill(place);
--- a/tests/world_test.cpp
+++ b/tests/world_test.cpp
@@ -64,6 +64,22 @@
   EXPECT_EQ(w.machines_up(), 0);
 }
 
+// A gang of short tasks was taken for work that one machine gets to one after the other, so that with a machine up no
+// more were rented and it waited for ever.
+TEST(World, GangOfShortTasksGetsMachinesForAllOfThem) {
+  for (auto urgency : {Urgency::Low, Urgency::Normal}) {
+    World w(3, {});
+    w.at(2, [&w, urgency] {
+      auto gang = w.job(Shape::Gang, 3, 3, 3);
+      gang.one_zone = true;
+      gang.urgency = urgency;
+      w.submit(gang);
+    });
+    w.run(300);
+    EXPECT_TRUE(w.all_over()) << w.finished_jobs;
+  }
+}
+
 // Proves that the checker can fail: cores that believe in a shorter lease restart tasks too early.
 TEST(World, CheckerCatchesTasksThatRunTwice) {
   bool caught = false;
--- a/tests/world_workers.cpp
+++ b/tests/world_workers.cpp
@@ -5,6 +5,8 @@
 
 namespace loft::test {
 
+constexpr double kGangWait = 30; // s, that a task waits for the others of its gang
+
 using nlohmann::json;
 
 void World::worker_tick(std::size_t i) {
@@ -165,6 +167,10 @@
     if (told.finished[r->index]) return end_run(b, serial, ExitCause::Done); // the result is kept
     if (spec.shape == Shape::Gang) {
       r->phase = TaskPhase::Waiting;
+      schedule(t_ + kGangWait, [this, i, serial] {
+        for (const auto &x : boxes_[i].runs)
+          if (x.serial == serial && x.phase == TaskPhase::Waiting) return end_run(boxes_[i], serial, ExitCause::Alone);
+      });
       return try_gang(r->job, r->attempt);
     }
     r->phase = TaskPhase::Running;
