--- /dev/null
+++ b/include/loftrouter/client/render.hpp
@@ -0,0 +1,29 @@
+// What the service answers, made readable: tables for people, CSV for spreadsheets, one HTML file for the staff. Pure
+// but for the plot, which a program of its own draws.
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include <nlohmann/json.hpp>
+
+namespace loft::client {
+
+struct Table {
+  std::vector<std::string> head;
+  std::vector<std::vector<std::string>> rows;
+};
+Table jobs_table(const nlohmann::json &jobs);       // of /admin/v1/jobs, /foreseen or /report
+Table teams_table(const nlohmann::json &statement); // of /admin/v1/statement
+Table used_table(const nlohmann::json &statement);  // its jobs
+Table budgets_table(const nlohmann::json &budgets);
+
+std::string to_text(const Table &t); // columns in line; control characters shown as such
+std::string to_csv(const Table &t);  // quoted where needed; what a spreadsheet would take for a formula is not one
+
+// `statement` with all pages of its jobs, `open`: those that are not over. `plot`: SVG, or empty.
+std::string report_html(const nlohmann::json &statement, const nlohmann::json &open, const std::string &plot);
+// Jobs ended by hour of the period, done and not, as SVG; empty where the program that draws it is missing.
+std::string plot_by_hour(const nlohmann::json &statement);
+
+} // namespace loft::client
--- a/include/loftrouter/core/administration.hpp
+++ b/include/loftrouter/core/administration.hpp
@@ -16,10 +16,10 @@
   Administration(Port &port, const Settings &settings, const Catalogue &catalogue, Operators &operators,
                  StoreBudget &budget, const Leadership &lead, const RecordWatch &watch, const JobTable &jobs,
                  const FailureJudge &judge, const Fleet &fleet, const Scaler &scaler, const Siblings &siblings,
-                 const ReportDesk &reports, const Insight &insight)
+                 const ReportDesk &reports, const Insight &insight, const Ledger &ledger)
       : port_(port), settings_(settings), catalogue_(catalogue), operators_(operators), budget_(budget), lead_(lead),
         watch_(watch), jobs_(jobs), judge_(judge), fleet_(fleet), scaler_(scaler), siblings_(siblings),
-        reports_(reports), insight_(insight) {}
+        reports_(reports), insight_(insight), ledger_(ledger) {}
 
   void take(CmdAdmin &&cmd);
 
@@ -29,6 +29,8 @@
   void jobs(RequestId req, const wire::AdminRequest &ask, bool foreseen);
   void report(RequestId req, const wire::AdminRequest &ask);
   void change(RequestId req, const wire::AdminRequest &ask);
+  void statement(RequestId req, const wire::AdminRequest &ask);
+  void statement_jobs(RequestId req, const wire::AdminRequest &ask, wire::AdminStatement s);
   void fail(RequestId req, int status, std::string_view text);
 
   Port &port_;
@@ -45,6 +47,7 @@
   const Siblings &siblings_;
   const ReportDesk &reports_;
   const Insight &insight_;
+  const Ledger &ledger_;
 };
 
 } // namespace loft::core
--- a/include/loftrouter/core/core.hpp
+++ b/include/loftrouter/core/core.hpp
@@ -53,6 +53,7 @@
   EndedJobs ended_;
   FailureJudge judge_;
   Reasons reasons_;
+  Ledger ledger_;
   Recorder recorder_;
   RecordWatch watch_;
   Fleet fleet_;
--- a/include/loftrouter/core/events.hpp
+++ b/include/loftrouter/core/events.hpp
@@ -50,6 +50,21 @@
 };
 
 // ---- tasks ----
+struct TaskHeld { // a place, from now on: its start is sent, or an earlier leader's attempt has been found
+  int job;
+  std::uint32_t index;
+  int machine;
+  bool found, unaccounted; // the latter: it was waited for since this leader's election
+};
+struct TaskFreed { // no longer
+  int job;
+  std::uint32_t index;
+  int machine;
+  bool done;                                       // completed
+  double held_since, waiting_since, running_since; // mono; the latter two negative if never seen so
+  int type, zone;                                  // of the machine
+  bool spot;
+};
 struct TaskRuns {
   int job;
   std::uint32_t index;
@@ -76,7 +91,11 @@
   int job;
   std::string by; // id of the job that takes its place
 };
+struct TasksStoppedByBudget { // with time to save
+  int job;
+};
 struct TasksGivenUp { // started by earlier leaders and not found again
+  int job;
   std::uint32_t tasks;
 };
 
@@ -102,8 +121,9 @@
 struct OrdersChanged {}; // operators' orders about machines
 
 using Event = std::variant<TermElected, TermBegun, TermEnded, JobAccepted, JobCancelled, JobChanged, JobSuspected,
-                           JobOver, EndLearnt, TaskRuns, TaskExited, TaskRetried, TaskLost, TaskPreempted, TasksGivenUp,
-                           MachineUp, MachineLost, MachineCondemned, MachineReturned, OrdersChanged>;
+                           JobOver, EndLearnt, TaskHeld, TaskFreed, TaskRuns, TaskExited, TaskRetried, TaskLost,
+                           TaskPreempted, TasksStoppedByBudget, TasksGivenUp, MachineUp, MachineLost, MachineCondemned,
+                           MachineReturned, OrdersChanged>;
 
 class Events {
 public:
--- a/include/loftrouter/core/fleet.hpp
+++ b/include/loftrouter/core/fleet.hpp
@@ -34,8 +34,8 @@
   bool stop = false;
   bool adopted = false; // started by an earlier leader and unaccounted for until seen
   double grace_s = 0;
-  double placed_at = 0, running_since = -1;
-  bool finished = false; // exited with success
+  double placed_at = 0, held_since = -1, waiting_since = -1, running_since = -1; // held: its start is sent
+  bool finished = false;                                                         // exited with success
   Resources need;
 };
 struct Machine {
@@ -103,6 +103,7 @@
   void put(int m, int j, std::uint32_t i, std::uint64_t attempt); // a task's slot
   // The task goes: at once if its start was never sent, otherwise when the worker shows it gone.
   void stop(int m, std::size_t slot, double grace_s);
+  bool stop_all(int j, double grace_s); // of a job; false: all were told already
   // A gang that can no longer complete its attempt is stopped whole; the next attempt starts when every task of this
   // one is gone.
   void tend_gang(int j);
@@ -122,6 +123,7 @@
   void exited(int m, Slot &slot, const TaskReport &t);
   void adopt(int m, int j, const TaskReport &t, std::vector<TaskOrder> &orders);
   void drop(int m, std::size_t s);
+  void freed(int m, const Slot &slot, bool done);
   void order_stop(int m, Slot &slot, double grace_s);
   void lose(int m, std::string_view why);
   void touch_image(Machine &m, int image, double gb);
--- a/include/loftrouter/core/insight.hpp
+++ b/include/loftrouter/core/insight.hpp
@@ -20,10 +20,10 @@
   Insight(Port &port, const Settings &settings, const Catalogue &catalogue, const Operators &operators,
           const Leadership &lead, const RecordWatch &watch, const JobTable &jobs, const EndedJobs &ended,
           const FailureJudge &judge, const Reasons &reasons, const Fleet &fleet, const Placer &placer,
-          const Scaler &scaler, const Wishes &wishes, Siblings &siblings)
+          const Scaler &scaler, const Wishes &wishes, const Ledger &ledger, Siblings &siblings)
       : port_(port), settings_(settings), catalogue_(catalogue), operators_(operators), lead_(lead), watch_(watch),
         jobs_(jobs), ended_(ended), judge_(judge), reasons_(reasons), fleet_(fleet), placer_(placer), scaler_(scaler),
-        wishes_(wishes), siblings_(siblings) {}
+        wishes_(wishes), ledger_(ledger), siblings_(siblings) {}
 
   // What a user is shown of a job that the state service has just said is open.
   JobView view(const std::string &id, bool cancelled) const;
@@ -55,6 +55,7 @@
   Supplies supplies() const;
   std::string why(int j, const Supplies &supply) const;
   std::string why_waiting(int j, const Supplies &supply) const;
+  std::string why_held(const Job &n) const;
   bool any_running(int j) const;
   Told &told(int j);
 
@@ -72,6 +73,7 @@
   const Placer &placer_;
   const Scaler &scaler_;
   const Wishes &wishes_;
+  const Ledger &ledger_;
   Siblings &siblings_;
   std::unordered_map<std::string, News> news_;
   std::deque<std::string> news_order_;
--- /dev/null
+++ b/include/loftrouter/core/ledger.hpp
@@ -0,0 +1,92 @@
+// What each team's jobs use of the machines, while this node leads.
+//
+// Owns the account of each open job, and for every progress record the sums, by period and team, of all that its jobs
+// have ever used. Both are in the same record, so one write moves both: a charge is never in one and not the other,
+// whatever fails. Promises that each job's account, its uncertain part included, is never less than what its tasks
+// have held, over any number of takeovers, and that sums and accounts add up exactly. See docs/accounts.md.
+#pragma once
+
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "loftrouter/core/catalogue.hpp"
+#include "loftrouter/core/events.hpp"
+#include "loftrouter/core/jobs.hpp"
+#include "loftrouter/core/operators.hpp"
+
+namespace loft::core {
+
+class Ledger {
+public:
+  Ledger(Port &port, const Settings &settings, const Catalogue &catalogue, JobTable &jobs, const Operators &operators)
+      : port_(port), settings_(settings), catalogue_(catalogue), jobs_(jobs), operators_(operators) {}
+
+  bool on() const { return settings_.accounts; }
+
+  // A job's account, in the progress record with this number; and what an earlier leader has written of it.
+  void open(int j, int record);
+  void restore(int j, const ProgressRecord &written);
+  // What its end says. While that is being written nothing more is charged; what comes up then is charged if the end
+  // was not written after all, and otherwise belongs to nobody.
+  accounts::Usage usage(int j);
+  // Charged since it was last written: the record that holds its sums must then hold it anew as well.
+  bool changed(int j) const { return accounts_[static_cast<std::size_t>(j)].changed; }
+  // Its end turns out to be written, with less than has been charged since: the sums follow what it says.
+  void correct(int j, const accounts::Usage &written);
+  // What is to be written of it now. What is unaccounted for is charged up to now, as the record's time moves on.
+  void write(int j, ProgressRecord &out);
+
+  const SumsByTeam &sums(std::size_t record) const;
+  void load_sums(std::size_t record, SumsByTeam sums);
+  // A job ended under an earlier leader, whose progress record had not followed: what its end says beyond that.
+  void settle(std::size_t record, const std::string &team, const accounts::Usage &rest, const Resources &need);
+  // Its sums of a period that is over are kept elsewhere from now on.
+  void forget(std::size_t record, const std::string &period);
+  std::string over(std::size_t record) const; // a period of its sums that is over; empty: none
+
+  // In the present period, with what attempts under way hold so far: thousandths of a CPU times ms.
+  std::int64_t used(int team) const;
+  bool spent(int team) const { return budget(team) && used(team) >= budget(team)->limit(); }
+  bool warned(int team) const { return budget(team) && used(team) >= budget(team)->warn_share * budget(team)->limit(); }
+  const wire::TeamBudget *budget(int team) const;
+  void tick();
+
+  void on(const TaskHeld &e);
+  void on(const TaskFreed &e);
+  void on(const TasksGivenUp &e);
+  void on(const TermEnded &);
+
+private:
+  struct Account {
+    accounts::Usage usage, put_off;
+    std::size_t record = 0;
+    std::int64_t in_flight = 0, since_ms = 0; // attempts that hold places, and the sum of since when, mono
+    std::int64_t at_ms = 0;                   // wall; of the last record: tasks not accounted for since
+    bool changed = false;                     // since then
+  };
+  static std::int64_t ms(double s) { return static_cast<std::int64_t>(s * 1000); }
+  std::int64_t under_way(const Account &a) const { return a.in_flight * ms(port_.now()) - a.since_ms; }
+  std::int64_t since_record(const Account &a) const;
+  Account &at(int j) { return accounts_[static_cast<std::size_t>(j)]; }
+  SumsByTeam &sums_at(std::size_t record);
+  const std::string &period();
+  void charge(int j, accounts::Usage u);
+  std::int64_t cost(const TaskFreed &e, std::int64_t held_ms) const;
+
+  Port &port_;
+  const Settings &settings_;
+  const Catalogue &catalogue_;
+  JobTable &jobs_;
+  const Operators &operators_;
+  std::vector<Account> accounts_;  // by job
+  std::vector<SumsByTeam> sums_;   // by record
+  std::vector<std::int64_t> used_; // by team
+  std::vector<bool> told_;         // by team: that its budget is spent
+  double next_tick_ = 0;
+  std::string period_; // the present one, from `period_begin_` to `period_end_` (wall)
+  double period_begin_ = 0, period_end_ = -1;
+  accounts::Clock period_clock_;
+};
+
+} // namespace loft::core
--- a/include/loftrouter/core/operators.hpp
+++ b/include/loftrouter/core/operators.hpp
@@ -15,13 +15,15 @@
 
 class Operators {
 public:
-  static constexpr const char *kTunablesKey = "conf/operator", *kOrdersKey = "conf/machines";
+  static constexpr const char *kTunablesKey = "conf/operator", *kOrdersKey = "conf/machines",
+                              *kBudgetsKey = "conf/budgets";
 
   Operators(Port &port, Events &events) : port_(port), events_(events) {}
 
   void tick();
   void take(const std::vector<wire::Entry> &entries);
   const wire::Tunables &tunables() const { return tunables_; }
+  const wire::Budgets &budgets() const { return budgets_; }
   const wire::MachineOrders &orders() const { return orders_; }
   std::optional<wire::MachineOrder> order(const std::string &machine) const;
 
@@ -30,6 +32,7 @@
   Events &events_;
   wire::Tunables tunables_;
   wire::MachineOrders orders_;
+  wire::Budgets budgets_;
   bool loading_ = false;
   double next_ = 0;
 };
--- a/include/loftrouter/core/placer.hpp
+++ b/include/loftrouter/core/placer.hpp
@@ -24,9 +24,9 @@
   };
   Placer(Port &port, Events &events, const Settings &settings, const Catalogue &catalogue, const Operators &operators,
          const Leadership &lead, JobTable &jobs, const FailureJudge &judge, Recorder &recorder, Fleet &fleet,
-         const Wishes &wishes)
+         const Wishes &wishes, const Ledger &ledger)
       : port_(port), events_(events), settings_(settings), catalogue_(catalogue), operators_(operators), lead_(lead),
-        jobs_(jobs), judge_(judge), recorder_(recorder), fleet_(fleet), wishes_(wishes) {}
+        jobs_(jobs), judge_(judge), recorder_(recorder), fleet_(fleet), wishes_(wishes), ledger_(ledger) {}
 
   void tick();   // a round if one is due
   void settle(); // a round if something has come up, at the end of each batch
@@ -71,6 +71,7 @@
   std::vector<Offer> seek_places(const PlaceJob &p, const std::vector<PlaceMachine> &machines,
                                  const std::vector<int> &index, int zone) const;
   void preempt(std::vector<int> starved);
+  void stop_spent();
   PlaceOptions options() const;
   Hold &hold(int m);
   const Hold *held(int m) const {
@@ -88,6 +89,7 @@
   Recorder &recorder_;
   Fleet &fleet_;
   const Wishes &wishes_;
+  const Ledger &ledger_;
   double next_round_ = 0, next_ahead_ = 0, up_cpus_ = 0;
   bool room_ = false; // a task has exited since the last round
   std::uint64_t seen_ = 0, attempts_ = 0;
--- a/include/loftrouter/core/reasons.hpp
+++ b/include/loftrouter/core/reasons.hpp
@@ -24,6 +24,7 @@
   void on(const TaskRetried &e);
   void on(const TaskLost &e);
   void on(const TaskPreempted &e);
+  void on(const TasksStoppedByBudget &e);
 
 private:
   std::string &at(int j);
--- a/include/loftrouter/core/recorder.hpp
+++ b/include/loftrouter/core/recorder.hpp
@@ -15,6 +15,7 @@
 #include "loftrouter/core/events.hpp"
 #include "loftrouter/core/judge.hpp"
 #include "loftrouter/core/leadership.hpp"
+#include "loftrouter/core/ledger.hpp"
 #include "loftrouter/core/reasons.hpp"
 
 namespace loft::core {
@@ -22,9 +23,9 @@
 class Recorder {
 public:
   Recorder(Port &port, Events &events, const Settings &settings, Leadership &lead, StoreBudget &budget, JobTable &jobs,
-           EndedJobs &ended, FailureJudge &judge, const Reasons &reasons, const Wishes &wishes)
+           EndedJobs &ended, FailureJudge &judge, const Reasons &reasons, const Wishes &wishes, Ledger &ledger)
       : port_(port), events_(events), settings_(settings), lead_(lead), budget_(budget), jobs_(jobs), ended_(ended),
-        judge_(judge), reasons_(reasons), wishes_(wishes) {}
+        judge_(judge), reasons_(reasons), wishes_(wishes), ledger_(ledger) {}
 
   // A task may be on a machine from now on, or may have been. Never taken back.
   void start(int j, std::uint32_t i) { marks(j)[i] |= kStarted; }
@@ -58,6 +59,10 @@
     bool dirty = false, urgent = false; // urgent: starts wait for the write
     double dirty_since = 0;
     bool needs_resync = false, resyncing = false; // stamp unknown after an unanswered or refused write
+    // Jobs that ended under an earlier leader after it had last written this record: they stay in it until what their
+    // ends say has been added to the sums.
+    std::vector<std::pair<std::string, ProgressRecord>> ghosts;
+    std::string folding; // a period whose sums may have been moved from here, by a write without an answer
   };
   static constexpr std::uint8_t kStarted = 1, kCovered = 2, kRecorded = 4, kDoneCovered = 8, kDoneRecorded = 16;
   struct Entry {                     // of a job
@@ -93,10 +98,17 @@
   void record_ahead(int j);
   void add_end(int j, Transaction &t, bool in_place);
   void add_moves(Transaction &t, double budget, std::size_t most);
-  void add_shard(std::size_t s, Transaction &t);
+  void add_shard(std::size_t s, Transaction &t, const std::string &without_period = "");
+  void commit(Transaction &&t);
   void flushed(const Transaction &t, const wire::StoreReply &r);
+  void ended(int j, EndRecord end);
   void resync(int j);
   void resync_shard(std::size_t s);
+  void settle_ghosts();
+  void settled(std::size_t s, const std::string &id, const std::optional<EndRecord> &end);
+  bool fold();
+  void fold_into(std::size_t s, const std::string &period, SumsByTeam kept, std::uint64_t stamp);
+  wire::Json shard_value(std::size_t s, const std::string &without_period) const;
 
   Port &port_;
   Events &events_;
@@ -108,6 +120,9 @@
   FailureJudge &judge_;
   const Reasons &reasons_;
   const Wishes &wishes_;
+  Ledger &ledger_;
+  bool settling_ = false;
+  double next_settle_ = 0;
   std::vector<Entry> entries_; // by job
   std::vector<Shard> shards_;
   std::unordered_map<std::string, ProgressRecord> loaded_;
--- a/include/loftrouter/core/settings.hpp
+++ b/include/loftrouter/core/settings.hpp
@@ -31,6 +31,7 @@
   double cpu_share = 1, memory_mb = 256;
   int fd_limit = 1024;
   double clock_bound_ms = 10;
+  bool accounts = false; // what teams use is kept and budgets are held; switched on in the features file
 };
 
 } // namespace loft
--- a/include/loftrouter/core/types.hpp
+++ b/include/loftrouter/core/types.hpp
@@ -3,11 +3,14 @@
 #pragma once
 
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
 #include <utility>
 #include <vector>
 
+#include "loftrouter/accounts/usage.hpp"
+
 namespace loft {
 
 enum class Shape : std::uint8_t { Array, Gang, Service };
@@ -58,12 +61,21 @@
   double submit_wall = 0, end_wall = 0;
   bool late = false;
   std::string reason;
+  std::optional<accounts::Usage> usage; // nothing: accounts were not kept
+  Resources need;                       // of each task; with `usage` only
 };
 struct ProgressRecord {
   Ranges started, finished;
   std::uint32_t failed_on = 0; // machines, none of its tasks having succeeded on any
+  // With accounts: used so far; held by attempts under way when this was written, ms; and when, ms since 1970.
+  accounts::Usage usage;
+  std::int64_t running_ms = 0, at_ms = 0;
+};
+using SumsByTeam = std::map<std::pair<std::string, std::string>, accounts::Sums>; // period, team
+struct ProgressShard {
+  std::vector<std::pair<std::string, ProgressRecord>> jobs; // by job id
+  SumsByTeam sums;                                          // of all that jobs in this record have ever used
 };
-using ProgressRecords = std::vector<std::pair<std::string, ProgressRecord>>; // by job id
 struct LeaderRecord {
   std::string node;
   std::uint64_t nonce = 0;
--- a/include/loftrouter/wire/admin.hpp
+++ b/include/loftrouter/wire/admin.hpp
@@ -11,6 +11,7 @@
 #include <variant>
 #include <vector>
 
+#include "loftrouter/accounts/period.hpp"
 #include "loftrouter/core/types.hpp"
 #include "loftrouter/wire/cbor.hpp"
 
@@ -24,12 +25,35 @@
 enum class MachineOrder : std::uint8_t { Drain, Quarantine };
 using MachineOrders = std::map<std::string, MachineOrder>;
 constexpr std::size_t kMostMachineOrders = 100;
+// What a team may use of the machines in a period.
+struct TeamBudget {
+  double cpu_hours = -1;   // negative: as much as there is
+  double warn_share = 0.8; // of it: from there on it is told that it will run out
+  bool stop = false;       // running tasks are stopped, with saving, when it is spent; otherwise they may finish
+  std::int64_t limit() const { return static_cast<std::int64_t>(cpu_hours * accounts::kSumsAnHour); }
+};
+struct Budgets {
+  accounts::Clock clock;
+  std::map<std::string, TeamBudget> teams;
+};
 
 struct AdminRequest {
-  enum class Kind : std::uint8_t { Status, Jobs, Foreseen, Report, Settings, Change, Machine } kind = Kind::Status;
+  enum class Kind : std::uint8_t {
+    Status,
+    Jobs,
+    Foreseen,
+    Report,
+    Settings,
+    Change,
+    Machine,
+    Budgets,
+    ChangeBudgets,
+    Statement
+  } kind = Kind::Status;
   std::string team, from;                                            // jobs, report: only this team's; after this job
   double period_s = 86400;                                           // report
-  Json change;                                                       // settings, checked
+  Json change;                                                       // settings or budgets, checked
+  std::string period;                                                // statement: by name; empty: the present one
   std::string machine;                                               // machine order
   std::optional<MachineOrder> order;                                 // nothing: release
   double round_p50 = 0, round_p99 = 0, queue_p50 = 0, queue_p99 = 0; // ms, measured by the program around the core
@@ -45,6 +69,10 @@
 Json to_json(const Tunables &t);
 // What of `j` is known and within its range goes into `t`; otherwise what is wrong, naming the field.
 std::optional<std::string> apply_tunables(const Json &j, Tunables &t);
+Json to_json(const Budgets &b);
+// What of `j` is known and in its range goes into `b`: the clock, and teams one by one (null: none); otherwise what is
+// wrong, naming the field.
+std::optional<std::string> apply_budgets(const Json &j, Budgets &b);
 Json to_json(const MachineOrders &orders);
 MachineOrders machine_orders_from_json(const Json &j);
 
@@ -95,6 +123,25 @@
 };
 // `next`: where to go on, if there is more.
 std::string encode_jobs(const std::vector<AdminJob> &jobs, std::string_view next);
+struct AdminStatement {
+  std::string team, period;
+  double begins = 0, ends = 0; // wall
+  struct Team {
+    std::string name;
+    accounts::Sums sums;
+    std::optional<TeamBudget> budget;
+  };
+  std::vector<Team> teams;
+  struct Job {
+    AdminJob what;
+    std::optional<accounts::Usage> usage;
+    Resources need;
+  };
+  std::vector<Job> jobs;
+  std::string next; // where to go on; empty: this is all
+};
+std::string encode_statement(const AdminStatement &s);
+std::string encode_budgets(const Budgets &b);
 std::string encode_settings(const Tunables &t, const MachineOrders &orders);
 std::string encode_admin_error(std::string_view text);
 
--- a/include/loftrouter/wire/messages.hpp
+++ b/include/loftrouter/wire/messages.hpp
@@ -39,7 +39,9 @@
 Json to_json(const OpenRecord &r);
 Json to_json(const EndRecord &r);
 Json to_json(const ProgressRecord &r);
-Json progress_shard(std::vector<std::pair<std::string, Json>> jobs); // of the above
+Json progress_shard(std::vector<std::pair<std::string, Json>> jobs, const SumsByTeam &sums = {}); // of the above
+Json to_json(const SumsByTeam &sums);
+std::optional<SumsByTeam> sums_from_json(const Json &j);
 Json to_json(const LeaderRecord &r);
 Json to_json(const std::vector<MachineType> &types);
 std::optional<OpenRecord> open_from_json(const Json &j);
@@ -48,7 +50,7 @@
 Json final_json(const EndRecord &r);
 std::optional<EndRecord> final_from_json(const Json &j);
 // A shard's jobs. `key` names the job of a record that is of one job alone, as earlier versions wrote them.
-std::optional<ProgressRecords> progress_from_json(std::string_view key, const Json &j);
+std::optional<ProgressShard> progress_from_json(std::string_view key, const Json &j);
 std::optional<LeaderRecord> leader_from_json(const Json &j);
 std::optional<std::vector<MachineType>> types_from_json(const Json &j);
 
--- a/src/app/main.cpp
+++ b/src/app/main.cpp
@@ -4,14 +4,16 @@
 #include <CLI/CLI.hpp>
 
 #include "loftrouter/app/daemon.hpp"
+#include "loftrouter/app/features.hpp"
 #include "loftrouter/app/settings.hpp"
 
 int main(int argc, char **argv) {
   CLI::App app{"loftrouterd, a controller of the loftrouter cluster scheduler", "loftrouterd"};
-  std::string config;
+  std::string config, features;
   bool check = false;
   app.add_option("--config", config, "settings file (JSON)")->required();
-  app.add_flag("--check-config", check, "check the settings file and stop");
+  app.add_option("--features", features, "what is switched on beyond that (TOML); see deploy/loftrouter.toml");
+  app.add_flag("--check-config", check, "check the files and stop");
   app.set_version_flag("--version", std::string("loftrouterd ") + LOFTROUTER_VERSION);
   try {
     app.parse(argc, argv);
@@ -23,13 +25,22 @@
     std::fprintf(stderr, "loftrouterd: settings: %s\n", problem->c_str());
     return 2;
   }
+  auto &settings = std::get<loft::Settings>(loaded);
+  if (!features.empty()) {
+    auto read = loft::app::load_features(features);
+    if (auto *problem = std::get_if<std::string>(&read)) {
+      std::fprintf(stderr, "loftrouterd: features: %s\n", problem->c_str());
+      return 2;
+    }
+    settings.accounts = std::get<loft::app::Features>(read).accounts;
+  }
   if (check) {
     std::puts("settings are good");
     return 0;
   }
   std::signal(SIGPIPE, SIG_IGN);
   loft::app::setup_logging();
-  auto problem = loft::app::run_daemon(std::get<loft::Settings>(loaded));
+  auto problem = loft::app::run_daemon(settings);
   std::fprintf(stderr, "loftrouterd: %s\n", problem.c_str());
   return 1;
 }
--- a/src/core/administration.cpp
+++ b/src/core/administration.cpp
@@ -9,6 +9,21 @@
 
 namespace {
 constexpr double kAdminDeadline = 2.0; // s
+constexpr std::string_view kNoAccounts = "accounts are not kept here: switch them on in the features file";
+
+wire::AdminJob ended_job(const std::string &id, const EndRecord &e) {
+  return {id,
+          e.job_class,
+          e.team,
+          e.cancelled ? "cancelled" : "done",
+          e.reason,
+          e.tasks,
+          e.cancelled ? 0 : e.tasks,
+          0,
+          e.submit_wall,
+          e.end_wall,
+          e.late};
+}
 } // namespace
 
 void Administration::fail(RequestId req, int status, std::string_view text) {
@@ -29,8 +44,13 @@
   case Kind::Settings:
     return port_.reply_json(cmd.req, 200, wire::encode_settings(operators_.tunables(), operators_.orders()));
   case Kind::Change:
+  case Kind::ChangeBudgets:
   case Kind::Machine:
     return change(cmd.req, ask);
+  case Kind::Budgets:
+    return port_.reply_json(cmd.req, 200, wire::encode_budgets(operators_.budgets()));
+  case Kind::Statement:
+    return statement(cmd.req, ask);
   }
 }
 
@@ -134,6 +154,13 @@
   if (!refused.empty()) out.push_back("the cloud has none to give of: " + refused);
   if (silent) out.push_back(fmt::format("machines that are silent: {}", silent));
   if (ordered) out.push_back(fmt::format("machines that take no tasks by an operator's order: {}", ordered));
+  for (int t = 0; leads && t < static_cast<int>(settings_.teams.size()); ++t)
+    if (ledger_.warned(t))
+      out.push_back(fmt::format("team {} has used {:.1f} of its {:g} CPU hours of this period{}",
+                                settings_.teams[static_cast<std::size_t>(t)].name,
+                                static_cast<double>(ledger_.used(t)) / accounts::kSumsAnHour,
+                                ledger_.budget(t)->cpu_hours,
+                                ledger_.spent(t) ? ": nothing new of it is started" : ""));
   if (suspects) out.push_back(fmt::format("jobs that fail on every machine: {}; see /admin/v1/jobs", suspects));
   if (const auto late = insight_.foreseen_late_count())
     out.push_back(fmt::format("jobs that will miss or have missed their time: {}; see /admin/v1/foreseen", late));
@@ -169,35 +196,44 @@
 // What has ended within the period, a page of the records at a time.
 void Administration::report(RequestId req, const wire::AdminRequest &ask) {
   if (!budget_.take_read(port_.now())) return fail(req, 503, "too many questions at once");
-  port_.store(
-      StoreList{"end/", ask.from.empty() ? "" : "end/" + ask.from}, kAdminDeadline,
-      [this, req, ask](const wire::StoreReply &r) {
-        if (r.status != 200) return fail(req, 503, "the state service did not answer");
-        std::vector<wire::AdminJob> out;
-        std::string next;
-        for (const auto &e : r.entries) {
-          next = e.key.substr(e.key.find('/') + 1);
-          auto end = wire::end_from_json(e.value);
-          if (!end || (!ask.team.empty() && ask.team != end->team) || end->end_wall < port_.wall() - ask.period_s)
-            continue;
-          out.push_back({next, end->job_class, end->team, end->cancelled ? "cancelled" : "done", end->reason,
-                         end->tasks, end->cancelled ? 0 : end->tasks, 0, end->submit_wall, end->end_wall, end->late});
-        }
-        port_.reply_json(req, 200, wire::encode_jobs(out, r.more ? next : ""));
-      });
+  port_.store(StoreList{"end/", ask.from.empty() ? "" : "end/" + ask.from}, kAdminDeadline,
+              [this, req, ask](const wire::StoreReply &r) {
+                if (r.status != 200) return fail(req, 503, "the state service did not answer");
+                std::vector<wire::AdminJob> out;
+                std::string next;
+                for (const auto &e : r.entries) {
+                  next = e.key.substr(e.key.find('/') + 1);
+                  auto end = wire::end_from_json(e.value);
+                  if (!end || (!ask.team.empty() && ask.team != end->team) ||
+                      end->end_wall < port_.wall() - ask.period_s)
+                    continue;
+                  out.push_back(ended_job(next, *end));
+                }
+                port_.reply_json(req, 200, wire::encode_jobs(out, r.more ? next : ""));
+              });
 }
 
 // Settings and orders about machines go straight to the state service; the leader reads them every few seconds.
 void Administration::change(RequestId req, const wire::AdminRequest &ask) {
   const bool settings = ask.kind == wire::AdminRequest::Kind::Change;
-  const std::string key = settings ? Operators::kTunablesKey : Operators::kOrdersKey;
+  const bool budgets = ask.kind == wire::AdminRequest::Kind::ChangeBudgets;
+  if (budgets && !ledger_.on()) return fail(req, 409, kNoAccounts);
+  if (budgets && ask.change.contains("teams"))
+    for (const auto &[team, b] : ask.change["teams"].items())
+      if (jobs_.find_team(team) < 0) return fail(req, 422, "teams: there is no such team");
+  const std::string key = budgets ? Operators::kBudgetsKey : settings ? Operators::kTunablesKey : Operators::kOrdersKey;
   if (!budget_.take_write(port_.now())) return fail(req, 503, "too many requests at once");
-  port_.store(StoreGet{key}, kAdminDeadline / 2, [this, req, ask, settings, key](const wire::StoreReply &r) {
+  port_.store(StoreGet{key}, kAdminDeadline / 2, [this, req, ask, settings, budgets, key](const wire::StoreReply &r) {
     if (r.status != 200 && r.status != 404) return fail(req, 503, "the state service did not answer");
     const auto stamp = r.status == 200 && !r.entries.empty() ? r.entries[0].stamp : 0;
     const wire::Json before = stamp ? r.entries[0].value : wire::Json::object();
     wire::Json after;
-    if (settings) {
+    if (budgets) {
+      wire::Budgets b;
+      (void)wire::apply_budgets(before, b);
+      (void)wire::apply_budgets(ask.change, b); // checked at the door
+      after = wire::to_json(b);
+    } else if (settings) {
       wire::Tunables t;
       (void)wire::apply_tunables(before, t);
       (void)wire::apply_tunables(ask.change, t); // checked at the door
@@ -213,13 +249,73 @@
       after = wire::to_json(orders);
     }
     port_.store(StoreCommit{{{key, stamp}}, {{key, after, 0}}}, kAdminDeadline / 2,
-                [this, req, key, after](const wire::StoreReply &c) {
+                [this, req, key, after, budgets](const wire::StoreReply &c) {
                   if (c.status == 409) return fail(req, 409, "somebody else has just changed it; ask again");
                   if (c.status != 200) return fail(req, 503, "the state service did not confirm the change");
                   operators_.take({{key, after, c.revision, 0}});
-                  port_.reply_json(req, 200, wire::encode_settings(operators_.tunables(), operators_.orders()));
+                  port_.reply_json(req, 200,
+                                   budgets ? wire::encode_budgets(operators_.budgets())
+                                           : wire::encode_settings(operators_.tunables(), operators_.orders()));
+                });
+  });
+}
+
+// What each team has used in a period, from the records, so that any node can tell it; then the jobs that ended in it,
+// a page at a time. The records follow what happens within a second or two.
+void Administration::statement(RequestId req, const wire::AdminRequest &ask) {
+  if (!ledger_.on()) return fail(req, 409, kNoAccounts);
+  if (!budget_.take_read(port_.now(), 3)) return fail(req, 503, "too many questions at once");
+  const auto &clock = operators_.budgets().clock;
+  wire::AdminStatement s;
+  s.team = ask.team;
+  s.period = ask.period.empty() ? clock.name(port_.wall()) : ask.period;
+  for (double wall = port_.wall(); s.ends == 0 && wall > port_.wall() - 400 * 86400.0; wall = clock.begin(wall) - 1)
+    if (clock.name(wall) == s.period) {
+      s.begins = clock.begin(wall);
+      s.ends = clock.end(wall);
+    }
+  if (s.ends == 0) return fail(req, 404, "no such period: the date of its beginning is wanted, within 400 days");
+  port_.store(StoreList{"progress/", ""}, kAdminDeadline, [this, req, ask, s](const wire::StoreReply &r) {
+    if (r.status != 200 || r.more) return fail(req, 503, "the state service did not answer");
+    SumsByTeam sums;
+    for (const auto &e : r.entries)
+      if (auto shard = wire::progress_from_json(e.key, e.value))
+        for (const auto &[key, row] : shard->sums)
+          sums[key] += row;
+    port_.store(StoreGet{"accounts/" + s.period}, kAdminDeadline,
+                [this, req, ask, s, sums](const wire::StoreReply &a) mutable {
+                  if (a.status != 200 && a.status != 404) return fail(req, 503, "the state service did not answer");
+                  if (a.status == 200 && a.entries.size() == 1)
+                    if (auto kept = wire::sums_from_json(a.entries[0].value))
+                      for (const auto &[key, row] : *kept)
+                        sums[key] += row;
+                  const auto &budgets = operators_.budgets().teams;
+                  for (const auto &t : settings_.teams) {
+                    if (!ask.team.empty() && ask.team != t.name) continue;
+                    const auto b = budgets.find(t.name);
+                    s.teams.push_back({t.name, sums[{s.period, t.name}],
+                                       b == budgets.end() ? std::nullopt : std::optional(b->second)});
+                  }
+                  statement_jobs(req, ask, std::move(s));
                 });
   });
 }
 
+void Administration::statement_jobs(RequestId req, const wire::AdminRequest &ask, wire::AdminStatement s) {
+  port_.store(StoreList{"end/", ask.from.empty() ? "" : "end/" + ask.from}, kAdminDeadline,
+              [this, req, ask, s = std::move(s)](const wire::StoreReply &r) mutable {
+                if (r.status != 200) return fail(req, 503, "the state service did not answer");
+                std::string last;
+                for (const auto &e : r.entries) {
+                  last = e.key.substr(e.key.find('/') + 1);
+                  const auto end = wire::end_from_json(e.value);
+                  if (!end || (!ask.team.empty() && ask.team != end->team)) continue;
+                  if (end->end_wall < s.begins || end->end_wall >= s.ends) continue;
+                  s.jobs.push_back({ended_job(last, *end), end->usage, end->need});
+                }
+                if (r.more) s.next = last;
+                port_.reply_json(req, 200, wire::encode_statement(s));
+              });
+}
+
 } // namespace loft::core
--- a/src/core/chronicle.cpp
+++ b/src/core/chronicle.cpp
@@ -65,7 +65,8 @@
 }
 
 void Chronicle::on(const TasksGivenUp &e) {
-  port_.log(LogLevel::Info, "tasks_not_seen_in_time", {{"tasks", e.tasks}, {"then", "they count as lost"}});
+  port_.log(LogLevel::Info, "tasks_not_seen_in_time",
+            {{"job", jobs_[e.job].spec.id}, {"tasks", e.tasks}, {"then", "they count as lost"}});
 }
 
 void Chronicle::on(const MachineLost &e) {
--- a/src/core/core.cpp
+++ b/src/core/core.cpp
@@ -8,19 +8,20 @@
     : settings_(std::move(settings)), port_(seed), wishes_(settings_), catalogue_(settings_.zones),
       operators_(port_, events_), budget_(settings_), lead_(port_, events_, settings_, catalogue_),
       jobs_(port_, events_, settings_), ended_(events_), judge_(port_, events_, jobs_, operators_),
-      reasons_(port_, jobs_, judge_, wishes_),
-      recorder_(port_, events_, settings_, lead_, budget_, jobs_, ended_, judge_, reasons_, wishes_),
+      reasons_(port_, jobs_, judge_, wishes_), ledger_(port_, settings_, catalogue_, jobs_, operators_),
+      recorder_(port_, events_, settings_, lead_, budget_, jobs_, ended_, judge_, reasons_, wishes_, ledger_),
       watch_(port_, settings_, lead_, recorder_),
       fleet_(port_, events_, settings_, catalogue_, operators_, lead_, jobs_, recorder_),
       siblings_(port_, settings_, lead_, budget_, jobs_, watch_),
       reports_(port_, settings_, lead_, siblings_, watch_, fleet_),
-      placer_(port_, events_, settings_, catalogue_, operators_, lead_, jobs_, judge_, recorder_, fleet_, wishes_),
+      placer_(port_, events_, settings_, catalogue_, operators_, lead_, jobs_, judge_, recorder_, fleet_, wishes_,
+              ledger_),
       scaler_(port_, settings_, catalogue_, operators_, lead_, jobs_, judge_, fleet_, placer_, wishes_),
       insight_(port_, settings_, catalogue_, operators_, lead_, watch_, jobs_, ended_, judge_, reasons_, fleet_,
-               placer_, scaler_, wishes_, siblings_),
+               placer_, scaler_, wishes_, ledger_, siblings_),
       users_(port_, settings_, catalogue_, budget_, lead_, jobs_, ended_, siblings_, insight_),
       administration_(port_, settings_, catalogue_, operators_, budget_, lead_, watch_, jobs_, judge_, fleet_, scaler_,
-                      siblings_, reports_, insight_),
+                      siblings_, reports_, insight_, ledger_),
       chronicle_(port_, jobs_, fleet_) {}
 
 Effects Core::apply(std::vector<Command> batch, Now at) {
@@ -50,7 +51,8 @@
       };
       (one(parts), ...);
     };
-    hand(chronicle_, judge_, fleet_, recorder_, watch_, reports_, placer_, scaler_, reasons_, insight_, users_, jobs_);
+    hand(chronicle_, judge_, fleet_, ledger_, recorder_, watch_, reports_, placer_, scaler_, reasons_, insight_, users_,
+         jobs_);
   });
 }
 
@@ -77,6 +79,7 @@
   });
   insight_.log_summary();
   step([this] { fleet_.tick(); });
+  ledger_.tick();
   step([this] { placer_.tick(); });
   insight_.tell_siblings();
   assert(consistent());
--- a/src/core/fleet.cpp
+++ b/src/core/fleet.cpp
@@ -153,6 +153,7 @@
       in_report[s] = 1;
       slot.seen = slot.sent = true;
       slot.phase = t.phase;
+      if (t.phase == TaskPhase::Waiting && slot.waiting_since < 0) slot.waiting_since = port_.now();
       if (t.phase == TaskPhase::Running && slot.running_since < 0) {
         slot.running_since = port_.now();
         if (slot.job >= 0) events_.publish(TaskRuns{slot.job, slot.index, m, port_.now() - slot.placed_at});
@@ -230,9 +231,11 @@
   slot.sent = slot.seen = true;
   slot.adopted = k.tasks[t.index].state == TaskState::Unaccounted;
   slot.need = k.spec.need;
-  slot.placed_at = port_.now();
+  slot.placed_at = slot.held_since = port_.now();
+  if (t.phase == TaskPhase::Waiting) slot.waiting_since = port_.now();
   if (t.phase == TaskPhase::Running) slot.running_since = port_.now();
   recorder_.start(j, t.index);
+  events_.publish(TaskHeld{j, t.index, m, true, slot.adopted});
   jobs_.place(j, t.index, m, n.zone);
   n.used.add(slot.need);
   touch_image(n, k.image, k.spec.image_gb);
@@ -254,6 +257,7 @@
   events_.publish(TaskExited{slot.job, slot.index, m, n.name, t.cause, slot.placed_at, slot.running_since});
   if (t.cause != ExitCause::Done || jobs_[slot.job].spec.shape == Shape::Service) return;
   slot.finished = true;
+  freed(m, slot, true);
   n.used.add(slot.need, -1);
   jobs_.finish(slot.job, slot.index);
   if (slot.running_since >= 0) n.busy_cpu_s += (port_.now() - slot.running_since) * slot.need.cpus;
@@ -270,7 +274,10 @@
         orders.push_back({TaskOrder::Verb::Stop, slot.job_id, slot.index, slot.attempt, slot.grace_s});
     } else if (may_start && !slot.seen && slot.job >= 0 && recorder_.recorded(slot.job, slot.index) && !n.returning &&
                starts < kMostOrders) {
-      slot.sent = true;
+      if (!std::exchange(slot.sent, true)) {
+        slot.held_since = port_.now();
+        events_.publish(TaskHeld{slot.job, slot.index, m, false, false});
+      }
       ++starts;
       orders.push_back({TaskOrder::Verb::Start, slot.job_id, slot.index, slot.attempt, 0});
     }
@@ -305,12 +312,20 @@
   const Slot slot = std::move(n.slots[s]);
   n.slots.erase(n.slots.begin() + static_cast<long>(s));
   if (slot.finished) return;
+  freed(m, slot, false);
   n.used.add(slot.need, -1);
   // An attempt that an earlier leader started may be an old one, shown by a report that was held up: its end
   // says nothing about a later attempt elsewhere, which may not be heard of yet.
   if (slot.job >= 0) jobs_.release(slot.job, slot.index, m, slot.adopted && jobs_.unaccounted_until() > 0);
 }
 
+void Fleet::freed(int m, const Slot &s, bool done) {
+  if (s.job < 0 || s.held_since < 0) return; // nobody's, or never sent
+  const Machine &n = at(m);
+  events_.publish(
+      TaskFreed{s.job, s.index, m, done, s.held_since, s.waiting_since, s.running_since, n.type, n.zone, n.spot});
+}
+
 void Fleet::stop(int m, std::size_t s, double grace_s) {
   Slot &slot = at(m).slots[s];
   if (!slot.sent && !slot.seen)
@@ -319,6 +334,19 @@
     order_stop(m, slot, grace_s);
 }
 
+bool Fleet::stop_all(int j, double grace_s) {
+  bool news = false;
+  for (int m = 0; m < static_cast<int>(machines_.size()); ++m)
+    if (machines_[static_cast<std::size_t>(m)])
+      for (std::size_t s = at(m).slots.size(); s-- > 0;) {
+        const Slot &slot = at(m).slots[s];
+        if (slot.job != j || slot.finished || slot.stop) continue;
+        news = true;
+        stop(m, s, grace_s);
+      }
+  return news;
+}
+
 void Fleet::order_stop(int m, Slot &slot, double grace_s) {
   if (slot.finished) return;
   if (!slot.stop && !std::exchange(at(m).stops_news, true)) stops_news_.push_back(m);
--- a/src/core/insight.cpp
+++ b/src/core/insight.cpp
@@ -59,6 +59,8 @@
   else if (!watch_.informed())
     wait = fmt::format("nothing is started: the state service has told of no cancellations since {}",
                        wire::clock_time(watch_.informed_wall()));
+  else if (n.pending() && ledger_.spent(n.team))
+    wait = why_held(n);
   else if (n.unaccounted)
     wait = fmt::format("{} started by an earlier leader {} looked for on the machines; what is not found by {} starts "
                        "again",
@@ -73,6 +75,14 @@
   return last.empty() ? wait : wait + "; " + last;
 }
 
+std::string Insight::why_held(const Job &n) const {
+  const auto &clock = operators_.budgets().clock;
+  return fmt::format("held: team {} has used its {:g} CPU hours of this {}, since {}; {} {} for {} or a larger budget",
+                     n.spec.team, ledger_.budget(n.team)->cpu_hours, clock.weekly ? "week" : "day",
+                     wire::clock_time(clock.begin(port_.wall())), plural(n.pending(), "task"),
+                     n.pending() == 1 ? "waits" : "wait", wire::clock_time(clock.end(port_.wall())));
+}
+
 std::string Insight::why_waiting(int j, const Supplies &supply) const {
   const Job &n = jobs_[j];
   const Team *team = n.team >= 0 ? &settings_.teams[static_cast<std::size_t>(n.team)] : nullptr;
--- a/src/core/jobs.cpp
+++ b/src/core/jobs.cpp
@@ -166,18 +166,14 @@
   std::vector<int> concerned;
   if (unaccounted_until_ <= 0 || port_.now() < unaccounted_until_) return concerned;
   unaccounted_until_ = 0;
-  std::uint32_t count = 0;
   for (int j = 0; j < static_cast<int>(jobs_.size()); ++j) {
     if (!find(j) || at(j).unaccounted == 0) continue;
+    events_.publish(TasksGivenUp{j, at(j).unaccounted});
     for (std::uint32_t i = 0; i < at(j).spec.tasks; ++i)
-      if (at(j).tasks[i].state == TaskState::Unaccounted) {
-        set(j, i, TaskState::Pending);
-        ++count;
-      }
+      if (at(j).tasks[i].state == TaskState::Unaccounted) set(j, i, TaskState::Pending);
     if (at(j).finishable()) changed(j, true);
     concerned.push_back(j);
   }
-  if (count) events_.publish(TasksGivenUp{count});
   return concerned;
 }
 
--- a/src/core/operators.cpp
+++ b/src/core/operators.cpp
@@ -24,6 +24,12 @@
         port_.log(LogLevel::Error, "operators_settings_unreadable", {{"why", *problem}});
       else
         tunables_ = t;
+    } else if (e.key == kBudgetsKey) {
+      wire::Budgets b;
+      if (auto problem = wire::apply_budgets(e.value, b))
+        port_.log(LogLevel::Error, "budgets_unreadable", {{"why", *problem}});
+      else
+        budgets_ = std::move(b);
     } else if (e.key == kOrdersKey) {
       orders_ = wire::machine_orders_from_json(e.value);
     }
--- a/src/core/placer.cpp
+++ b/src/core/placer.cpp
@@ -155,8 +155,8 @@
   if (n.spec.spread) p.zone_cap = static_cast<int>((n.spec.tasks + 1) / 2);
   p.barred = judge_.barred(j);
   p.ready = n.pending();
-  bool held = n.cancelled || n.ending;
-  if (suspect) { // one task, or one gang, at a time and seldom
+  bool held = n.cancelled || n.ending || ledger_.spent(n.team); // of its team's budget, not an end
+  if (suspect) {                                                // one task, or one gang, at a time and seldom
     held |= port_.now() < judge_.retry_at(j) || n.placed > 0 || n.unaccounted > 0;
     if (n.spec.shape != Shape::Gang) p.ready = std::min(p.ready, 1U);
   }
@@ -204,7 +204,10 @@
 // ---- rounds ----
 
 void Placer::tick() {
-  if (port_.now() >= next_round_) round();
+  if (port_.now() >= next_round_) {
+    stop_spent();
+    round();
+  }
   if (port_.now() >= next_ahead_) plan_ahead();
 }
 
@@ -223,7 +226,7 @@
     PlaceJob &p = line_[k];
     if (!has_room(p, machines[0])) continue;
     const Job *n = jobs_.find(p.self);
-    if (!n || n->serial != line_serials_[k] || n->cancelled || n->ending) continue;
+    if (!n || n->serial != line_serials_[k] || n->cancelled || n->ending || ledger_.spent(n->team)) continue;
     if (p.gang || p.one_zone || p.zone_cap >= 0 || judge_.failed_lately(p.self)) {
       const bool guaranteed = p.guaranteed;
       p = place_job(p.self);
@@ -339,6 +342,19 @@
 
 // ---- making room ----
 
+// Where an operator wants it so, the running tasks of a team whose budget is spent are stopped, with time to save.
+void Placer::stop_spent() {
+  for (int team = 0; team < static_cast<int>(settings_.teams.size()); ++team)
+    if (const auto *b = ledger_.budget(team); b && b->stop && ledger_.spent(team)) {
+      std::vector<int> running;
+      jobs_.each([&](int j, const Job &n) {
+        if (n.team == team && n.placed > 0) running.push_back(j);
+      });
+      for (int j : running)
+        if (fleet_.stop_all(j, jobs_[j].spec.save_s + 1)) events_.publish(TasksStoppedByBudget{j});
+    }
+}
+
 // What a job that fits nowhere could take on one machine: the tasks of lower priority that would go, the
 // least work lost first.
 struct Placer::Offer {
--- a/src/core/reasons.cpp
+++ b/src/core/reasons.cpp
@@ -31,6 +31,10 @@
   set(e.job, fmt::format("a task was stopped to make room for job {} of higher priority", e.by));
 }
 
+void Reasons::on(const TasksStoppedByBudget &e) {
+  set(e.job, fmt::format("its tasks were stopped because team {} had used its budget", jobs_[e.job].spec.team));
+}
+
 EndRecord Reasons::end_record(int j) const {
   const Job &n = jobs_[j];
   EndRecord e;
--- a/src/core/recorder.cpp
+++ b/src/core/recorder.cpp
@@ -11,7 +11,11 @@
 constexpr double kLazyWrite = 0.8;     // s, progress that nothing waits for
 constexpr double kLazyWriteBusy = 2.5; // s, while many jobs end
 constexpr std::size_t kManyEnds = 4, kMostMoves = 1000;
-constexpr std::size_t kEntryChars = 85; // of a job in a progress record, beside its two sets of tasks
+constexpr std::size_t kEntryChars = 85;   // of a job in a progress record, beside its two sets of tasks
+constexpr std::size_t kAccountChars = 90; // and its account
+constexpr std::size_t kSumsChars = 900;   // of a record: sums of two periods
+constexpr double kSettleEvery = 0.1;      // s
+const std::string kAccounts = "accounts/";
 } // namespace
 
 // One transaction at a time. Each is guarded by the leader key's revision and by every record's own.
@@ -21,23 +25,30 @@
   std::vector<std::string> jobs, ends; // ids: of jobs whose progress is in it, and of those that end
   std::vector<Move> moves;
   std::vector<std::size_t> shards, emptied;
+  std::string folded; // a period whose sums it moves from the one record in it
   std::size_t bytes = 0;
 };
 
 // ---- what is read ----
 
 bool Recorder::load_progress(const wire::Entry &e) {
-  auto records = wire::progress_from_json(e.key, e.value);
-  if (!records) return false;
+  auto shard = wire::progress_from_json(e.key, e.value);
+  if (!shard) return false;
   Shard s;
   s.key = e.key;
   s.stamp = e.stamp;
-  for (auto &[id, p] : *records) {
+  ledger_.load_sums(shards_.size(), std::move(shard->sums));
+  for (auto &[id, p] : shard->jobs) {
     loaded_shard_[id] = shards_.size();
     auto &known = loaded_[id];
     known.started.insert(known.started.end(), p.started.begin(), p.started.end());
     known.finished.insert(known.finished.end(), p.finished.begin(), p.finished.end());
     known.failed_on = std::max(known.failed_on, p.failed_on);
+    if (p.at_ms > known.at_ms) {
+      known.usage = p.usage;
+      known.running_ms = p.running_ms;
+      known.at_ms = p.at_ms;
+    }
   }
   shards_.push_back(std::move(s));
   return true;
@@ -70,14 +81,16 @@
   if (static_cast<std::size_t>(j) >= entries_.size()) entries_.resize(static_cast<std::size_t>(j) + 1);
   entry(j) = {};
   marks(j).assign(n.spec.tasks, 0);
+  assign_shard(j);
+  ledger_.open(j, entry(j).shard);
   if (auto it = loaded_.find(n.spec.id); it != loaded_.end()) {
     for (auto [a, b] : it->second.started)
       for (auto i = a; i < b && i < n.spec.tasks; ++i)
         marks(j)[i] = kStarted | kRecorded;
     jobs_.restore(j, it->second);
     judge_.restore(j, it->second.failed_on);
+    ledger_.restore(j, it->second);
   }
-  assign_shard(j);
   events_.publish(JobAccepted{j});
   jobs_.changed(j, n.spec.urgency != Urgency::Low);
 }
@@ -88,10 +101,13 @@
 }
 
 void Recorder::on(const TermBegun &) {
+  if (ledger_.on())
+    for (const auto &[id, p] : loaded_)
+      if (p.at_ms && jobs_.index(id) < 0) shards_[loaded_shard_[id]].ghosts.emplace_back(id, p);
   loaded_.clear();
   loaded_shard_.clear();
   for (std::size_t s = 0; s < shards_.size(); ++s)
-    if (shards_[s].jobs.empty()) mark_shard(s, false);
+    if (shards_[s].jobs.empty() && shards_[s].ghosts.empty() && ledger_.sums(s).empty()) mark_shard(s, false);
 }
 
 void Recorder::on(const TermEnded &) {
@@ -99,7 +115,7 @@
   shards_.clear();
   ending_.clear();
   moves_.clear();
-  flushing_ = false;
+  flushing_ = settling_ = false;
 }
 
 // ---- what is to be written ----
@@ -132,14 +148,15 @@
 }
 
 std::size_t Recorder::entry_chars(const Job &n) const {
-  return kEntryChars + 2 * std::min<std::size_t>(n.spec.tasks / 4 + 3, set_chars());
+  return kEntryChars + (ledger_.on() ? kAccountChars : 0) +
+         2 * std::min<std::size_t>(n.spec.tasks / 4 + 3, set_chars());
 }
 
 // A job stays in its shard for as long as this node leads; room for its largest form is reserved.
 void Recorder::assign_shard(int j) {
   const Job &n = jobs_[j];
   const std::size_t chars = entry_chars(n);
-  const auto limit = static_cast<std::size_t>(settings_.state_value_kb * 1024 * 0.95);
+  const auto limit = static_cast<std::size_t>(settings_.state_value_kb * 1024 * 0.95) - (ledger_.on() ? kSumsChars : 0);
   std::size_t s = shards_.size();
   if (auto it = loaded_shard_.find(n.spec.id); it != loaded_shard_.end()) s = it->second;
   for (std::size_t k = 0; k < shards_.size() && s == shards_.size(); ++k)
@@ -197,6 +214,8 @@
   const double lazy = ending_.size() > kManyEnds ? kLazyWriteBusy : kLazyWrite;
   for (std::size_t s = 0; s < shards_.size(); ++s)
     if (shards_[s].dirty && (shards_[s].urgent || port_.now() - shards_[s].dirty_since >= lazy)) due.push_back(s);
+  settle_ghosts();
+  if (due.empty() && ending_.empty() && moves_.empty() && fold()) return;
   if (due.empty() && ending_.empty() && moves_.empty()) return;
   std::sort(due.begin(), due.end(), [this](std::size_t a, std::size_t b) {
     return std::pair(!shards_[a].urgent, shards_[a].dirty_since) <
@@ -247,6 +266,10 @@
   if (!ends_first_) put_ends();
   if (t.writes.empty()) add_moves(t, level, max_ops);
   if (t.writes.empty()) return;
+  commit(std::move(t));
+}
+
+void Recorder::commit(Transaction &&t) {
   budget_.take_leader_writes(port_.now(), static_cast<double>(t.writes.size()));
   flushing_ = true;
   StoreCommit commit{t.guards, std::move(t.writes)};
@@ -273,6 +296,10 @@
   const Job &n = jobs_[j];
   Entry &e = entry(j);
   e.end = reasons_.end_record(j);
+  if (ledger_.on()) {
+    e.end.usage = ledger_.usage(j);
+    e.end.need = n.spec.need;
+  }
   const double took = e.end.end_wall - e.end.submit_wall;
   port_.log(e.end.late && !n.cancelled ? LogLevel::Info : LogLevel::Debug, "job_ends",
             {{"job", n.spec.id},
@@ -297,13 +324,12 @@
   jobs_.set_ending(j, true);
 }
 
-void Recorder::add_shard(std::size_t s, Transaction &t) {
+void Recorder::add_shard(std::size_t s, Transaction &t, const std::string &without_period) {
   Shard &shard = shards_[s];
-  std::vector<std::pair<std::string, wire::Json>> entries;
   for (int j : shard.jobs) {
     const Job &n = jobs_[j];
     Entry &e = entry(j);
-    if (e.dirty) {
+    if (e.dirty || ledger_.changed(j)) {
       record_ahead(j);
       ProgressRecord p;
       p.started = make_ranges(n.spec.tasks, [&](std::uint32_t i) { return (e.marks[i] & kStarted) != 0; });
@@ -313,6 +339,7 @@
         p.finished = narrow(std::move(p.finished), set_chars() / 14);
       }
       p.failed_on = judge_.suspect(j) ? judge_.failed_on(j) : 0;
+      ledger_.write(j, p);
       e.progress = wire::to_json(p);
       // What the transaction covers: tasks placed, or done, from here on wait for the next one.
       for (std::uint32_t i = 0; i < n.spec.tasks; ++i) {
@@ -324,16 +351,24 @@
       e.dirty = false;
       t.jobs.push_back(n.spec.id);
     }
-    entries.emplace_back(n.spec.id, e.progress);
     t.bytes += n.spec.tasks / 2 + kEntryChars;
   }
   t.guards.push_back({shard.key, shard.stamp});
-  if (!shard.jobs.empty())
-    t.writes.push_back({shard.key, wire::progress_shard(std::move(entries)), 0});
-  else
-    t.writes.push_back({shard.key, std::nullopt, 0});
+  const bool empty = shard.jobs.empty() && shard.ghosts.empty() && ledger_.sums(s).empty(); // of kept sums, too
+  t.writes.push_back({shard.key, empty ? std::nullopt : std::optional(shard_value(s, without_period)), 0});
   shard.dirty = shard.urgent = false;
-  (shard.jobs.empty() ? t.emptied : t.shards).push_back(s);
+  (empty ? t.emptied : t.shards).push_back(s);
+}
+
+wire::Json Recorder::shard_value(std::size_t s, const std::string &without_period) const {
+  std::vector<std::pair<std::string, wire::Json>> entries;
+  for (int j : shards_[s].jobs)
+    entries.emplace_back(jobs_[j].spec.id, entries_[static_cast<std::size_t>(j)].progress);
+  for (const auto &[id, p] : shards_[s].ghosts)
+    entries.emplace_back(id, wire::to_json(p));
+  SumsByTeam sums = ledger_.sums(s);
+  std::erase_if(sums, [&](const auto &x) { return x.first.first == without_period; });
+  return wire::progress_shard(std::move(entries), sums);
 }
 
 void Recorder::flushed(const Transaction &t, const wire::StoreReply &r) {
@@ -343,8 +378,11 @@
       if (const int j = jobs_.index(name); j >= 0) fn(j);
   };
   if (r.status == 200) {
-    for (std::size_t s : t.shards)
+    for (std::size_t s : t.shards) {
       shards_[s].stamp = r.revision;
+      shards_[s].folding.clear(); // whatever was under way before can no longer be applied
+      if (!t.folded.empty()) ledger_.forget(s, t.folded);
+    }
     for (std::size_t s : t.emptied)
       shards_[s].stamp = 0;
     each(t.jobs, [&](int j) {
@@ -380,8 +418,10 @@
     // two writes comes second fails on them.
     each(t.ends, [&](int j) { entry(j).needs_resync = true; });
     for (const auto *list : {&t.shards, &t.emptied})
-      for (std::size_t s : *list)
+      for (std::size_t s : *list) {
         shards_[s].needs_resync = true;
+        if (!t.folded.empty()) shards_[s].folding = t.folded;
+      }
     flush_after_ = port_.now() + 0.2;
   } else {
     flush_after_ = port_.now() + 0.3;
@@ -402,6 +442,14 @@
     shards_[s].resyncing = false;
     if (r.status == 200 && r.entries.size() == 1) {
       shards_[s].stamp = r.entries[0].stamp;
+      // Whether the write that moved sums away was applied, it says itself. If not, it may be yet, until another
+      // write has come before it.
+      if (auto &period = shards_[s].folding; !period.empty()) {
+        auto there = wire::progress_from_json(shards_[s].key, r.entries[0].value);
+        if (there && std::none_of(there->sums.begin(), there->sums.end(),
+                                  [&](const auto &x) { return x.first.first == period; }))
+          ledger_.forget(s, std::exchange(period, {}));
+      }
     } else if (r.status == 404) {
       shards_[s].stamp = 0;
     } else {
@@ -412,6 +460,86 @@
   });
 }
 
+// ---- accounts ----
+
+// Jobs that ended under an earlier leader after it had last written their progress record: the rest of what they used
+// stands in their ends. One at a time; there are as many as end within a second or two.
+void Recorder::settle_ghosts() {
+  if (settling_ || port_.now() < next_settle_) return;
+  std::size_t s = 0;
+  while (s < shards_.size() && shards_[s].ghosts.empty())
+    ++s;
+  if (s == shards_.size()) return;
+  next_settle_ = port_.now() + kSettleEvery;
+  const std::string id = shards_[s].ghosts.back().first;
+  for (const auto &m : moves_)
+    if (m.id == id) return settled(s, id, wire::end_from_json(m.value));
+  settling_ = true;
+  port_.store(StoreGet{"end/" + id}, 1.0, [this, s, id, epoch = lead_.epoch()](const wire::StoreReply &r) {
+    if (epoch != lead_.epoch()) return;
+    settling_ = false;
+    if (r.status == 200 && r.entries.size() == 1)
+      settled(s, id, wire::end_from_json(r.entries[0].value));
+    else if (r.status == 404) // being moved at this moment, or its end is not known to anybody
+      settled(s, id, std::nullopt);
+  });
+}
+
+void Recorder::settled(std::size_t s, const std::string &id, const std::optional<EndRecord> &end) {
+  auto &ghosts = shards_[s].ghosts;
+  const auto it = std::find_if(ghosts.begin(), ghosts.end(), [&](const auto &g) { return g.first == id; });
+  if (it == ghosts.end()) return;
+  if (end && end->usage)
+    ledger_.settle(s, end->team, *end->usage - it->second.usage, end->need);
+  else
+    port_.log(LogLevel::Error, "account_incomplete", {{"job", id}, {"then", "counted as far as recorded before"}});
+  ghosts.erase(it);
+  mark_shard(s, false);
+}
+
+// Sums of a period that is over go into one record for all, so that progress records stay small and a takeover reads
+// no history. One transaction takes them from here and adds them there. True: one is under way.
+bool Recorder::fold() {
+  for (std::size_t s = 0; s < shards_.size(); ++s) {
+    const std::string period = ledger_.over(s);
+    if (period.empty() || shards_[s].needs_resync || !shards_[s].folding.empty() ||
+        budget_.leader_writes(port_.now()) < 2)
+      continue;
+    flushing_ = true;
+    port_.store(StoreGet{kAccounts + period}, 1.0, [this, s, period, epoch = lead_.epoch()](const wire::StoreReply &r) {
+      if (epoch != lead_.epoch()) return;
+      flushing_ = false;
+      flush_after_ = port_.now() + 0.2;
+      if (!lead_.active() || shards_[s].needs_resync) return;
+      if (r.status == 404) return fold_into(s, period, {}, 0);
+      if (r.status != 200 || r.entries.size() != 1) return;
+      if (auto kept = wire::sums_from_json(r.entries[0].value))
+        fold_into(s, period, std::move(*kept), r.entries[0].stamp);
+    });
+    return true;
+  }
+  return false;
+}
+
+void Recorder::fold_into(std::size_t s, const std::string &period, SumsByTeam kept, std::uint64_t stamp) {
+  Transaction t;
+  t.guards = {{"leader", lead_.term()}};
+  t.folded = period;
+  add_shard(s, t, period);
+  for (const auto &[key, row] : ledger_.sums(s))
+    if (key.first == period) kept[key] += row;
+  t.guards.push_back({kAccounts + period, stamp});
+  t.writes.push_back({kAccounts + period, wire::to_json(kept), 0});
+  commit(std::move(t));
+}
+
+// Our own write, applied without an answer.
+void Recorder::ended(int j, EndRecord end) {
+  if (end.usage) ledger_.correct(j, *end.usage);
+  ended_.remember(jobs_[j].spec.id, std::move(end));
+  remove(j);
+}
+
 void Recorder::resync(int j) {
   if (entry(j).resyncing) return;
   entry(j).resyncing = true;
@@ -424,9 +552,8 @@
       entry(k).resyncing = false;
       if (auto end =
               r.status == 200 && r.entries.size() == 1 ? wire::final_from_json(r.entries[0].value) : std::nullopt) {
-        moves_.push_back({id, r.entries[0].stamp, wire::to_json(*end)}); // our own write, applied without an answer
-        ended_.remember(id, std::move(*end));
-        remove(k);
+        moves_.push_back({id, r.entries[0].stamp, wire::to_json(*end)});
+        ended(k, std::move(*end));
       } else if (r.status == 200 && r.entries.size() == 1) {
         entry(k).needs_resync = false;
         take_open("open/" + id, r.entries[0].value, r.entries[0].stamp);
@@ -441,8 +568,7 @@
       entry(jj).resyncing = false;
       auto end = e.status == 200 && e.entries.size() == 1 ? wire::end_from_json(e.entries[0].value) : std::nullopt;
       if (!end) return;
-      ended_.remember(id, *end); // our own write, applied without an answer
-      remove(jj);
+      ended(jj, std::move(*end));
     });
   });
 }
--- a/src/wire/admin.cpp
+++ b/src/wire/admin.cpp
@@ -55,6 +55,8 @@
       r.team = value;
     } else if (name == "from" && valid_job_id(value)) {
       r.from = value;
+    } else if (name == "period" && value.size() == 10 && valid_name(value)) {
+      r.period = value;
     } else if (name == "period_s") {
       double v = 0;
       auto [stop, err] = std::from_chars(value.data(), value.data() + value.size(), v);
@@ -110,16 +112,20 @@
   bool known = false;
   for (const auto &p : {Plain{"status", "GET", Kind::Status}, Plain{"jobs", "GET", Kind::Jobs},
                         Plain{"foreseen", "GET", Kind::Foreseen}, Plain{"report", "GET", Kind::Report},
-                        Plain{"settings", "GET", Kind::Settings}, Plain{"settings", "PUT", Kind::Change}}) {
+                        Plain{"settings", "GET", Kind::Settings}, Plain{"settings", "PUT", Kind::Change},
+                        Plain{"budgets", "GET", Kind::Budgets}, Plain{"budgets", "PUT", Kind::ChangeBudgets},
+                        Plain{"statement", "GET", Kind::Statement}}) {
     if (path != p.path) continue;
     known = true;
     if (method != p.method) continue;
     r.kind = p.kind;
-    if (r.kind != Kind::Change) return r;
+    if (r.kind != Kind::Change && r.kind != Kind::ChangeBudgets) return r;
     auto j = parse_body(body);
-    if (!j) return AdminError{400, "body: not a JSON object of settings"};
-    Tunables checked;
-    if (auto problem = apply_tunables(*j, checked)) return AdminError{400, *problem};
+    if (!j) return AdminError{400, "body: not a JSON object"};
+    Tunables settings;
+    Budgets budgets;
+    if (auto problem = r.kind == Kind::Change ? apply_tunables(*j, settings) : apply_budgets(*j, budgets))
+      return AdminError{400, *problem};
     r.change = std::move(*j);
     return r;
   }
@@ -228,18 +234,134 @@
        {"queue_wait_ms", {{"p50", rounded(s.queue_p50)}, {"p99", rounded(s.queue_p99)}}}});
 }
 
+Json to_json(const Budgets &b) {
+  Json teams = Json::object();
+  for (const auto &[name, t] : b.teams) {
+    teams[name] = {{"warn_share", t.warn_share}, {"when_spent", t.stop ? "stop" : "finish"}};
+    if (t.cpu_hours >= 0) teams[name]["cpu_hours"] = t.cpu_hours;
+  }
+  return {{"every", b.clock.weekly ? "week" : "day"},
+          {"starts", accounts::format_minute(b.clock.starts_min)},
+          {"utc_offset", accounts::format_offset(b.clock.offset_min)},
+          {"teams", std::move(teams)}};
+}
+
+std::optional<std::string> apply_budgets(const Json &j, Budgets &b) {
+  auto word = [](const Json &v) { return v.is_string() ? v.get<std::string>() : std::string(); };
+  for (const auto &[name, value] : j.items()) {
+    if (name == "every") {
+      if (value != "day" && value != "week") return "every: day or week is wanted";
+      b.clock.weekly = value == "week";
+    } else if (name == "starts") {
+      const auto m = accounts::parse_minute(word(value));
+      if (!m) return "starts: a time of day is wanted, as 20:00";
+      b.clock.starts_min = *m;
+    } else if (name == "utc_offset") {
+      const auto m = accounts::parse_offset(word(value));
+      if (!m) return "utc_offset: the distance of the local time from UTC is wanted, as +05:30";
+      b.clock.offset_min = *m;
+    } else if (name != "teams") {
+      return fmt::format("{}: no such setting", valid_name(name) ? name : "a field");
+    } else if (!value.is_object() || value.size() > 100) {
+      return "teams: a map of at most 100 teams is wanted";
+    }
+  }
+  if (!j.contains("teams")) return std::nullopt;
+  for (const auto &[team, value] : j["teams"].items()) {
+    const std::string path = "teams." + (valid_name(team) ? team : std::string("a team"));
+    if (value.is_null()) {
+      b.teams.erase(team);
+      continue;
+    }
+    if (!value.is_object()) return path + ": a map is wanted, or null for no budget";
+    TeamBudget t;
+    if (auto it = b.teams.find(team); it != b.teams.end()) t = it->second;
+    for (const auto &[field, v] : value.items()) {
+      const double x = v.is_number() ? v.get<double>() : std::nan("");
+      if (field == "cpu_hours" && x >= 0 && x <= 1e6)
+        t.cpu_hours = x;
+      else if (field == "warn_share" && x >= 0 && x <= 1)
+        t.warn_share = x;
+      else if (field == "when_spent" && (v == "stop" || v == "finish"))
+        t.stop = v == "stop";
+      else
+        return path + ": cpu_hours (0 to 1000000), warn_share (0 to 1) and when_spent (finish or stop) are wanted";
+    }
+    b.teams[team] = t;
+  }
+  return std::nullopt;
+}
+
+std::string encode_budgets(const Budgets &b) {
+  return dump(to_json(b));
+}
+
+namespace {
+Json job_json(const AdminJob &x) {
+  Json j = {{"id", x.id},       {"class", x.job_class}, {"team", x.team}, {"outcome", x.outcome},
+            {"tasks", x.tasks}, {"done", x.done},       {"late", x.late}, {"submitted", clock_time(x.submit_wall)}};
+  if (x.end_wall > 0)
+    j["ended"] = clock_time(x.end_wall);
+  else
+    j["running"] = x.running;
+  if (!x.reason.empty()) j["reason"] = x.reason;
+  return j;
+}
+
+// Time in hours of CPUs, by kind; `held` is their sum.
+Json hours(const accounts::Sums &s) {
+  auto h = [](std::int64_t x) { return static_cast<double>(x) / accounts::kSumsAnHour; };
+  return {{"held", h(s.held())},
+          {"useful", h(s[accounts::Useful])},
+          {"fetch", h(s[accounts::Fetch])},
+          {"gang_wait", h(s[accounts::Wait])},
+          {"lost", h(s[accounts::Lost])},
+          {"unsorted", h(s[accounts::Unsorted])},
+          {"uncertain", h(s[accounts::Uncertain])}};
+}
+
+void put_usage(Json &j, const accounts::Sums &s) {
+  j["cpu_hours"] = hours(s);
+  j["gb_hours"] = static_cast<double>(s[accounts::Memory]) / accounts::kSumsAnHour;
+  j["gpu_hours"] = static_cast<double>(s[accounts::Gpu]) / accounts::kSumsAnHour;
+  j["attempts"] = s[accounts::Attempts];
+  j["retries"] = s[accounts::Retries];
+  j["cost"] = static_cast<double>(s[accounts::Cost]) / 1e6;
+}
+} // namespace
+
+std::string encode_statement(const AdminStatement &s) {
+  Json teams = Json::array(), jobs = Json::array();
+  for (const auto &t : s.teams) {
+    Json j = {{"team", t.name}};
+    put_usage(j, t.sums);
+    if (t.budget && t.budget->cpu_hours >= 0) {
+      j["budget_cpu_hours"] = t.budget->cpu_hours;
+      j["spent"] = t.sums.held() >= t.budget->limit();
+    }
+    teams.push_back(std::move(j));
+  }
+  for (const auto &x : s.jobs) {
+    Json j = job_json(x.what);
+    if (x.usage) {
+      put_usage(j, accounts::sums_of(*x.usage, x.need));
+      j["retried"] = (*x.usage)[accounts::Retries] > 0;
+    }
+    jobs.push_back(std::move(j));
+  }
+  auto time = [](double wall) {
+    return fmt::format("{:%Y-%m-%dT%H:%M:%SZ}", fmt::gmtime(static_cast<std::time_t>(wall)));
+  };
+  return dump({{"period", {{"name", s.period}, {"begins", time(s.begins)}, {"ends", time(s.ends)}}},
+               {"teams", std::move(teams)},
+               {"jobs", std::move(jobs)},
+               {"next", s.next.empty() ? Json() : Json(s.next)}});
+}
+
 std::string encode_jobs(const std::vector<AdminJob> &jobs, std::string_view next) {
   Json list = Json::array();
-  for (const auto &x : jobs) {
-    Json j = {{"id", x.id},       {"class", x.job_class}, {"team", x.team}, {"outcome", x.outcome},
-              {"tasks", x.tasks}, {"done", x.done},       {"late", x.late}, {"submitted", clock_time(x.submit_wall)}};
-    if (x.end_wall > 0)
-      j["ended"] = clock_time(x.end_wall);
-    else
-      j["running"] = x.running;
-    if (!x.reason.empty()) j["reason"] = x.reason;
-    list.push_back(std::move(j));
-  }
+  for (const auto &x : jobs)
+    list.push_back(job_json(x));
   return dump({{"jobs", std::move(list)}, {"next", next.empty() ? Json() : Json(next)}});
 }
 
--- a/src/wire/messages.cpp
+++ b/src/wire/messages.cpp
@@ -527,6 +527,10 @@
   Json j = {{"cancelled", r.cancelled}, {"tasks", r.tasks},  {"class", r.job_class}, {"team", r.team},
             {"at", r.submit_wall},      {"end", r.end_wall}, {"late", r.late}};
   if (!r.reason.empty()) j["reason"] = r.reason;
+  if (r.usage) {
+    j["used"] = accounts::pack(*r.usage);
+    j["need"] = {r.need.cpus, r.need.gpus, r.need.memory};
+  }
   return j;
 }
 
@@ -543,6 +547,11 @@
   r.end_wall = amount(at(j, "end"), 1e12).value_or(0);
   r.late = at(j, "late").is_boolean() && at(j, "late").get<bool>();
   r.reason = text(at(j, "reason"), 1000).value_or("");
+  const Json &need = at(j, "need");
+  if (auto used = text(at(j, "used"), 200); used && need.is_array() && need.size() == 3) {
+    r.usage = accounts::unpack<accounts::kUsageColumns>(*used);
+    r.need = {amount(need[0], 1e6).value_or(0), amount(need[1], 1e6).value_or(0), amount(need[2], 1e9).value_or(0)};
+  }
   return r;
 }
 
@@ -557,24 +566,78 @@
 Json to_json(const ProgressRecord &r) {
   Json j = {{"s", set_json(r.started)}, {"f", set_json(r.finished)}};
   if (r.failed_on) j["x"] = r.failed_on;
+  if (r.at_ms) { // used, held by attempts under way, when
+    j["u"] = accounts::pack(r.usage);
+    j["h"] = r.running_ms;
+    j["t"] = r.at_ms;
+  }
   return j;
 }
 
-Json progress_shard(std::vector<std::pair<std::string, Json>> jobs) {
+namespace {
+constexpr std::uint64_t kShardVersion = 2; // 1: without sums
+} // namespace
+
+Json to_json(const SumsByTeam &sums) {
+  Json out = Json::object();
+  for (const auto &[key, row] : sums)
+    out[key.first][key.second] = accounts::pack(row);
+  return out;
+}
+
+std::optional<SumsByTeam> sums_from_json(const Json &j) {
+  SumsByTeam out;
+  if (!j.is_object()) return std::nullopt;
+  for (const auto &[period, teams] : j.items()) {
+    if (!teams.is_object()) return std::nullopt;
+    for (const auto &[team, packed] : teams.items()) {
+      auto t = text(packed, 300);
+      auto row = t ? accounts::unpack<accounts::kSumColumns>(*t) : std::nullopt;
+      if (!row) return std::nullopt;
+      out[{period, team}] = *row;
+    }
+  }
+  return out;
+}
+
+Json progress_shard(std::vector<std::pair<std::string, Json>> jobs, const SumsByTeam &sums) {
   Json map = Json::object();
   for (auto &[id, progress] : jobs)
     map[id] = std::move(progress);
-  return {{"jobs", std::move(map)}};
+  Json out = {{"jobs", std::move(map)}};
+  if (!sums.empty()) {
+    out["v"] = kShardVersion;
+    out["sums"] = to_json(sums);
+  }
+  return out;
 }
 
-std::optional<ProgressRecords> progress_from_json(std::string_view key, const Json &j) {
-  ProgressRecords out;
+std::optional<ProgressShard> progress_from_json(std::string_view key, const Json &j) {
+  ProgressShard out;
+  // What a later version has written may mean something else: it is not guessed at.
+  if (count(at(j, "v")).value_or(1) > kShardVersion) return std::nullopt;
+  if (const Json &sums = at(j, "sums"); !sums.is_null()) {
+    auto read = sums_from_json(sums);
+    if (!read) return std::nullopt;
+    out.sums = std::move(*read);
+  }
   auto one = [&](std::string_view id, const Json &e) {
     auto started = set_from(at(e, "s")), finished = set_from(at(e, "f"));
-    auto failed_on = static_cast<std::uint32_t>(std::min<std::uint64_t>(count(at(e, "x")).value_or(0), 1'000'000));
-    if (started && finished)
-      out.emplace_back(std::string(id), ProgressRecord{std::move(*started), std::move(*finished), failed_on});
-    return started && finished;
+    if (!started || !finished) return false;
+    ProgressRecord r;
+    r.started = std::move(*started);
+    r.finished = std::move(*finished);
+    r.failed_on = static_cast<std::uint32_t>(std::min<std::uint64_t>(count(at(e, "x")).value_or(0), 1'000'000));
+    if (const Json &used = at(e, "u"); !used.is_null()) {
+      auto t = text(used, 200);
+      auto usage = t ? accounts::unpack<accounts::kUsageColumns>(*t) : std::nullopt;
+      if (!usage) return false;
+      r.usage = *usage;
+      r.running_ms = static_cast<std::int64_t>(std::min<std::uint64_t>(count(at(e, "h")).value_or(0), 1ULL << 53));
+      r.at_ms = static_cast<std::int64_t>(std::min<std::uint64_t>(count(at(e, "t")).value_or(0), 1ULL << 53));
+    }
+    out.jobs.emplace_back(std::string(id), std::move(r));
+    return true;
   };
   const Json &jobs = at(j, "jobs");
   if (!jobs.is_object()) {
--- /dev/null
+++ b/tests/client_test.cpp
@@ -0,0 +1,86 @@
+// The command-line client's parts, and the features file.
+#include <gtest/gtest.h>
+
+#include "loftrouter/app/features.hpp"
+#include "loftrouter/client/ask.hpp"
+#include "loftrouter/client/render.hpp"
+
+using namespace loft;
+using namespace loft::client;
+using nlohmann::json;
+
+namespace {
+
+// A service of which each try is answered from a list; time passes only by waiting.
+struct Fake {
+  std::vector<Answer> answers;
+  std::vector<std::string> urls;
+  double now = 0;
+
+  Answer ask(const std::string &method, double deadline_s) {
+    Service s("a:1,http://b:2/", deadline_s,
+              [this](const std::string &, const std::string &url, const std::string &, double) {
+                urls.push_back(url);
+                now += 0.01;
+                return answers[std::min(urls.size(), answers.size()) - 1];
+              },
+              {[this] { return now; }, [this](double s) { now += s; }, [] { return 0.5; }});
+    return s.ask(method, "/x");
+  }
+};
+
+} // namespace
+
+TEST(Client, TriesOtherNodesAndHeedsRetryAfterWithinItsDeadline) {
+  Fake f;
+  f.answers = {{0, "", "refused", 0}, {503, "", "", 7}, {200, "yes", "", 0}};
+  EXPECT_EQ(f.ask("GET", 30).body, "yes");
+  EXPECT_EQ(f.urls, (std::vector<std::string>{"http://a:1/x", "http://b:2/x", "http://a:1/x"}));
+  EXPECT_GT(f.now, 7);
+  Fake late;
+  late.answers = {{503, "", "", 7}};
+  EXPECT_EQ(late.ask("GET", 5).status, 503); // not kept waiting for what cannot come in time
+  EXPECT_LT(late.now, 5);
+  Fake once;
+  once.answers = {{0, "", "no answer", 0}};
+  EXPECT_EQ(once.ask("POST", 30).status, 0); // may have been carried out
+  EXPECT_EQ(once.urls.size(), 1u);
+}
+
+TEST(Client, NamesFromOutsideAreNeitherFormulasNorMarkupNorControl) {
+  const Table t{{"a", "b"}, {{"=cmd()", "x,\"y\"\n"}, {"-3.5", "\x1b[2J"}}};
+  EXPECT_EQ(to_csv(t), "a,b\r\n'=cmd(),\"x,\"\"y\"\"\n\"\r\n-3.5,\x1b[2J\r\n");
+  EXPECT_EQ(to_text(t).find('\x1b'), std::string::npos);
+  const json statement = {
+      {"period", {{"name", "2026-12-01"}}},
+      {"teams", {{{"team", "red"}, {"budget_cpu_hours", 2.0}, {"spent", true}}}},
+      {"jobs",
+       {{{"id", "j-1"}, {"team", "red"}, {"class", "<script>"}, {"outcome", "done"}, {"late", false}},
+        {{"id", "j-2"}, {"team", "blue"}, {"outcome", "done"}, {"late", false}}}}};
+  const json open = {
+      {"jobs", {{{"id", "j-3"}, {"team", "red"}, {"reason", "held: team red has used its 2 CPU hours"}}}}};
+  const auto page = report_html(statement, open, "<svg/>");
+  EXPECT_EQ(page.find("<script>"), std::string::npos);
+  EXPECT_NE(page.find("&lt;script&gt;"), std::string::npos);
+  EXPECT_NE(page.find("<svg/>"), std::string::npos);
+  EXPECT_NE(page.find("Held by the budget"), std::string::npos);
+  EXPECT_EQ(page.find("j-2"), std::string::npos) << "another team's, which this statement does not list";
+  EXPECT_EQ(page.find("http"), std::string::npos) << "it opens offline";
+}
+
+TEST(Features, BadFilesAreRefusedWithTheirPlace) {
+  auto problem = [](const std::string &text) {
+    auto out = app::parse_features(text);
+    auto *p = std::get_if<std::string>(&out);
+    return p ? *p : "";
+  };
+  EXPECT_EQ(problem(""), "");
+  EXPECT_EQ(problem("[accounts]\nenabled = true"), "");
+  EXPECT_EQ(problem("[accounts]\nenabled = 1"), "line 2, column 11: accounts.enabled: true or false is wanted");
+  EXPECT_EQ(problem("\n  [acounts]").substr(0, 7), "line 2,");
+  EXPECT_NE(problem("[accounts]\nenabeld = true").find("line 2, column 1: accounts.enabeld: no such key"),
+            std::string::npos);
+  EXPECT_EQ(problem("[accounts\n").substr(0, 7), "line 1,");
+  auto real = app::load_features(FEATURES);
+  EXPECT_TRUE(std::get<app::Features>(real).accounts);
+}
--- a/tests/daemon_test.cpp
+++ b/tests/daemon_test.cpp
@@ -284,8 +284,8 @@
     std::filesystem::remove_all(dir_);
   }
   void start(int i) {
-    std::string program = LOFTROUTERD, option = "--config", path = file(i);
-    char *argv[] = {program.data(), option.data(), path.data(), nullptr};
+    std::string program = LOFTROUTERD, option = "--config", path = file(i), features = "--features=" FEATURES;
+    char *argv[] = {program.data(), option.data(), path.data(), features.data(), nullptr};
     ASSERT_EQ(::posix_spawn(&pid_[i], program.c_str(), nullptr, nullptr, argv, environ), 0);
   }
   void kill(int i) {
@@ -318,6 +318,18 @@
 
 } // namespace
 
+namespace {
+// What the client prints, and its exit code.
+std::pair<std::string, int> run_client(const std::string &arguments) {
+  std::string out;
+  FILE *p = ::popen((std::string(LOFT) + " " + arguments + " 2>&1").c_str(), "r");
+  char part[512];
+  for (std::size_t n; (n = std::fread(part, 1, sizeof part, p)) > 0;)
+    out.append(part, n);
+  return {out, WEXITSTATUS(::pclose(p))};
+}
+} // namespace
+
 TEST(Daemon, ThreeProcessesServeUsersAndWorkersAcrossACrash) {
   ::signal(SIGPIPE, SIG_IGN);
   StandIns outside;
@@ -389,4 +401,25 @@
     EXPECT_TRUE(eventually([&] {
       return call(d.api[i], "GET", "/api/jobs/j-000003").cbor().value("status", "") == "aborted";
     })) << i;
+
+  // The client, whose first node does not exist.
+  const auto at_nodes = " --server " + local(free_port()) + "," + local(d.api[leader]);
+  EXPECT_TRUE(eventually([&] {
+    const auto [statement, code] = run_client("statement --jobs -o csv" + at_nodes);
+    return code == 0 && statement.find("j-000001,red,") != std::string::npos &&
+           statement.find("stopped: cancelled by its user") != std::string::npos;
+  })) << run_client("statement --jobs -o csv" + at_nodes).first;
+  EXPECT_EQ(run_client("budget set red --cpu-hours 5" + at_nodes).second, 0);
+  EXPECT_NE(run_client("budget get" + at_nodes).first.find("red"), std::string::npos);
+  const auto [refused, code] = run_client("budget set nobody --cpu-hours 5" + at_nodes);
+  EXPECT_EQ(code, 1) << refused;
+  EXPECT_NE(refused.find("no such team"), std::string::npos) << refused;
+  const auto page = std::filesystem::temp_directory_path() / ("loft-report-" + std::to_string(::getpid()) + ".html");
+  EXPECT_EQ(run_client("report --html " + page.string() + at_nodes).second, 0);
+  std::ifstream written(page);
+  const std::string html{std::istreambuf_iterator<char>(written), {}};
+  EXPECT_NE(html.find("<td>j-000001</td>"), std::string::npos) << html;
+  std::filesystem::remove(page);
+  EXPECT_EQ(run_client("jobs --timeout 0.3 --server " + local(free_port())).second, 3);
+  EXPECT_EQ(run_client("budget set").second, 2);
 }
--- a/tests/wire_test.cpp
+++ b/tests/wire_test.cpp
@@ -107,16 +107,16 @@
   auto shard = progress_shard({{"j-1", to_json(p)}, {"j-2", to_json(ProgressRecord{})}});
   EXPECT_LT(shard.dump().size(), 600u);
   auto read = progress_from_json("progress/s0", *decode(encode(shard)));
-  ASSERT_TRUE(read && read->size() == 2);
-  EXPECT_EQ((*read)[0].first, "j-1");
-  EXPECT_EQ((*read)[0].second.started, p.started);
-  EXPECT_EQ((*read)[0].second.finished, p.finished);
-  EXPECT_TRUE((*read)[1].second.started.empty());
+  ASSERT_TRUE(read && read->jobs.size() == 2);
+  EXPECT_EQ(read->jobs[0].first, "j-1");
+  EXPECT_EQ(read->jobs[0].second.started, p.started);
+  EXPECT_EQ(read->jobs[0].second.finished, p.finished);
+  EXPECT_TRUE(read->jobs[1].second.started.empty());
   // A record of one job, as earlier versions wrote it.
   auto old = progress_from_json("progress/j-7", Json{{"s", {0, 4}}, {"f", {1, 2}}});
-  ASSERT_TRUE(old && old->size() == 1);
-  EXPECT_EQ((*old)[0].first, "j-7");
-  EXPECT_EQ((*old)[0].second.started, (Ranges{{0, 4}}));
+  ASSERT_TRUE(old && old->jobs.size() == 1);
+  EXPECT_EQ(old->jobs[0].first, "j-7");
+  EXPECT_EQ(old->jobs[0].second.started, (Ranges{{0, 4}}));
   EXPECT_FALSE(progress_from_json("progress/s0", Json{{"jobs", {{"j-1", {{"s", "xyz"}, {"f", "0"}}}}}}));
 }
 
--- a/tests/world.cpp
+++ b/tests/world.cpp
@@ -26,6 +26,7 @@
   s.report_s = o_.report_s;
   s.cancel_s = o_.cancel_s;
   s.cpu_share = o_.cpu_share;
+  s.accounts = o_.accounts;
   s.state_write_rps = 15;
   Node &n = nodes_[static_cast<std::size_t>(i)];
   ++n.life;
--- a/tests/world.hpp
+++ b/tests/world.hpp
@@ -27,6 +27,7 @@
   double boot_fail = 0;
   double die_per_hour = 0; // machines
   double hang_per_hour = 0;
+  bool accounts = false;
   std::vector<Team> teams{{"red", 0, 0, 0, 0}, {"blue", 0, 12, 0, 0}};
 };
 
@@ -71,7 +72,13 @@
   std::shared_ptr<Answer> admin(int node, const std::string &method, const std::string &target,
                                 const std::string &body = "");
   int starts_of(const std::string &id) const { return starts_by_job_.count(id) ? starts_by_job_.at(id) : 0; }
-  int returned = 0; // machines
+  int returned = 0;                                                          // machines
+  double held_s(const std::string &id) const { return told_.at(id).held_s; } // by its tasks, on machines, so far
+  std::vector<wire::Entry> records(const std::string &prefix) const;
+  void put_record(const std::string &key, nlohmann::json value) {
+    ++epoch_;
+    change(key, std::move(value), 0);
+  }
   int sick_machines() const;
   int open_records() const;
   int leaders() const;
@@ -116,6 +123,7 @@
     TaskPhase phase;
     ExitCause cause = ExitCause::None;
     bool on = false; // counts as being on its machine
+    double from = 0; // when its start came
     std::uint64_t serial;
   };
   struct Box {
@@ -136,6 +144,7 @@
     double cancelled_at = -1;
     JobSpec spec;
     std::vector<char> finished;
+    double held_s = 0;
   };
 
   double uniform(double a, double b) { return std::uniform_real_distribution<double>(a, b)(rng_); }
@@ -155,6 +164,8 @@
   void cloud_op(int i, const core::CloudOp &op);
   void boot(Box &b);
   void kill_box(Box &b);
+  void free_all(Box &b); // what ran on it is gone
+  void freed(const Run &r);
   void worker_tick(std::size_t b);
   void report(std::size_t b);
   WorkerReport make_report(Box &b);
--- a/tests/world_cloud.cpp
+++ b/tests/world_cloud.cpp
@@ -75,7 +75,7 @@
   if (o_.die_per_hour > 0)
     schedule(t_ + std::exponential_distribution<double>(o_.die_per_hour / 3600)(rng_), [this, i] {
       if (boxes_[i].gone) return;
-      boxes_[i].runs.clear();
+      free_all(boxes_[i]);
       boxes_[i].up = false;
       boxes_[i].failed = true;
     });
@@ -85,7 +85,7 @@
 }
 
 void World::kill_box(Box &b) {
-  b.runs.clear();
+  free_all(b);
   b.gone = true;
   b.up = false;
 }
--- a/tests/world_state.cpp
+++ b/tests/world_state.cpp
@@ -15,6 +15,13 @@
   history_.push_back({key, value, epoch_});
 }
 
+std::vector<wire::Entry> World::records(const std::string &prefix) const {
+  std::vector<wire::Entry> out;
+  for (const auto &[k, v] : keys_)
+    if (k.starts_with(prefix)) out.push_back({k, v.value, v.stamp, v.lease});
+  return out;
+}
+
 void World::expire_leases() {
   if (t_ < outage_until_) return;
   std::vector<std::uint64_t> over;
--- a/tests/world_workers.cpp
+++ b/tests/world_workers.cpp
@@ -14,7 +14,7 @@
   if (b.gone || !b.up) return;
   if (t_ - b.lease_from > o_.lease_s) { // also while it hangs: nothing runs past its lease
     lease_kills += static_cast<int>(b.runs.size());
-    b.runs.clear();
+    free_all(b);
     ++b.session;
     b.lease_from = t_;
   }
@@ -119,7 +119,7 @@
 
 void World::start_task(std::size_t i, const std::string &job, std::uint32_t index, std::uint64_t attempt) {
   Box &b = boxes_[i];
-  Run r{job, index, attempt, TaskPhase::Fetching, ExitCause::None, false, ++serial_};
+  Run r{job, index, attempt, TaskPhase::Fetching, ExitCause::None, false, t_, ++serial_};
   auto it = told_.find(job);
   const auto &size = b.type == "big" ? types_[1].size : types_[0].size;
   Resources free = size;
@@ -213,9 +213,20 @@
   });
 }
 
+void World::freed(const Run &r) {
+  if (r.phase != TaskPhase::Exited) told_[r.job].held_s += t_ - r.from;
+}
+
+void World::free_all(Box &b) {
+  for (const auto &r : b.runs)
+    freed(r);
+  b.runs.clear();
+}
+
 void World::end_run(Box &b, std::uint64_t serial, ExitCause cause) {
   for (auto &r : b.runs)
     if (r.serial == serial && r.phase != TaskPhase::Exited) {
+      freed(r);
       r.phase = TaskPhase::Exited;
       r.cause = cause;
       r.on = false;
