--- /dev/null
+++ b/include/loftrouter/client/verbs.hpp
@@ -0,0 +1,26 @@
+// What loft does, apart from reading its command line.
+#pragma once
+
+#include <optional>
+#include <string>
+
+namespace loft::client {
+
+enum Exit { kGood = 0, kRefused = 1, kUsage = 2, kUnreachable = 3 };
+
+struct Verb {
+  enum class Kind { Status, Jobs, Statement, BudgetGet, BudgetSet, Report } kind = Kind::Status;
+  std::string servers = "127.0.0.1:8080", output = "table"; // table, json or csv
+  double timeout_s = 20;
+  std::string team, period, html;
+  bool late = false, ended = false, by_job = false;
+  // BudgetSet
+  std::optional<double> cpu_hours, warn_share;
+  std::string when_spent, every, starts, utc_offset;
+  bool none = false;
+};
+
+// Writes to standard output, and what went wrong to standard error; an `Exit`.
+int run(const Verb &verb);
+
+} // namespace loft::client
