A broken record of a past period's sums is left alone and told once

Cause: read again every 0.2 s for ever, each time holding up other writes. Change: its period's sums stay where they are; one line in the log. Test: Accounts.BrokenRecordIsLeftAlone.

--- a/include/loftrouter/core/recorder.hpp
+++ b/include/loftrouter/core/recorder.hpp
@@ -7,6 +7,7 @@
 #pragma once
 
 #include <deque>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -124,6 +125,7 @@
   const Reasons &reasons_;
   const Wishes &wishes_;
   Ledger &ledger_;
+  std::set<std::string> left_alone_; // periods whose record cannot be read: their sums stay where they are
   bool settling_ = false;
   double next_settle_ = 0;
   std::vector<Entry> entries_; // by job
--- a/src/core/recorder.cpp
+++ b/src/core/recorder.cpp
@@ -516,7 +516,7 @@
 bool Recorder::fold() {
   for (std::size_t s = 0; s < shards_.size(); ++s) {
     const std::string period = ledger_.over(s);
-    if (period.empty() || shards_[s].needs_resync || !shards_[s].folding.empty() ||
+    if (period.empty() || left_alone_.contains(period) || shards_[s].needs_resync || !shards_[s].folding.empty() ||
         budget_.leader_writes(port_.now()) < 2)
       continue;
     flushing_ = true;
@@ -527,8 +527,10 @@
       if (!lead_.active() || shards_[s].needs_resync) return;
       if (r.status == 404) return fold_into(s, period, {}, 0);
       if (r.status != 200 || r.entries.size() != 1) return;
-      if (auto kept = wire::sums_from_json(r.entries[0].value))
-        fold_into(s, period, std::move(*kept), r.entries[0].stamp);
+      auto kept = wire::sums_from_json(r.entries[0].value);
+      if (kept) return fold_into(s, period, std::move(*kept), r.entries[0].stamp);
+      left_alone_.insert(period);
+      port_.log(LogLevel::Error, "record_unreadable", {{"key", kAccounts + period}, {"then", "left alone"}});
     });
     return true;
   }
--- a/tests/accounts_test.cpp
+++ b/tests/accounts_test.cpp
@@ -151,6 +151,21 @@
   EXPECT_GT(w.records("progress/").size(), 3u);
 }
 
+// A broken record of a period that is over stops nothing, and is not written over.
+TEST(Accounts, BrokenRecordIsLeftAlone) {
+  WorldOptions o;
+  o.accounts = true;
+  World w(6, o);
+  begin_days(w);
+  w.put_record("accounts/2023-11-13", "scribble");
+  mixed_load(w, 10);
+  w.run(400);
+  EXPECT_TRUE(w.broken.empty()) << all(w);
+  EXPECT_TRUE(w.all_over()) << w.finished_jobs;
+  EXPECT_EQ(w.records("accounts/2023-11-13")[0].value, "scribble");
+  EXPECT_TRUE(Books(w).by_period.contains("2023-11-13")) << "its sums stay where they are";
+}
+
 TEST(Accounts, BadBudgetsAreRefusedNamingTheField) {
   auto refused = [](const char *body, int status, const char *what) {
     WorldOptions o;
