After reading the change again: less work on hot paths, twins made one; no behaviour meant

- The name of the present period was formatted for every progress record in every idle batch, also with accounts off; now records without sums are passed over, and the cached name is used.
- What is on its way was copied for every kind of machine and every job when deciding what to rent; now only for gangs that count by zone.
- Three loops that stop a job's tasks are one (Fleet::stop_all); eight ways to grow a vector to an index are one (grown); sums are added up, and queries joined, in one place each; a result and a field that nobody read are gone.
- A comment described a way of writing records that had been taken out.

--- a/include/loftrouter/core/fleet.hpp
+++ b/include/loftrouter/core/fleet.hpp
@@ -110,7 +110,7 @@
 
   void tick();       // leases and notices
   void send_stops(); // at the end of each batch
-  void on(const JobCancelled &e);
+  void on(const JobCancelled &e) { stop_all(e.job, 0); }
   void on(const JobOver &e);
   void on(const MachineCondemned &e) { give_back(e.machine); }
   void on(const OrdersChanged &);
--- a/include/loftrouter/core/insight.hpp
+++ b/include/loftrouter/core/insight.hpp
@@ -34,7 +34,7 @@
 
   void tell_siblings();
   void take_digest(const wire::PeerMessage &m);
-  void on(const JobAccepted &e) { told(e.job) = {}; }
+  void on(const JobAccepted &e) { grown(told_, e.job) = {}; }
   void on(const EndLearnt &e) { news_.erase(e.id); }
   void on(const TermBegun &);
 
@@ -57,7 +57,6 @@
   std::string why_waiting(int j, const Supplies &supply) const;
   std::string why_held(const Job &n) const;
   bool any_running(int j) const;
-  Told &told(int j);
 
   Port &port_;
   const Settings &settings_;
--- a/include/loftrouter/core/judge.hpp
+++ b/include/loftrouter/core/judge.hpp
@@ -30,7 +30,7 @@
   void restore(int j, std::uint32_t failed_on); // from an earlier leader's record
   void on(const TaskExited &e);
   void on(const JobCancelled &e);
-  void on(const JobOver &e) { at(jobs_at_, e.job) = {}; }
+  void on(const JobOver &e) { grown(jobs_at_, e.job) = {}; }
   void on(const MachineReturned &e);
   void on(const TermEnded &);
 
@@ -55,10 +55,6 @@
     double failing_since = -1, last_good_start = -1;
     bool condemned = false;
   };
-  template <class T> static T &at(std::vector<T> &all, int i) {
-    if (static_cast<std::size_t>(i) >= all.size()) all.resize(static_cast<std::size_t>(i) + 1);
-    return all[static_cast<std::size_t>(i)];
-  }
   void failed(const TaskExited &e);
   void succeeded(const TaskExited &e);
   void blame(int m, int j, double at_s);
--- a/include/loftrouter/core/ledger.hpp
+++ b/include/loftrouter/core/ledger.hpp
@@ -43,7 +43,7 @@
   void settle(std::size_t record, const std::string &team, const accounts::Usage &rest, const Resources &need);
   // Its sums of a period that is over are kept elsewhere from now on.
   void forget(std::size_t record, const std::string &period);
-  std::string over(std::size_t record) const; // a period of its sums that is over; empty: none
+  std::string over(std::size_t record); // a period of its sums that is over; empty: none
 
   // In the present period, with what attempts under way hold so far: thousandths of a CPU times ms.
   std::int64_t used(int team) const;
--- a/include/loftrouter/core/placer.hpp
+++ b/include/loftrouter/core/placer.hpp
@@ -73,7 +73,6 @@
   void preempt(std::vector<int> starved);
   void stop_spent();
   PlaceOptions options() const;
-  Hold &hold(int m);
   const Hold *held(int m) const {
     return static_cast<std::size_t>(m) < holds_.size() ? &holds_[static_cast<std::size_t>(m)] : nullptr;
   }
--- a/include/loftrouter/core/reasons.hpp
+++ b/include/loftrouter/core/reasons.hpp
@@ -20,14 +20,13 @@
   const std::string &of(int j) const; // empty: nothing
   EndRecord end_record(int j) const;
 
-  void on(const JobAccepted &e) { at(e.job).clear(); }
+  void on(const JobAccepted &e) { grown(last_, e.job).clear(); }
   void on(const TaskRetried &e);
   void on(const TaskLost &e);
   void on(const TaskPreempted &e);
   void on(const TasksStoppedByBudget &e);
 
 private:
-  std::string &at(int j);
   void set(int j, std::string_view what);
 
   Port &port_;
--- a/include/loftrouter/core/recorder.hpp
+++ b/include/loftrouter/core/recorder.hpp
@@ -110,7 +110,7 @@
   void resync_shard(std::size_t s);
   void settle_ghosts();
   void settled(std::size_t s, const std::string &id, const std::optional<EndRecord> &end);
-  bool fold();
+  void fold();
   void fold_into(std::size_t s, const std::string &period, SumsByTeam kept, std::uint64_t stamp);
   wire::Json shard_value(std::size_t s, const std::string &without_period) const;
 
--- a/include/loftrouter/core/util.hpp
+++ b/include/loftrouter/core/util.hpp
@@ -56,6 +56,13 @@
   std::vector<std::string> names_;
 };
 
+// Element i of what is kept by index, made long enough for it.
+template <class T> T &grown(std::vector<T> &all, int i, const T &fill = {}) {
+  const auto at = static_cast<std::size_t>(i);
+  if (at >= all.size()) all.resize(at + 1, fill);
+  return all[at];
+}
+
 // `pick(i)` says whether index i belongs.
 template <class Pick> Ranges make_ranges(std::uint32_t count, Pick pick) {
   Ranges out;
--- a/include/loftrouter/wire/admin.hpp
+++ b/include/loftrouter/wire/admin.hpp
@@ -124,7 +124,7 @@
 // `next`: where to go on, if there is more.
 std::string encode_jobs(const std::vector<AdminJob> &jobs, std::string_view next);
 struct AdminStatement {
-  std::string team, period;
+  std::string period;
   double begins = 0, ends = 0; // wall
   struct Team {
     std::string name;
--- a/src/client/verbs.cpp
+++ b/src/client/verbs.cpp
@@ -31,12 +31,15 @@
   return j;
 }
 
+std::string joined(const std::string &query, const std::string &more) {
+  return query + (query.empty() || more.empty() ? "" : "&") + more;
+}
+
 // All pages of a list of jobs.
 json pages(Service &service, const std::string &path, const std::string &query) {
   json all;
   for (std::string from;;) {
-    std::string q = query;
-    if (!from.empty()) q += (q.empty() ? "" : "&") + ("from=" + from);
+    const std::string q = joined(query, from.empty() ? "" : "from=" + from);
     auto page = ask(service, "GET", path + (q.empty() ? "" : "?" + q));
     if (all.is_null())
       all = page;
@@ -61,7 +64,6 @@
       std::cout << (v.output == "csv" ? to_csv(table) : to_text(table));
   };
   std::string of_team = v.team.empty() ? "" : "team=" + v.team;
-  auto with = [](std::string q, const std::string &more) { return q + (q.empty() || more.empty() ? "" : "&") + more; };
   const std::string of_period = v.period.empty() ? "" : "period=" + v.period;
   try {
     if (v.kind == Kind::Status) {
@@ -75,8 +77,8 @@
       show(all, jobs_table(all));
     } else if (v.kind == Kind::Statement) {
       const auto path = "/admin/v1/statement";
-      const auto all = v.by_job || v.output == "json" ? pages(service, path, with(of_team, of_period))
-                                                      : ask(service, "GET", path + ("?" + with(of_team, of_period)));
+      const auto all = v.by_job || v.output == "json" ? pages(service, path, joined(of_team, of_period))
+                                                      : ask(service, "GET", path + ("?" + joined(of_team, of_period)));
       show(all, v.by_job ? used_table(all) : teams_table(all));
     } else if (v.kind == Kind::BudgetGet) {
       const auto all = ask(service, "GET", "/admin/v1/budgets");
--- a/src/core/administration.cpp
+++ b/src/core/administration.cpp
@@ -11,6 +11,11 @@
 constexpr double kAdminDeadline = 2.0; // s
 constexpr std::string_view kNoAccounts = "accounts are not kept here: switch them on in the features file";
 
+void add(SumsByTeam &to, const SumsByTeam &from) {
+  for (const auto &[key, row] : from)
+    to[key] += row;
+}
+
 wire::AdminJob ended_job(const std::string &id, const EndRecord &e) {
   return {id,
           e.job_class,
@@ -267,7 +272,6 @@
   if (!budget_.take_read(port_.now(), 3)) return fail(req, 503, "too many questions at once");
   const auto &clock = operators_.budgets().clock;
   wire::AdminStatement s;
-  s.team = ask.team;
   s.period = ask.period.empty() ? clock.name(port_.wall()) : ask.period;
   for (double wall = port_.wall(); s.ends == 0 && wall > port_.wall() - 400 * 86400.0; wall = clock.begin(wall) - 1)
     if (clock.name(wall) == s.period) {
@@ -279,16 +283,12 @@
     if (r.status != 200 || r.more) return fail(req, 503, "the state service did not answer");
     SumsByTeam sums;
     for (const auto &e : r.entries)
-      if (auto shard = wire::progress_from_json(e.key, e.value))
-        for (const auto &[key, row] : shard->sums)
-          sums[key] += row;
+      if (auto shard = wire::progress_from_json(e.key, e.value)) add(sums, shard->sums);
     port_.store(StoreGet{"accounts/" + s.period}, kAdminDeadline,
                 [this, req, ask, s, sums](const wire::StoreReply &a) mutable {
                   if (a.status != 200 && a.status != 404) return fail(req, 503, "the state service did not answer");
                   if (a.status == 200 && a.entries.size() == 1)
-                    if (auto kept = wire::sums_from_json(a.entries[0].value))
-                      for (const auto &[key, row] : *kept)
-                        sums[key] += row;
+                    if (auto kept = wire::sums_from_json(a.entries[0].value)) add(sums, *kept);
                   const auto &budgets = operators_.budgets().teams;
                   for (const auto &t : settings_.teams) {
                     if (!ask.team.empty() && ask.team != t.name) continue;
--- a/src/core/fleet.cpp
+++ b/src/core/fleet.cpp
@@ -340,8 +340,8 @@
     if (machines_[static_cast<std::size_t>(m)])
       for (std::size_t s = at(m).slots.size(); s-- > 0;) {
         const Slot &slot = at(m).slots[s];
-        if (slot.job != j || slot.finished || slot.stop) continue;
-        news = true;
+        if (slot.job != j || slot.finished) continue;
+        news |= !slot.stop;
         stop(m, s, grace_s);
       }
   return news;
@@ -365,17 +365,7 @@
         if (s.job == j && (s.phase == TaskPhase::Running || s.phase == TaskPhase::Saving || s.stop)) started = true;
   if (!started || !missing) return jobs_.close_gang(j, started);
   jobs_.close_gang(j, true);
-  for (int m = 0; m < static_cast<int>(machines_.size()); ++m)
-    if (machines_[static_cast<std::size_t>(m)])
-      for (std::size_t s = at(m).slots.size(); s-- > 0;)
-        if (at(m).slots[s].job == j && !at(m).slots[s].finished) stop(m, s, n.spec.save_s + 1);
-}
-
-void Fleet::on(const JobCancelled &e) {
-  for (int m = 0; m < static_cast<int>(machines_.size()); ++m)
-    if (machines_[static_cast<std::size_t>(m)])
-      for (std::size_t s = at(m).slots.size(); s-- > 0;)
-        if (at(m).slots[s].job == e.job) stop(m, s, 0);
+  stop_all(j, n.spec.save_s + 1);
 }
 
 void Fleet::on(const JobOver &e) {
--- a/src/core/insight.cpp
+++ b/src/core/insight.cpp
@@ -17,11 +17,6 @@
 }
 } // namespace
 
-Insight::Told &Insight::told(int j) {
-  if (static_cast<std::size_t>(j) >= told_.size()) told_.resize(static_cast<std::size_t>(j) + 1);
-  return told_[static_cast<std::size_t>(j)];
-}
-
 Insight::Supplies Insight::supplies() const {
   Supplies out;
   fleet_.each([&](int, const Machine &m) {
@@ -201,7 +196,8 @@
     const int j = static_cast<int>((cursor_ + k) % n);
     const Job *job = jobs_.find(j);
     if (!job || job->cancelled) continue;
-    const bool changed = told(j).done != job->done || told(j).running != running[static_cast<std::size_t>(j)];
+    const bool changed =
+        grown(told_, j).done != job->done || grown(told_, j).running != running[static_cast<std::size_t>(j)];
     (changed ? first : rest).push_back(j);
   }
   const auto supply = supplies();
@@ -214,7 +210,7 @@
       if (m.news.size() >= wire::kPeerMaxNews || room < 256) break;
       wire::PeerMessage::JobNews news{jobs_[j].spec.id, jobs_[j].done, running[static_cast<std::size_t>(j)],
                                       foreseen_late(j), why(j, supply)};
-      told(j) = {news.done, news.running};
+      grown(told_, j) = {news.done, news.running};
       room -= std::min(room, wire::peer_news_size(news));
       if (list == &rest) cursor_ = static_cast<std::size_t>(j) + 1;
       m.news.push_back(std::move(news));
--- a/src/core/jobs.cpp
+++ b/src/core/jobs.cpp
@@ -90,14 +90,10 @@
 void JobTable::set(int j, std::uint32_t i, TaskState state, int machine, int zone) {
   Job &n = at(j);
   Task &t = n.tasks[i];
-  auto in_zone = [&n](int z) -> int & {
-    if (static_cast<std::size_t>(z) >= n.zone_used.size()) n.zone_used.resize(static_cast<std::size_t>(z) + 1);
-    return n.zone_used[static_cast<std::size_t>(z)];
-  };
   switch (t.state) {
   case TaskState::Placed:
     --n.placed;
-    --in_zone(t.zone);
+    --grown(n.zone_used, t.zone);
     break;
   case TaskState::Unaccounted:
     --n.unaccounted;
@@ -112,7 +108,7 @@
   switch (state) {
   case TaskState::Placed:
     ++n.placed;
-    ++in_zone(zone);
+    ++grown(n.zone_used, zone);
     break;
   case TaskState::Unaccounted:
     ++n.unaccounted;
--- a/src/core/judge.cpp
+++ b/src/core/judge.cpp
@@ -29,7 +29,7 @@
 }
 
 void FailureJudge::restore(int j, std::uint32_t failed_on) {
-  Record &k = at(jobs_at_, j);
+  Record &k = grown(jobs_at_, j);
   k.failed_on = failed_on;
   if (suspect(j)) k.retry_at = port_.now() + kPauseAfterTakeover;
 }
@@ -40,14 +40,14 @@
 }
 
 void FailureJudge::succeeded(const TaskExited &e) {
-  Machine &n = at(machines_, e.machine);
+  Machine &n = grown(machines_, e.machine);
   // What had begun before the failures says nothing about what begins now.
   n.last_good_start = std::max(n.last_good_start, e.placed_at);
   if (e.placed_at >= n.failing_since) {
     n.blames.clear();
     n.errors = 0;
   }
-  Record &k = at(jobs_at_, e.job);
+  Record &k = grown(jobs_at_, e.job);
   k.failed_on = 0;
   std::erase_if(k.failures, [this](const Failure &f) { return port_.now() - f.at >= kBarredFor; });
   for (const auto &f : k.failures)
@@ -55,7 +55,7 @@
 }
 
 void FailureJudge::failed(const TaskExited &e) {
-  Record &k = at(jobs_at_, e.job);
+  Record &k = grown(jobs_at_, e.job);
   const bool was_suspect = suspect(e.job);
   auto here =
       std::find_if(k.failures.begin(), k.failures.end(), [&](const Failure &f) { return f.machine == e.machine; });
@@ -68,7 +68,7 @@
   }
   if (!suspect(e.job)) {
     events_.publish(TaskRetried{e.job, e.machine_name});
-    ++at(machines_, e.machine).errors;
+    ++grown(machines_, e.machine).errors;
     blame(e.machine, e.job, port_.now());
     return;
   }
@@ -86,7 +86,7 @@
 }
 
 void FailureJudge::blame(int m, int j, double at_s) {
-  Machine &n = at(machines_, m);
+  Machine &n = grown(machines_, m);
   if (n.last_good_start > at_s) return;
   if (n.blames.empty()) n.failing_since = at_s;
   const std::string &id = jobs_[j].spec.id;
@@ -103,8 +103,8 @@
 }
 
 void FailureJudge::absolve(int j) {
-  for (const auto &f : at(jobs_at_, j).failures) {
-    Machine &n = at(machines_, f.machine);
+  for (const auto &f : grown(jobs_at_, j).failures) {
+    Machine &n = grown(machines_, f.machine);
     std::erase_if(n.blames, [&](const Blame &b) { return b.job == jobs_[j].spec.id; });
     if (n.blames.empty()) n.errors = 0;
   }
@@ -115,7 +115,7 @@
 }
 
 void FailureJudge::on(const MachineReturned &e) {
-  at(machines_, e.machine) = {};
+  grown(machines_, e.machine) = {};
   for (auto &k : jobs_at_)
     std::erase_if(k.failures, [&](const Failure &f) { return f.machine == e.machine; });
 }
--- a/src/core/ledger.cpp
+++ b/src/core/ledger.cpp
@@ -35,11 +35,10 @@
   sums_at(record) = std::move(sums);
 }
 
-std::string Ledger::over(std::size_t record) const {
+std::string Ledger::over(std::size_t record) {
   // Names of periods are dates, so the smallest is the oldest. What a change of the clock has left behind goes too.
-  const std::string now = operators_.budgets().clock.name(port_.wall());
   const auto &sums = this->sums(record);
-  return !sums.empty() && sums.begin()->first.first < now ? sums.begin()->first.first : std::string();
+  return !sums.empty() && sums.begin()->first.first < period() ? sums.begin()->first.first : std::string();
 }
 
 void Ledger::forget(std::size_t record, const std::string &period) {
@@ -47,8 +46,7 @@
 }
 
 void Ledger::open(int j, int record) {
-  if (static_cast<std::size_t>(j) >= accounts_.size()) accounts_.resize(static_cast<std::size_t>(j) + 1);
-  at(j) = {};
+  grown(accounts_, j) = {};
   at(j).record = static_cast<std::size_t>(record);
 }
 
--- a/src/core/placement.cpp
+++ b/src/core/placement.cpp
@@ -4,6 +4,8 @@
 #include <cmath>
 #include <limits>
 
+#include "loftrouter/core/util.hpp"
+
 namespace loft::core {
 
 bool allowed(const PlaceJob &job, const PlaceMachine &m) {
@@ -83,10 +85,6 @@
   Plan plan;
   std::vector<int> zone_used;
   if (job.zone_cap >= 0) zone_used = job.zone_used;
-  auto used = [&](int z) -> int & {
-    if (static_cast<std::size_t>(z) >= zone_used.size()) zone_used.resize(static_cast<std::size_t>(z) + 1);
-    return zone_used[static_cast<std::size_t>(z)];
-  };
   std::vector<std::pair<double, int>> heap; // score, -index
   for (int i : field.open) {
     const auto &m = machines[static_cast<std::size_t>(i)];
@@ -99,9 +97,9 @@
     auto [score, negative] = heap.back();
     heap.pop_back();
     auto &m = machines[static_cast<std::size_t>(-negative)];
-    if (job.zone_cap >= 0 && used(m.zone) >= job.zone_cap) continue; // and stays so
+    if (job.zone_cap >= 0 && grown(zone_used, m.zone) >= job.zone_cap) continue; // and stays so
     occupy(job, m, 1);
-    if (job.zone_cap >= 0) ++used(m.zone);
+    if (job.zone_cap >= 0) ++grown(zone_used, m.zone);
     if (plan.machines.empty()) plan.first = score;
     plan.machines.push_back(-negative);
     plan.score += score;
--- a/src/core/placer.cpp
+++ b/src/core/placer.cpp
@@ -27,7 +27,7 @@
 }
 
 void Placer::on(const MachineReturned &e) {
-  if (held(e.machine)) hold(e.machine) = {};
+  if (held(e.machine)) grown(holds_, e.machine) = {};
 }
 
 // A job that may not use spot machines and fits only one type needs those machines whole when it
@@ -57,11 +57,6 @@
   return it != kept_.end() && port_.now() - it->second.seen < within_s ? &it->second : nullptr;
 }
 
-Placer::Hold &Placer::hold(int m) {
-  if (static_cast<std::size_t>(m) >= holds_.size()) holds_.resize(static_cast<std::size_t>(m) + 1);
-  return holds_[static_cast<std::size_t>(m)];
-}
-
 bool Placer::patient(int j) const {
   return wishes_.patient(jobs_[j].spec, age(jobs_[j]));
 }
@@ -292,7 +287,7 @@
   up_cpus_ = 0;
   for (const auto &m : machines) {
     up_cpus_ += m.size.cpus;
-    hold(m.id).open_to_small = !m.kept;
+    grown(holds_, m.id).open_to_small = !m.kept;
   }
   std::vector<Resources> wanted(settings_.teams.size());
   std::vector<int> order;
@@ -481,8 +476,8 @@
         port_.log(LogLevel::Info, "job_takes_places",
                   {{"job", n.spec.id}, {"machine", fleet_[m].name}, {"places", o.places}, {"tasks_stopped", o.goes}});
       if (!at_once) { // small work must not move in while the last tasks are being stopped
-        hold(m).job = n.spec.id;
-        hold(m).until = port_.now() + kHoldForJob;
+        grown(holds_, m).job = n.spec.id;
+        grown(holds_, m).until = port_.now() + kHoldForJob;
       }
       machines[o.position].held_for = j;
       machines[o.position].free = {}; // taken, as far as the next job is concerned
--- a/src/core/reasons.cpp
+++ b/src/core/reasons.cpp
@@ -4,11 +4,6 @@
 
 namespace loft::core {
 
-std::string &Reasons::at(int j) {
-  if (static_cast<std::size_t>(j) >= last_.size()) last_.resize(static_cast<std::size_t>(j) + 1);
-  return last_[static_cast<std::size_t>(j)];
-}
-
 const std::string &Reasons::of(int j) const {
   static const std::string none;
   return static_cast<std::size_t>(j) < last_.size() ? last_[static_cast<std::size_t>(j)] : none;
@@ -16,7 +11,7 @@
 
 // It stays until the next such thing.
 void Reasons::set(int j, std::string_view what) {
-  at(j) = fmt::format("{} ({})", what, wire::clock_time(port_.wall()));
+  grown(last_, j) = fmt::format("{} ({})", what, wire::clock_time(port_.wall()));
 }
 
 void Reasons::on(const TaskRetried &e) {
--- a/src/core/recorder.cpp
+++ b/src/core/recorder.cpp
@@ -1,7 +1,6 @@
 #include "loftrouter/core/recorder.hpp"
 
 #include <algorithm>
-#include <cassert>
 
 #include <fmt/format.h>
 
@@ -11,9 +10,9 @@
 constexpr double kLazyWrite = 0.8;     // s, progress that nothing waits for
 constexpr double kLazyWriteBusy = 2.5; // s, while many jobs end
 constexpr std::size_t kManyEnds = 4, kMostMoves = 1000;
+constexpr std::size_t kEntryChars = 85;    // of a job in a progress record, beside its two sets of tasks
 constexpr std::size_t kAccountChars = 130; // the same with its account, beside its id and one set
 constexpr std::size_t kSumsChars = 130;    // of a record, a team's sums, while a period ends and the next begins
-constexpr std::size_t kEntryChars = 85;    // of a job in a progress record, beside its two sets of tasks
 constexpr double kSettleEvery = 0.1;       // s
 const std::string kAccounts = "accounts/";
 } // namespace
@@ -78,8 +77,7 @@
 void Recorder::accept(OpenRecord record, std::uint64_t stamp) {
   const int j = jobs_.add(std::move(record), stamp);
   const Job &n = jobs_[j];
-  if (static_cast<std::size_t>(j) >= entries_.size()) entries_.resize(static_cast<std::size_t>(j) + 1);
-  entry(j) = {};
+  grown(entries_, j) = {};
   marks(j).assign(n.spec.tasks, 0);
   assign_shard(j);
   ledger_.open(j, entry(j).shard);
@@ -157,8 +155,8 @@
   return most_chars() - std::min(sums, most_chars() / 2);
 }
 
-// With accounts, room for one full set and a short one: mostly tasks start in their order. Where both are full, they
-// are written coarser (`add_shard`), for which this leaves room in any case.
+// With accounts, room for one full set and a short one: tasks are started in their order, so those that were are one
+// range.
 std::size_t Recorder::entry_chars(const Job &n) const {
   const std::size_t set = std::min<std::size_t>(n.spec.tasks / 4 + 3, set_chars());
   return ledger_.on() ? kAccountChars + n.spec.id.size() + set : kEntryChars + 2 * set;
@@ -227,8 +225,7 @@
   for (std::size_t s = 0; s < shards_.size(); ++s)
     if (shards_[s].dirty && (shards_[s].urgent || port_.now() - shards_[s].dirty_since >= lazy)) due.push_back(s);
   settle_ghosts();
-  if (due.empty() && ending_.empty() && moves_.empty() && fold()) return;
-  if (due.empty() && ending_.empty() && moves_.empty()) return;
+  if (due.empty() && ending_.empty() && moves_.empty()) return fold();
   std::sort(due.begin(), due.end(), [this](std::size_t a, std::size_t b) {
     return std::pair(!shards_[a].urgent, shards_[a].dirty_since) <
            std::pair(!shards_[b].urgent, shards_[b].dirty_since);
@@ -512,8 +509,8 @@
 }
 
 // Sums of a period that is over go into one record for all, so that progress records stay small and a takeover reads
-// no history. One transaction takes them from here and adds them there. True: one is under way.
-bool Recorder::fold() {
+// no history. One transaction takes them from here and adds them there.
+void Recorder::fold() {
   for (std::size_t s = 0; s < shards_.size(); ++s) {
     const std::string period = ledger_.over(s);
     if (period.empty() || left_alone_.contains(period) || shards_[s].needs_resync || !shards_[s].folding.empty() ||
@@ -532,9 +529,8 @@
       left_alone_.insert(period);
       port_.log(LogLevel::Error, "record_unreadable", {{"key", kAccounts + period}, {"then", "left alone"}});
     });
-    return true;
+    return;
   }
-  return false;
 }
 
 void Recorder::fold_into(std::size_t s, const std::string &period, SumsByTeam kept, std::uint64_t stamp) {
--- a/src/core/reports.cpp
+++ b/src/core/reports.cpp
@@ -182,9 +182,7 @@
   if (!lead_.active() || !spread_.may_send_away(port_.now())) return -1;
   const int known = fleet_.index(r.machine);
   if (known >= 0) {
-    if (static_cast<std::size_t>(known) >= sent_away_.size())
-      sent_away_.resize(static_cast<std::size_t>(known) + 1, -1e9);
-    if (port_.now() - sent_away_[static_cast<std::size_t>(known)] < kSentAwayAgain ||
+    if (port_.now() - grown(sent_away_, known, -1e9) < kSentAwayAgain ||
         port_.now() - fleet_[known].last_answer > 2 * settings_.report_s)
       return -1;
   } else if (!r.tasks.empty()) {
--- a/src/core/scaler.cpp
+++ b/src/core/scaler.cpp
@@ -335,8 +335,8 @@
             horizon =
                 std::max(horizon, kSlackShare * (kSlackShare * left > horizon ? left : kVeryLate * due - p.wait_s));
           double booked = 0; // places on their way in this zone
-          for (auto b : booting)
-            if (in_zone && b.zone == z && suits(b))
+          for (std::size_t k = 0; in_zone && k < booting.size(); ++k)
+            if (Place b = booting[k]; b.zone == z && suits(b))
               for (; p.need.fits(b.free); ++booked)
                 b.free.add(p.need, -1);
           double carried = 0; // tasks that machines already up get to within the horizon
