--- a/include/loftrouter/core/administration.hpp
+++ b/include/loftrouter/core/administration.hpp
@@ -16,9 +16,9 @@
   Administration(Port &port, const Settings &settings, const Catalogue &catalogue, Operators &operators,
                  StoreBudget &budget, const Leadership &lead, const RecordWatch &watch, const JobTable &jobs,
                  const FailureJudge &judge, const Fleet &fleet, const Scaler &scaler, const Siblings &siblings,
-                 const ReportDesk &reports, const Insight &insight, const Ledger &ledger)
+                 const Reach &reach, const ReportDesk &reports, const Insight &insight, const Ledger &ledger)
       : port_(port), settings_(settings), catalogue_(catalogue), operators_(operators), budget_(budget), lead_(lead),
-        watch_(watch), jobs_(jobs), judge_(judge), fleet_(fleet), scaler_(scaler), siblings_(siblings),
+        watch_(watch), jobs_(jobs), judge_(judge), fleet_(fleet), scaler_(scaler), siblings_(siblings), reach_(reach),
         reports_(reports), insight_(insight), ledger_(ledger) {}
 
   void take(CmdAdmin &&cmd);
@@ -45,6 +45,7 @@
   const Fleet &fleet_;
   const Scaler &scaler_;
   const Siblings &siblings_;
+  const Reach &reach_;
   const ReportDesk &reports_;
   const Insight &insight_;
   const Ledger &ledger_;
--- a/include/loftrouter/core/core.hpp
+++ b/include/loftrouter/core/core.hpp
@@ -57,7 +57,9 @@
   Recorder recorder_;
   RecordWatch watch_;
   Fleet fleet_;
+  Silence silence_;
   Siblings siblings_;
+  Reach reach_;
   ReportDesk reports_;
   Placer placer_;
   Scaler scaler_;
--- a/include/loftrouter/core/fleet.hpp
+++ b/include/loftrouter/core/fleet.hpp
@@ -47,6 +47,7 @@
   bool lost = false;      // its lease ran out, or it failed
   bool returning = false; // no new tasks; given back
   bool listed_failed = false;
+  bool listed_running = false;             // up, by the cloud's list; it may be gone for half a minute
   bool draining = false;                   // surplus: takes no new tasks and goes back once empty
   bool stops_news = false;                 // tasks were told to stop that the worker does not know of yet
   std::optional<wire::MachineOrder> order; // by an operator: takes no new tasks
@@ -90,6 +91,7 @@
   void give_back(int m); // takes no new tasks from here on
   void set_draining(int m, bool draining);
   void listed_failed(int m); // it stopped on its own
+  void listed_running(int m);
   void listed_again(const std::string &name) { gone_.erase(name); }
   void remove(int m); // the cloud has taken it back
   void forget_gone(double older_s);
--- a/include/loftrouter/core/leadership.hpp
+++ b/include/loftrouter/core/leadership.hpp
@@ -32,7 +32,10 @@
   void hear_of(std::uint64_t term, std::string_view who);
   void begin_term(); // the records are loaded
   void step_down(std::string_view why);
-  void stand_back(double for_s); // from elections
+  // From elections; unless nobody takes the place.
+  void stand_back(double for_s);
+  // Behind candidates that are better placed.
+  void set_handicap(double s) { handicap_ = s; }
 
   Role role() const { return role_; }
   bool leading() const { return role_ == Role::Leading; }
@@ -49,6 +52,8 @@
   std::uint64_t leader_term() const { return leader_term_; }
   double leader_seen() const { return leader_seen_; }
   double leading_since() const { return leading_since_; }
+  // Since this node took over from another that it had known to lead; mono, far back if it did not.
+  double took_over_at() const { return took_over_at_; }
   double leading_since_wall() const { return leading_since_wall_; }
   double leaderless_since_wall() const { return leaderless_since_wall_; }
 
@@ -63,7 +68,9 @@
   const Catalogue &catalogue_;
   Role role_ = Role::Follower;
   std::uint64_t epoch_ = 0, term_ = 0, lease_ = 0, highest_term_ = 0;
-  double lease_valid_until_ = -1e9, next_renew_ = 0, next_poll_ = 0, acquire_after_ = 0;
+  double lease_valid_until_ = -1e9, next_renew_ = 0, next_poll_ = 0, acquire_after_ = 0, handicap_ = 0;
+  double took_over_at_ = -1e9;
+  double leaderless_since_ = -1; // mono; negative: there is a leader, as far as known
   bool renewing_ = false, polling_ = false;
   std::string leader_name_;
   std::uint64_t leader_term_ = 0;
--- a/include/loftrouter/core/placer.hpp
+++ b/include/loftrouter/core/placer.hpp
@@ -5,6 +5,7 @@
 // wrong_place). What it places is not started before it is recorded.
 #pragma once
 
+#include <functional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -36,8 +37,10 @@
   void plan_ahead();
 
   PlaceJob place_job(int j) const;
-  // The machines that may take tasks, or the one asked for if it may.
-  std::vector<PlaceMachine> snapshot(std::vector<int> &index, int only) const;
+  // The machines that may take tasks, or the one asked for if it may; `silent_too`: with those that are not heard at
+  // present and of which it holds.
+  std::vector<PlaceMachine> snapshot(std::vector<int> &index, int only,
+                                     const std::function<bool(int)> &silent_too = {}) const;
   // What each team may still use. Everything that may be on a machine counts against the limit, unaccounted tasks
   // included.
   std::vector<Resources> team_room() const;
--- a/include/loftrouter/core/port.hpp
+++ b/include/loftrouter/core/port.hpp
@@ -44,6 +44,11 @@
   void reply(RequestId req, int status, std::string body, std::optional<int> retry = {});
   void reply_json(RequestId req, int status, std::string body, std::optional<int> retry = {});
   void refuse(RequestId req, std::string_view why, int retry = 1); // 503: cannot be told now
+  // Stands for a user who has asked a sibling: what is replied to it goes there, on `link`, under the sibling's
+  // number. Nothing: too many wait.
+  static constexpr std::size_t kMostStandIns = 512;
+  std::optional<RequestId> stand_in(std::uint64_t link, std::uint64_t nonce);
+  static bool is_stand_in(RequestId req) { return req >= kStandIns; }
   void send(PeerSend message) { effects_.peers.push_back(std::move(message)); }
   void call(WorkerCall call) { effects_.workers.push_back(std::move(call)); }
 
@@ -55,8 +60,13 @@
   double state_ok_at() const { return state_ok_at_; }
   double state_ok_wall() const { return state_ok_wall_; }
   double cloud_ok_at() const { return cloud_ok_at_; }
+  // Calls in a row, up to the last, that it has not answered; 0 if the last was long ago.
+  int cloud_failures() const { return now_.mono - cloud_failed_at_ < 15 ? cloud_failures_ : 0; }
 
 private:
+  static constexpr RequestId kStandIns = RequestId(1) << 63; // far above those of connections
+  void respond(Reply reply);
+
   Now now_;
   double started_at_ = -1;
   std::uint64_t rng_;
@@ -66,7 +76,10 @@
   std::unordered_map<OpId, StoreFn> store_ops_;
   std::unordered_map<OpId, CloudFn> cloud_ops_;
   std::vector<std::pair<double, std::function<void()>>> later_;
-  double state_ok_at_ = -1e9, state_ok_wall_ = 0, cloud_ok_at_ = -1e9;
+  RequestId next_stand_in_ = kStandIns;
+  std::unordered_map<RequestId, std::pair<std::uint64_t, std::uint64_t>> stand_ins_; // link and number
+  double state_ok_at_ = -1e9, state_ok_wall_ = 0, cloud_ok_at_ = -1e9, cloud_failed_at_ = -1e9;
+  int cloud_failures_ = 0;
 };
 
 } // namespace loft::core
--- a/include/loftrouter/core/relay.hpp
+++ b/include/loftrouter/core/relay.hpp
@@ -6,10 +6,12 @@
 #pragma once
 
 #include <cstdint>
-#include <deque>
+#include <limits>
 #include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "loftrouter/core/util.hpp"
@@ -18,6 +20,47 @@
 
 using RequestId = std::uint64_t;
 
+// Requests passed on to a sibling, each under a number of its own that is never used again. Owns them until they are
+// answered or given up. `T`: what is kept beside a request.
+template <class T> class PassedOn {
+public:
+  struct Item {
+    RequestId req;
+    double give_up_at;
+    T kept;
+  };
+  // `first`: begins at random, so that no answer to a former self's request is taken for one of this process.
+  PassedOn(std::size_t most, std::uint64_t first) : most_(most), nonce_(first) {}
+
+  bool full() const { return waiting_.size() >= most_; }
+  std::uint64_t take(RequestId req, double give_up_at, T kept) {
+    waiting_.emplace(++nonce_, Item{req, give_up_at, std::move(kept)});
+    order_.emplace(give_up_at, nonce_);
+    return nonce_;
+  }
+  // The request that this is the answer to: once for each number, never after it was given up.
+  std::optional<Item> answered(std::uint64_t nonce) {
+    auto it = waiting_.find(nonce);
+    if (it == waiting_.end()) return std::nullopt;
+    Item out = std::move(it->second);
+    order_.erase({out.give_up_at, nonce});
+    waiting_.erase(it);
+    return out;
+  }
+  std::vector<Item> give_up(double now) {
+    std::vector<Item> out;
+    while (!order_.empty() && order_.begin()->first <= now)
+      out.push_back(*answered(order_.begin()->second));
+    return out;
+  }
+
+private:
+  std::size_t most_;
+  std::uint64_t nonce_;
+  std::unordered_map<std::uint64_t, Item> waiting_;
+  std::set<std::pair<double, std::uint64_t>> order_; // by when they are given up
+};
+
 // Of a node that does not lead: the reports under way, and the workers that come here. Owns both.
 class ReportRelay {
 public:
@@ -25,30 +68,25 @@
   static constexpr double kPatience = 1.5; // s; a worker waits 4 s for its answer
   // `workers`: most that may come here; `forget_s`: after so long without a report a worker counts no more.
   ReportRelay(std::size_t workers, double forget_s, std::uint64_t first_nonce)
-      : most_(workers), forget_s_(forget_s), nonce_(first_nonce) {}
+      : most_(workers), forget_s_(forget_s), passed_(kMostWaiting, first_nonce) {}
 
-  bool has_room() const { return known_.size() < most_ && waiting_.size() < kMostWaiting; }
+  bool has_room() const { return known_.size() < most_ && !passed_.full(); }
   // The number to pass the report on under; nothing if there is no room for this worker.
   std::optional<std::uint64_t> take(RequestId req, const std::string &machine, double now);
   // Whose answer has come: once for each number, never after it was given up.
-  std::optional<RequestId> answered(std::uint64_t nonce);
+  std::optional<RequestId> answered(std::uint64_t nonce, bool stays = true); // stays: the worker comes here again
   // What has waited too long. A link that loses answers is left alone for a while (`broken`).
   std::vector<RequestId> give_up(double now);
   std::vector<RequestId> give_up_all();
   bool broken(double now) const { return now < broken_until_; }
+  void left(const std::string &machine) { known_.erase(machine); } // sent elsewhere
   std::size_t workers() const { return known_.size(); }
   std::size_t most() const { return most_; }
 
 private:
-  struct Waiting {
-    RequestId req;
-    double since;
-  };
   std::size_t most_;
   double forget_s_;
-  std::uint64_t nonce_;
-  std::unordered_map<std::uint64_t, Waiting> waiting_;
-  std::deque<std::uint64_t> order_; // of the above; answered ones are skipped
+  PassedOn<std::string> passed_; // with the machine's name
   std::unordered_map<std::string, double> known_;
   double pruned_at_ = -1e9, broken_until_ = -1e9;
 };
@@ -65,6 +103,8 @@
   explicit WorkerSpread(Limits limits) : limits_(limits) {}
 
   void heard(bool direct) { ++(direct ? direct_ : passed_); }
+  // Some workers do not reach this node, and may reach a sibling: those are to pass reports on for a while.
+  void call_for(double until) { called_until_ = std::max(called_until_, until); }
   // Every `dt_s` seconds; `workers`: that report straight here.
   void tick(double now, double dt_s, std::size_t workers);
   void begin(bool wanted); // a term, with what the last leader did
@@ -81,6 +121,7 @@
   std::uint64_t direct_ = 0, passed_ = 0;
   double rate_ = 0, all_ = 0; // a second, smoothed
   bool wanted_ = false, over_ = false;
+  double called_until_ = -1e9;
   TokenBucket pace_{1, 1};
 };
 
--- a/include/loftrouter/core/reports.hpp
+++ b/include/loftrouter/core/reports.hpp
@@ -9,8 +9,7 @@
 #include <vector>
 
 #include "loftrouter/core/fleet.hpp"
-#include "loftrouter/core/relay.hpp"
-#include "loftrouter/core/siblings.hpp"
+#include "loftrouter/core/reach.hpp"
 
 namespace loft::core {
 
@@ -35,8 +34,8 @@
     bool spreads;
   };
 
-  ReportDesk(Port &port, const Settings &settings, Leadership &lead, Siblings &siblings, const RecordWatch &watch,
-             Fleet &fleet);
+  ReportDesk(Port &port, const Settings &settings, Leadership &lead, Siblings &siblings, Reach &reach,
+             const Silence &silence, const RecordWatch &watch, Fleet &fleet);
 
   std::optional<Pending> take(CmdReport &&cmd);
   std::optional<Pending> take_passed(const CmdPeer &cmd);
@@ -48,6 +47,7 @@
 
   Siblings::Standing standing() const;
   Load load() const;
+  std::size_t kept() const { return relay_.workers(); } // workers whose reports this node passes on
   void on(const TermBegun &) { spread_.begin(spread_known_); }
   void on(const TermEnded &) { sent_away_.clear(); }
   void on(const MachineReturned &e);
@@ -66,6 +66,8 @@
   const Settings &settings_;
   Leadership &lead_;
   Siblings &siblings_;
+  Reach &reach_;
+  const Silence &silence_;
   const RecordWatch &watch_;
   Fleet &fleet_;
   ReportRelay relay_;
--- a/include/loftrouter/core/scaler.hpp
+++ b/include/loftrouter/core/scaler.hpp
@@ -9,15 +9,18 @@
 #include <vector>
 
 #include "loftrouter/core/placer.hpp"
+#include "loftrouter/core/silence.hpp"
 
 namespace loft::core {
 
 class Scaler {
 public:
   Scaler(Port &port, const Settings &settings, Catalogue &catalogue, const Operators &operators, const Leadership &lead,
-         const JobTable &jobs, const FailureJudge &judge, Fleet &fleet, const Placer &placer, const Wishes &wishes);
+         const JobTable &jobs, const FailureJudge &judge, Fleet &fleet, const Silence &silence, const Placer &placer,
+         const Wishes &wishes);
 
   void tick();
+  void probe(); // asks the cloud something, so that it is known whether it answers this node; seldom
   // The cloud had none of this kind to give, lately.
   bool refused(const MachineKind &kind) const;
   std::vector<MachineKind> refused_kinds() const;
@@ -48,11 +51,12 @@
   const JobTable &jobs_;
   const FailureJudge &judge_;
   Fleet &fleet_;
+  const Silence &silence_;
   const Placer &placer_;
   const Wishes &wishes_;
   TokenBucket calls_;
   bool types_loading_ = false, listing_ = false, returning_ = false;
-  double next_types_ = 0, next_list_ = 0, next_scale_ = 0, listed_once_at_ = -1;
+  double next_types_ = 0, next_probe_ = 0, next_list_ = 0, next_scale_ = 0, listed_once_at_ = -1;
   std::uint64_t rents_ = 0;
   std::map<MachineKind, int> rents_open_;
   std::map<MachineKind, double> no_capacity_until_;
--- a/include/loftrouter/core/siblings.hpp
+++ b/include/loftrouter/core/siblings.hpp
@@ -25,7 +25,8 @@
   struct State {
     std::uint64_t nonce = 0;
     double sent_at = -1e9, stated_at = -1e9, uptime_s = 0; // of its last answer: when it was asked for
-    bool cut_off = false, hears_workers = false, leads = false, spreads = false, passes = false;
+    bool cut_off = false, leads = false, spreads = false, passes = false;
+    ReachWord reach;
     std::uint64_t term = 0; // that it knows of, or leads
     StoreBudget::Use use;
   };
@@ -49,11 +50,7 @@
   bool take_pong(const CmdPeer &cmd); // false: not the answer to the last question
   void tell_all(const wire::PeerMessage &m);
 
-  // A leader that the workers no longer reach, while they reach a sibling, makes room: siblings can only send the
-  // workers back to it, and all their leases would run out. `live`: machines heard.
-  void abdicate_if_deaf(std::size_t live);
-  void worker_reported() { last_report_at_ = port_.now(); }
-  double last_report_at() const { return last_report_at_; }
+  void say(const ReachWord &own) { own_ = own; } // with every answer from now on
 
   bool cut_off() const; // this node, from the state service
   // Everybody's outage: nobody can be elected, so the leader may go on answering reports for as long as every sibling
@@ -75,7 +72,8 @@
   std::uint8_t self_ = 0;
   std::vector<int> by_name_; // sibling, or -1 for this node, by index in the sorted names of all
   std::uint64_t ping_nonce_;
-  double next_ping_ = 0, last_report_at_ = -1e9, deaf_from_ = -1e9, deaf_tick_at_ = -1e9;
+  double next_ping_ = 0;
+  ReachWord own_;
   std::deque<std::pair<std::string, double>> confirmed_cancels_;
 };
 
--- /dev/null
+++ b/include/loftrouter/core/silence.hpp
@@ -0,0 +1,68 @@
+// Which of a leader's machines have fallen silent, and what explains it best: the machine, its zone, the way by which
+// it reports (this node, or the sibling that passes its reports on), or that nobody is heard at all.
+//
+// Owns the counts of who is late. It proves nothing: tasks of a silent machine are over only by `Fleet`'s proofs. It
+// decides what a silence may cost: a machine that is silent along with its whole zone or way is not given back, and
+// one that is silent along with its way or with all others is not replaced, for as long as waiting costs no more than
+// renting it anew would (`hold_s`). See docs/links.md, "No fleet is thrown away".
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "loftrouter/core/fleet.hpp"
+
+namespace loft::core {
+
+// Seconds after a report until the next one is late: workers report within 1.25 of their interval.
+inline double late_after(const Settings &s) {
+  return 1.25 * s.report_s + 1.5;
+}
+
+class Silence {
+public:
+  enum class Cause : std::uint8_t { None, Machine, Zone, Way, All };
+  struct Count {
+    std::size_t known = 0, late = 0;
+    static constexpr std::size_t kLeast = 4; // with fewer, chance explains it as well
+    bool silent() const { return known >= kLeast && late * 100 >= known * 95; }
+    void add(const Count &o) {
+      known += o.known;
+      late += o.late;
+    }
+  };
+
+  Silence(Port &port, const Settings &settings, const Catalogue &catalogue, const Leadership &lead, const Fleet &fleet)
+      : port_(port), settings_(settings), catalogue_(catalogue), lead_(lead), fleet_(fleet) {}
+
+  void tick(); // counts anew, a few times a second
+  Cause cause(int m) const;
+  bool awaited(int m) const;  // it is not to be given back
+  bool expected(int m) const; // nor to be replaced
+  const Count &all() const { return all_; }
+  // A whole zone, a way or everything is silent: some workers may reach a sibling instead.
+  bool in_part() const { return in_part_; }
+  void on(const TermEnded &);
+
+  // What renting such a machine anew costs at least, in seconds of its price: the minimum charge and its boot.
+  double hold_s(const Machine &m) const;
+
+private:
+  std::optional<double> late_from(const Machine &m) const; // mono; nothing: heard in time, or never expected yet
+  std::size_t way(const Machine &m) const;
+  void tell(bool now_in_part, const std::string &what);
+
+  Port &port_;
+  const Settings &settings_;
+  const Catalogue &catalogue_;
+  const Leadership &lead_;
+  const Fleet &fleet_;
+  std::vector<std::vector<Count>> table_; // by way (this node, siblings, not heard yet), then zone
+  std::vector<Count> ways_, zones_;
+  Count all_;
+  bool in_part_ = false;
+  std::string told_;
+  double next_ = 0;
+};
+
+} // namespace loft::core
--- a/include/loftrouter/core/types.hpp
+++ b/include/loftrouter/core/types.hpp
@@ -81,6 +81,21 @@
   std::uint64_t nonce = 0;
 };
 
+// What a node says of what it reaches.
+enum class Hearing : std::uint8_t { Unknown, Hears, Silent }; // the last: workers kept here have all fallen silent
+enum class CloudWord : std::uint8_t { Unknown, Answers, Fails };
+struct ReachWord {
+  static constexpr double kMostQuiet = 3600;
+  Hearing workers = Hearing::Unknown;
+  std::uint16_t machines = 0;  // about so many report to it straight
+  double quiet_s = kMostQuiet; // since one last did
+  CloudWord cloud = CloudWord::Unknown;
+};
+struct ReachRecord {
+  ReachWord word;
+  double wall = 0; // when it was so
+};
+
 struct MachineType {
   std::string name;
   Resources size;
--- a/include/loftrouter/core/users.hpp
+++ b/include/loftrouter/core/users.hpp
@@ -1,5 +1,6 @@
 // What users ask for. Any node answers: submissions and cancellations go straight to the state service, and an answer
-// about a job comes from a read made after the question arrived.
+// about a job comes from a read made after the question arrived. What the state service does not answer here is passed
+// on, once, to a sibling that it answers; see docs/links.md.
 //
 // Owns the questions under way and what is known of open records. Promises that nothing is told that the state
 // service has not said since it was asked, and that an answer never goes back behind one given before (forgotten,
@@ -11,6 +12,7 @@
 #include <unordered_map>
 
 #include "loftrouter/core/insight.hpp"
+#include "loftrouter/core/relay.hpp"
 
 namespace loft::core {
 
@@ -19,34 +21,48 @@
   UserDesk(Port &port, const Settings &settings, const Catalogue &catalogue, StoreBudget &budget,
            const Leadership &lead, JobTable &jobs, EndedJobs &ended, Siblings &siblings, const Insight &insight)
       : port_(port), settings_(settings), catalogue_(catalogue), budget_(budget), lead_(lead), jobs_(jobs),
-        ended_(ended), siblings_(siblings), insight_(insight) {}
+        ended_(ended), siblings_(siblings), insight_(insight), passed_(kMostPassed, port.nonce()) {}
 
   void take(CmdSubmit &&cmd);
   void take(CmdLookup &&cmd);
   void take(CmdAbort &&cmd);
-  void confirm(); // at the end of each batch
+  void confirm();                             // at the end of each batch
+  void tick();                                // gives up what a sibling has not answered
+  void take_asked(const CmdPeer &cmd);        // by a sibling, for a user of its own
+  void take_told(const wire::PeerMessage &m); // by a sibling, about what was passed on to it
+  bool can_answer() const;                    // here, or by way of a sibling
   void on(const EndLearnt &e) { known_open_.erase(e.id); }
 
 private:
-  // Questions about jobs known to be open wait here for the next comparison of their records' revisions.
+  static constexpr std::size_t kMostPassed = 512;
+  using Verb = wire::PeerMessage::Verb;
+  // Those about jobs known to be open wait for the next comparison of their records' revisions.
   struct Question {
     RequestId req;
     std::string id;
     bool as_submit;
     double asked;
   };
+  struct Passed {
+    Verb verb;
+    std::string id;
+  };
   struct KnownOpen {
     std::uint64_t stamp;
     bool cancelled;
   };
   enum class Verdict : std::uint8_t { Ok, Never, Unknown };
   Verdict judge(const JobSpec &spec, std::string &why) const;
-  void answer_state(RequestId req, const std::string &id, bool as_submit);
+  void answer_state(const Question &q);
   void answer_end(RequestId req, const std::string &id, const EndRecord &end, bool brief);
-  void tell_open(RequestId req, const std::string &id, bool cancelled, bool as_submit);
+  void tell_open(const Question &q, bool cancelled);
   void note_open(const std::string &id, std::uint64_t stamp, bool cancelled);
-  void read_open(RequestId req, const std::string &id, bool as_submit);
-  void read_end(RequestId req, const std::string &id, bool as_submit, bool as_abort);
+  void read_open(const Question &q);
+  void read_end(const Question &q, bool as_abort);
+  int helper() const; // the sibling to pass on to, or -1
+  bool pass_on(RequestId req, Verb verb, const std::string &id, double asked, std::string body = {});
+  // The state service has not answered: somebody else may.
+  void no_answer(const Question &q, Verb verb, std::string_view why, std::string body = {});
 
   Port &port_;
   const Settings &settings_;
@@ -63,6 +79,7 @@
   double next_confirm_ = 0;
   std::unordered_map<std::string, KnownOpen> known_open_;
   std::deque<std::string> known_order_;
+  PassedOn<Passed> passed_;
 };
 
 } // namespace loft::core
--- a/include/loftrouter/wire/admin.hpp
+++ b/include/loftrouter/wire/admin.hpp
@@ -84,9 +84,15 @@
   struct Sibling {
     std::string node;
     double heard_s; // negative: never
-    bool cut_off, hears_workers, passes_reports;
+    bool cut_off, passes_reports;
     std::size_t keeps = 0; // workers whose reports it passes on here
+    ReachWord reach;       // what it says that it reaches
+    std::string told_by;   // link, state service or nothing
   };
+  struct Reach { // of this node
+    ReachWord word;
+    std::vector<std::pair<std::string, double>> machines; // about so many report here, by zone
+  } reach;
   std::vector<Sibling> siblings;
   struct Kind {
     std::string type, zone;
--- a/include/loftrouter/wire/messages.hpp
+++ b/include/loftrouter/wire/messages.hpp
@@ -43,6 +43,7 @@
 Json to_json(const SumsByTeam &sums);
 std::optional<SumsByTeam> sums_from_json(const Json &j);
 Json to_json(const LeaderRecord &r);
+Json to_json(const ReachRecord &r);
 Json to_json(const std::vector<MachineType> &types);
 std::optional<OpenRecord> open_from_json(const Json &j);
 std::optional<EndRecord> end_from_json(const Json &j);
@@ -52,6 +53,7 @@
 // A shard's jobs. `key` names the job of a record that is of one job alone, as earlier versions wrote them.
 std::optional<ProgressShard> progress_from_json(std::string_view key, const Json &j);
 std::optional<LeaderRecord> leader_from_json(const Json &j);
+std::optional<ReachRecord> reach_from_json(const Json &j);
 std::optional<std::vector<MachineType>> types_from_json(const Json &j);
 
 // State service: requests and answers.
--- a/include/loftrouter/wire/peer.hpp
+++ b/include/loftrouter/wire/peer.hpp
@@ -14,18 +14,27 @@
 
 struct PeerMessage {
   // Digest: the leader tells how its jobs are getting on; not answered. Report: one that a worker has sent to a node
-  // that does not lead; Orders: the leader's answer to it, for that worker.
-  enum class Kind : std::uint16_t { Ping = 1, Pong = 2, Digest = 3, Report = 4, Orders = 5 } kind = Kind::Ping;
-  std::uint64_t nonce = 0;             // a pong repeats its ping's, orders their report's
+  // that does not lead; Orders: the leader's answer to it, for that worker. Ask: what a user wants of a node that the
+  // state service does not answer; Told: the answer, for that user.
+  enum class Kind : std::uint16_t {
+    Ping = 1,
+    Pong = 2,
+    Digest = 3,
+    Report = 4,
+    Orders = 5,
+    Ask = 6,
+    Told = 7
+  } kind = Kind::Ping;
+  std::uint64_t nonce = 0;             // a pong repeats its ping's, orders their report's, what is told its question's
   std::uint64_t term = 0;              // highest term the sender knows of
   bool cut_off = false;                // the sender gets no answers from the state service
-  bool hears_workers = false;          // workers have reported to the sender lately
   bool leads = false;                  // the sender answers reports, with `term`
   bool spreads = false;                // and wants siblings to pass on reports
   bool passes = false;                 // the sender has room for workers whose reports it passes on to the leader
   std::uint8_t sender = 0;             // index of the sender's name among those of all nodes, sorted
   std::uint32_t uptime_ms = 0;         // capped
   std::uint16_t reads = 0, writes = 0; // of the state service for users, tenths a second
+  ReachWord reach;                     // the sender's
   std::vector<std::string> cancelled;  // jobs whose cancellation the sender has confirmed lately
   struct JobNews {
     std::string id;
@@ -35,11 +44,15 @@
   };
   std::vector<JobNews> news;
   WorkerReport report;           // Report
-  std::uint16_t status = 0;      // Orders: as an answer to the worker has
+  std::uint16_t status = 0;      // Orders, Told: as the answer to the worker or user has
   std::vector<TaskOrder> orders; // with 200
+  enum class Verb : std::uint8_t { Submit, Look, Abort } verb = Verb::Look; // Ask
+  std::string id;                                                           // Ask: the job's
+  std::string body;          // Ask: the description of a job to be submitted; Told: the answer's
+  std::uint16_t retry_s = 0; // Told: 0: none
 };
 
-// Frames of reports and orders may be larger: what a worker's own message may be.
+// Frames of reports, orders, questions and what is told may be larger: what a worker's or user's own message may be.
 constexpr std::size_t kPeerMaxRelayed = 64 * 1024;
 constexpr std::size_t kPeerHeader = 12, kPeerMaxBody = 4096, kPeerMaxCancelled = 64, kPeerMaxNews = 100,
                       kPeerMaxReason = 200;
--- a/src/core/administration.cpp
+++ b/src/core/administration.cpp
@@ -72,11 +72,16 @@
   if (leads) s.leader_since = wire::clock_time(lead_.leading_since_wall());
   s.state_age_s = ago(port_.state_ok_at());
   s.cloud_age_s = ago(port_.cloud_ok_at());
-  s.report_age_s = ago(siblings_.last_report_at());
+  s.report_age_s = ago(reach_.last_report_at());
+  s.reach = {reach_.own(), reach_.machines_by_zone()};
   for (std::size_t i = 0; i < siblings_.count(); ++i) {
     const auto &x = siblings_[i];
-    s.siblings.push_back({siblings_.name(i), ago(x.stated_at), x.cut_off, x.hears_workers, x.passes,
-                          leads ? fleet_.kept_by(static_cast<int>(i)) : 0});
+    const auto word = reach_.word(i);
+    s.siblings.push_back({siblings_.name(i), ago(x.stated_at), x.cut_off, x.passes,
+                          leads ? fleet_.kept_by(static_cast<int>(i)) : 0, word ? word->says : ReachWord{},
+                          !word           ? "nothing"
+                          : word->by_link ? "link"
+                                          : "state service"});
   }
   const auto load = reports_.load();
   s.load = {load.reports, load.reports_most, load.passed,  load.workers,       load.workers_most,
--- a/src/core/core.cpp
+++ b/src/core/core.cpp
@@ -12,16 +12,17 @@
       recorder_(port_, events_, settings_, lead_, budget_, jobs_, ended_, judge_, reasons_, wishes_, ledger_),
       watch_(port_, settings_, lead_, recorder_),
       fleet_(port_, events_, settings_, catalogue_, operators_, lead_, jobs_, recorder_),
-      siblings_(port_, settings_, lead_, budget_, jobs_, watch_),
-      reports_(port_, settings_, lead_, siblings_, watch_, fleet_),
+      silence_(port_, settings_, catalogue_, lead_, fleet_), siblings_(port_, settings_, lead_, budget_, jobs_, watch_),
+      reach_(port_, settings_, catalogue_, lead_, siblings_, fleet_, silence_),
+      reports_(port_, settings_, lead_, siblings_, reach_, silence_, watch_, fleet_),
       placer_(port_, events_, settings_, catalogue_, operators_, lead_, jobs_, judge_, recorder_, fleet_, wishes_,
               ledger_),
-      scaler_(port_, settings_, catalogue_, operators_, lead_, jobs_, judge_, fleet_, placer_, wishes_),
+      scaler_(port_, settings_, catalogue_, operators_, lead_, jobs_, judge_, fleet_, silence_, placer_, wishes_),
       insight_(port_, settings_, catalogue_, operators_, lead_, watch_, jobs_, ended_, judge_, reasons_, fleet_,
                placer_, scaler_, wishes_, ledger_, siblings_),
       users_(port_, settings_, catalogue_, budget_, lead_, jobs_, ended_, siblings_, insight_),
       administration_(port_, settings_, catalogue_, operators_, budget_, lead_, watch_, jobs_, judge_, fleet_, scaler_,
-                      siblings_, reports_, insight_, ledger_),
+                      siblings_, reach_, reports_, insight_, ledger_),
       chronicle_(port_, jobs_, fleet_) {}
 
 Effects Core::apply(std::vector<Command> batch, Now at) {
@@ -51,8 +52,8 @@
       };
       (one(parts), ...);
     };
-    hand(chronicle_, judge_, fleet_, ledger_, recorder_, watch_, reports_, placer_, scaler_, reasons_, insight_, users_,
-         jobs_);
+    hand(chronicle_, judge_, fleet_, silence_, ledger_, recorder_, watch_, reports_, placer_, scaler_, reasons_,
+         insight_, users_, jobs_);
   });
 }
 
@@ -64,13 +65,16 @@
   step([this] { port_.run_due(); });
   step([this] { lead_.tick(); });
   step([this] { watch_.tick(); });
-  step([this] { siblings_.abdicate_if_deaf(fleet_.live()); });
+  silence_.tick();
+  step([this] { reach_.tick(reports_.kept()); });
   if (siblings_.ping_due()) {
     reports_.count_rates();
     siblings_.ping();
   }
   step([this] { reports_.tick(); });
+  users_.tick();
   step([this] { scaler_.tick(); });
+  if (reach_.probe_wanted()) scaler_.probe();
   step([this] { operators_.tick(); });
   if (!lead_.leading()) return;
   step([this] {
@@ -100,7 +104,8 @@
 }
 
 void Core::on(CmdUp &&cmd) {
-  if (catalogue_.known() && (port_.now() - port_.state_ok_at() < 3.0 || siblings_.common_outage()))
+  if (catalogue_.known() &&
+      (port_.now() - port_.state_ok_at() < 3.0 || siblings_.common_outage() || users_.can_answer()))
     port_.reply(cmd.req, 200, "");
   else
     port_.refuse(cmd.req, catalogue_.known() ? "state service out of reach" : "starting up");
@@ -130,6 +135,10 @@
     return reports_.take_orders(m);
   case Kind::Report:
     return answer(reports_.take_passed(cmd));
+  case Kind::Ask:
+    return users_.take_asked(cmd);
+  case Kind::Told:
+    return users_.take_told(m);
   case Kind::Ping:
     return siblings_.answer_ping(cmd, reports_.standing());
   case Kind::Pong:
--- a/src/core/fleet.cpp
+++ b/src/core/fleet.cpp
@@ -77,6 +77,10 @@
   at(m).returning = true;
 }
 
+void Fleet::listed_running(int m) {
+  at(m).listed_running = true;
+}
+
 void Fleet::lose(int m, std::string_view why) {
   Machine &n = at(m);
   if (n.lost) return;
--- a/src/core/leadership.cpp
+++ b/src/core/leadership.cpp
@@ -6,6 +6,7 @@
 constexpr double kTtl = 4.0;
 constexpr double kRenewEvery = 1.0;
 constexpr double kPollEvery = 0.4;
+constexpr double kNobodyStands = 3.0; // s without a leader, after which one that has stood back stands again
 const char *const kLeaderKey = "leader";
 } // namespace
 
@@ -33,11 +34,15 @@
         leader_term_ = r.entries[0].stamp;
         highest_term_ = std::max(highest_term_, leader_term_);
         leader_seen_ = port_.now();
+        leaderless_since_ = -1;
       }
     } else if (r.status == 404) {
       if (!leader_name_.empty() || leaderless_since_wall_ <= 0) leaderless_since_wall_ = port_.wall();
       leader_name_.clear();
-      if (port_.now() >= acquire_after_ && catalogue_.known()) acquire();
+      if (leaderless_since_ < 0) leaderless_since_ = port_.now();
+      const double empty = port_.now() - leaderless_since_;
+      if ((port_.now() >= acquire_after_ || empty > kNobodyStands) && empty >= handicap_ && catalogue_.known())
+        acquire();
     }
   });
 }
@@ -106,6 +111,9 @@
   leading_since_ = port_.now();
   leading_since_wall_ = port_.wall();
   leader_name_ = settings_.node;
+  took_over_at_ = leader_term_ > 0 ? port_.now() : -1e9;
+  leader_term_ = 0;
+  leaderless_since_ = -1;
   events_.publish(TermBegun{term_});
 }
 
--- a/src/core/port.cpp
+++ b/src/core/port.cpp
@@ -1,5 +1,7 @@
 #include "loftrouter/core/port.hpp"
 
+#include <algorithm>
+
 namespace loft::core {
 
 void Port::begin(Now at) {
@@ -47,7 +49,13 @@
   if (it == cloud_ops_.end()) return;
   auto fn = std::move(it->second);
   cloud_ops_.erase(it);
-  if (cmd.reply.status == 200 || cmd.reply.no_capacity) cloud_ok_at_ = now();
+  if (cmd.reply.status == 200 || cmd.reply.no_capacity) {
+    cloud_ok_at_ = now();
+    cloud_failures_ = 0;
+  } else if (cmd.reply.status == 0 || cmd.reply.status >= 500) {
+    ++cloud_failures_;
+    cloud_failed_at_ = now();
+  }
   fn(cmd.reply);
 }
 
@@ -66,11 +74,34 @@
 }
 
 void Port::reply(RequestId req, int status, std::string body, std::optional<int> retry) {
-  effects_.replies.push_back({req, status, std::move(body), retry});
+  respond({req, status, std::move(body), retry});
 }
 
 void Port::reply_json(RequestId req, int status, std::string body, std::optional<int> retry) {
-  effects_.replies.push_back({req, status, std::move(body), retry, true});
+  respond({req, status, std::move(body), retry, true});
+}
+
+std::optional<RequestId> Port::stand_in(std::uint64_t link, std::uint64_t nonce) {
+  if (stand_ins_.size() >= kMostStandIns) return std::nullopt;
+  stand_ins_[++next_stand_in_] = {link, nonce};
+  return next_stand_in_;
+}
+
+void Port::respond(Reply r) {
+  if (!is_stand_in(r.req)) {
+    effects_.replies.push_back(std::move(r));
+    return;
+  }
+  const auto it = stand_ins_.find(r.req);
+  if (it == stand_ins_.end()) return;
+  wire::PeerMessage m;
+  m.kind = wire::PeerMessage::Kind::Told;
+  m.nonce = it->second.second;
+  m.status = static_cast<std::uint16_t>(r.status);
+  m.retry_s = static_cast<std::uint16_t>(std::max(0, r.retry_after.value_or(0)));
+  m.body = std::move(r.body);
+  send({-1, it->second.first, std::move(m)});
+  stand_ins_.erase(it);
 }
 
 void Port::refuse(RequestId req, std::string_view why, int retry) {
--- /dev/null
+++ b/src/core/reach.cpp
@@ -0,0 +1,286 @@
+#include "loftrouter/core/reach.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+#include <fmt/format.h>
+
+namespace loft::core {
+
+namespace {
+const std::string kPrefix = "reach/";
+constexpr double kTtl = 10.0, kTouchEvery = 3.0, kRetry = 2.0; // s, of the lease that a word hangs on
+constexpr double kWordsAMinute = 6, kWordsAtOnce = 3;          // most that a node writes
+constexpr double kListEvery = 2.0, kListEveryDeaf = 0.5;       // while a link is down
+constexpr double kLinkWord = 1.5;                              // s, of a sibling's word by link
+constexpr double kListLife = 3.0;                              // s, of what a list has shown
+constexpr double kHearsLife = 15.0;                            // s, of the word "hears" in the state service
+constexpr double kAgain = 5.0;                                 // s, after which it is written again
+constexpr double kYoung = 60.0, kFlap = 10.0;                  // a term younger than the first is ended so much later
+constexpr double kStandBack = 15.0;                            // s, before a node that has made room stands again
+constexpr double kSilentFor = 60.0;                            // s, that a node takes itself for silent
+constexpr double kCloudPatience = 20.0, kCloudFresh = 15.0;    // s
+constexpr int kCloudTries = 2;
+constexpr double kSooner = 1.5;                        // s, by which workers were heard elsewhere later than here
+constexpr double kRankStep = 0.3, kMostHandicap = 1.5; // s, of the worse placed behind the better placed
+} // namespace
+
+void HeardLately::add(int zone, double now) {
+  if (buckets_.empty() || now - buckets_.back().at >= kBucket) buckets_.push_back({now, {}});
+  while (now - buckets_.front().at > window_s_)
+    buckets_.pop_front();
+  ++grown(buckets_.back().zones, zone);
+}
+
+std::vector<std::uint32_t> HeardLately::by_zone(double now) const {
+  std::vector<std::uint32_t> out;
+  for (const auto &b : buckets_)
+    if (now - b.at <= window_s_)
+      for (std::size_t z = 0; z < b.zones.size(); ++z)
+        grown(out, static_cast<int>(z)) += b.zones[z];
+  return out;
+}
+
+std::uint32_t HeardLately::all(double now) const {
+  std::uint32_t sum = 0;
+  for (auto n : by_zone(now))
+    sum += n;
+  return sum;
+}
+
+Reach::Reach(Port &port, const Settings &settings, const Catalogue &catalogue, Leadership &lead, Siblings &siblings,
+             const Fleet &fleet, const Silence &silence)
+    : port_(port), settings_(settings), catalogue_(catalogue), lead_(lead), siblings_(siblings), fleet_(fleet),
+      silence_(silence), heard_(late_after(settings)), writes_(kWordsAMinute / 60, kWordsAtOnce),
+      by_state_(settings.siblings.size()) {}
+
+// ---- this node ----
+
+void Reach::heard(const std::string &zone) {
+  last_report_at_ = last_direct_at_ = port_.now();
+  heard_.add(catalogue_.find_zone(zone) + 1, port_.now()); // 0: a zone that is not known
+}
+
+std::vector<std::pair<std::string, double>> Reach::machines_by_zone() const {
+  std::vector<std::pair<std::string, double>> out;
+  const auto reports = heard_.by_zone(port_.now());
+  for (std::size_t z = 1; z < reports.size(); ++z)
+    if (reports[z])
+      out.emplace_back(catalogue_.zone_name(static_cast<int>(z) - 1),
+                       std::ceil(reports[z] * settings_.report_s / heard_.window_s()));
+  return out;
+}
+
+void Reach::tick(std::size_t kept) {
+  if (port_.now() - tick_at_ > 1) awake_from_ = port_.now(); // what has come meanwhile is not read yet
+  tick_at_ = port_.now();
+  judge_self(kept);
+  siblings_.say(own_);
+  tell_of_changes();
+  keep_word();
+  read_words();
+  make_room();
+  double best = rank(own_);
+  for (std::size_t i = 0; i < siblings_.count(); ++i)
+    if (const auto w = word(i)) best = std::min(best, rank(w->says));
+  lead_.set_handicap(std::min(kMostHandicap, kRankStep * (rank(own_) - best)));
+}
+
+void Reach::judge_self(std::size_t kept) {
+  const double now = port_.now();
+  const auto reports = heard_.all(now);
+  own_.machines =
+      static_cast<std::uint16_t>(std::min(6e4, std::ceil(reports * settings_.report_s / heard_.window_s())));
+  own_.quiet_s = std::min(ReachWord::kMostQuiet, now - last_direct_at_);
+  const bool leads = lead_.leading();
+  if (reports > 0 || (leads && now - last_report_at_ < heard_.window_s())) {
+    own_.workers = Hearing::Hears;
+    silent_since_ = -1;
+  } else if (now - awake_from_ > heard_.window_s() &&
+             (leads ? silence_.all().silent() : kept >= Silence::Count::kLeast)) {
+    if (silent_since_ < 0) silent_since_ = now;
+    own_.workers = now - silent_since_ < kSilentFor || leads ? Hearing::Silent : Hearing::Unknown;
+  } else if (own_.workers != Hearing::Silent || now - silent_since_ > kSilentFor) {
+    own_.workers = Hearing::Unknown;
+  }
+  own_.cloud = port_.cloud_failures() >= kCloudTries     ? CloudWord::Fails
+               : now - port_.cloud_ok_at() < kCloudFresh ? CloudWord::Answers
+                                                         : CloudWord::Unknown;
+}
+
+// One line a change, of what this node finds itself cut off from.
+void Reach::tell_of_changes() {
+  std::vector<std::pair<std::string, bool>> now{{"state service", !siblings_.cut_off()},
+                                                {"workers", own_.workers != Hearing::Silent},
+                                                {"cloud", own_.cloud != CloudWord::Fails}};
+  for (std::size_t i = 0; i < siblings_.count(); ++i)
+    now.emplace_back(siblings_.name(i), port_.now() - siblings_[i].stated_at < 2 * kLinkWord);
+  if (port_.up_s() < 5) return;
+  for (std::size_t k = 0; k < now.size(); ++k) {
+    if (told_.empty() ? now[k].second : told_[k].second == now[k].second) continue;
+    const std::string &what = now[k].first;
+    if (now[k].second)
+      port_.log(LogLevel::Info, "reaches_again", {{"what", what}});
+    else
+      port_.log(LogLevel::Info, "cut_off",
+                {{"from", what},
+                 {"why", what == "workers"         ? "all whose reports came here have fallen silent"
+                         : what == "cloud"         ? "it has not answered the last calls"
+                         : what == "state service" ? "it answers nothing"
+                                                   : "no answer on the link"}});
+  }
+  told_ = std::move(now);
+}
+
+// ---- words by way of the state service ----
+
+bool Reach::some_link_down() const {
+  for (std::size_t i = 0; i < siblings_.count(); ++i)
+    if (port_.now() - siblings_[i].stated_at > kLinkWord) return true;
+  return false;
+}
+
+// A key under a lease, so that it goes with its node. Renewing the lease changes nothing in the state service, so a
+// quiet day costs no writes.
+void Reach::keep_word() {
+  if (siblings_.count() == 0 || asking_ || port_.now() < next_lease_) {
+  } else if (lease_ == 0) {
+    asking_ = true;
+    next_lease_ = port_.now() + kRetry * (0.8 + 0.4 * port_.random());
+    port_.store(StoreLeaseNew{kTtl}, 1.0, [this](const wire::StoreReply &r) {
+      asking_ = false;
+      if (r.status != 200 || !r.lease) return;
+      lease_ = r.lease;
+      written_.reset();
+      next_lease_ = port_.now() + kTouchEvery;
+    });
+  } else {
+    asking_ = true;
+    next_lease_ = port_.now() + kTouchEvery;
+    port_.store(StoreLeaseTouch{lease_}, 1.0, [this](const wire::StoreReply &r) {
+      asking_ = false;
+      if (r.status == 404) lease_ = 0;
+    });
+  }
+  if (lease_ == 0 || siblings_.cut_off()) return;
+  // Over the links it is told anyway, and more often.
+  auto band = [](std::uint16_t machines) { return static_cast<int>(std::log2(machines + 1.0) / 2); };
+  const bool changed =
+      !written_ || (some_link_down() && (own_.workers != written_->workers || own_.cloud != written_->cloud ||
+                                         band(own_.machines) != band(written_->machines) ||
+                                         (own_.workers == Hearing::Hears && port_.now() - written_at_ > kAgain)));
+  if (changed && writes_.take(port_.now())) write_word();
+}
+
+void Reach::write_word() {
+  written_ = own_;
+  written_at_ = port_.now();
+  const ReachRecord record{own_, port_.wall()};
+  port_.store(StoreCommit{{}, {{kPrefix + std::to_string(siblings_.self()), wire::to_json(record), lease_}}}, 1.0,
+              [this, lease = lease_](const wire::StoreReply &r) {
+                if (lease != lease_) return;
+                if (r.status == 400) lease_ = 0; // it is over
+                if (r.status != 200) written_.reset();
+              });
+}
+
+void Reach::read_words() {
+  const bool deaf = lead_.leading() && port_.now() - last_report_at_ > heard_.window_s() / 2;
+  if (listing_ || port_.now() < next_list_ || !some_link_down() || siblings_.count() == 0) return;
+  next_list_ = port_.now() + (deaf ? kListEveryDeaf : kListEvery);
+  listing_ = true;
+  port_.store(StoreList{kPrefix, ""}, 1.0, [this, asked = port_.now()](const wire::StoreReply &r) {
+    listing_ = false;
+    if (r.status != 200) return;
+    listed_at_ = asked;
+    for (auto &s : by_state_)
+      s.present = false;
+    for (const auto &e : r.entries) {
+      const auto digits = e.key.substr(kPrefix.size());
+      const auto record = wire::reach_from_json(e.value);
+      if (!record || digits.empty() || digits.size() > 3 || digits.find_first_not_of("0123456789") != std::string::npos)
+        continue;
+      const int sender = std::stoi(digits);
+      const int i = sender < 256 ? siblings_.by_sender(static_cast<std::uint8_t>(sender)) : -1;
+      if (i >= 0) by_state_[static_cast<std::size_t>(i)] = {*record, true};
+    }
+  });
+}
+
+std::optional<Reach::Word> Reach::word(std::size_t i) const {
+  const auto &link = siblings_[i];
+  const double age = port_.now() - link.stated_at;
+  if (age < kLinkWord) return link.cut_off ? std::nullopt : std::optional(Word{link.reach, age, true});
+  const auto &s = by_state_[i];
+  if (!s.present || port_.now() - listed_at_ > kListLife) return std::nullopt;
+  Word w{s.record.word, std::max(0.0, port_.wall() - s.record.wall), false};
+  if (w.says.workers == Hearing::Hears && w.age_s > kHearsLife) w.says.workers = Hearing::Unknown;
+  if (w.age_s > kSilentFor) w.says = {};
+  return w;
+}
+
+bool Reach::probe_wanted() const {
+  if (lead_.role() != Role::Follower) return false;
+  for (std::size_t i = 0; i < siblings_.count(); ++i)
+    if (const auto w = word(i); w && w->says.cloud == CloudWord::Fails && siblings_.name(i) == lead_.leader_name())
+      return true;
+  return false;
+}
+
+// ---- who leads ----
+
+// How ill placed a node is to lead: the larger the worse.
+double Reach::rank(const ReachWord &w) const {
+  return (w.workers == Hearing::Silent    ? 4
+          : w.workers == Hearing::Unknown ? 1
+                                          : 0) +
+         (w.cloud == CloudWord::Fails ? 2 : 0);
+}
+
+void Reach::step_down(std::string_view why, std::size_t sibling, const Word &w) {
+  lead_.step_down(
+      fmt::format("{}; {} {} ({})", why, siblings_.name(sibling),
+                  w.says.workers == Hearing::Hears ? fmt::format("hears about {}", w.says.machines) : "may reach them",
+                  w.by_link ? "by link" : "by the state service"));
+  lead_.stand_back(kStandBack);
+}
+
+// A leader that the workers no longer reach, while they may reach another node, makes room: siblings could only send
+// them back to it, and all their leases would run out. The same if few reach it and many another that cannot pass
+// their reports on; and, later, if only others reach the cloud.
+void Reach::make_room() {
+  if (!lead_.active()) return;
+  const double now = port_.now();
+  const auto live = fleet_.live();
+  const bool several = live >= Silence::Count::kLeast;
+  const bool young = now - lead_.took_over_at()<kYoung, heard_any = last_report_at_> lead_.leading_since();
+  // Each second saved here is one more for workers, which wait 4 s for an answer before they try elsewhere, to reach
+  // the next leader within their lease. A few machines may hang by chance. On links that come and go, the leader
+  // changes once a minute at most.
+  const double patience =
+      (several ? late_after(settings_) : std::max(4.5, 2 * settings_.report_s + 2)) + (young && heard_any ? kFlap : 0);
+  const double quiet = now - std::max({last_report_at_, lead_.leading_since(), awake_from_});
+  const bool deaf = quiet >= patience;
+  const auto &all = silence_.all();
+  const std::size_t here = all.known - all.late;
+  const bool few = !deaf && !young && all.known >= 2 * Silence::Count::kLeast && 3 * all.late >= 2 * all.known &&
+                   now - awake_from_ > patience;
+  const bool cloud = own_.cloud == CloudWord::Fails &&
+                     now - std::max(port_.cloud_ok_at(), lead_.leading_since()) > (young ? kYoung : kCloudPatience);
+  if (!deaf && !few && !cloud) return;
+  for (std::size_t i = 0; i < siblings_.count(); ++i) {
+    const auto w = word(i);
+    if (!w || w->says.workers == Hearing::Silent) continue; // it would serve no better
+    const bool hears = w->says.workers == Hearing::Hears;
+    // Whatever silenced them here may have silenced them there at the same moment.
+    if (deaf && hears && w->says.quiet_s + w->age_s + kSooner > quiet) continue;
+    // That several fall silent at once is enough. Where few have been heard a sibling has to have heard some: the
+    // workers may be what has failed. Waiting for that with several would send workers that try a sibling back here.
+    if (deaf && (hears || (several && !young))) return step_down("no worker reaches this node", i, *w);
+    if (few && hears && w->says.machines > 2 * here + Silence::Count::kLeast && !siblings_[i].passes)
+      return step_down(fmt::format("only {} of {} machines reach this node", here, all.known), i, *w);
+    if (cloud && w->says.cloud == CloudWord::Answers) return step_down("the cloud does not answer this node", i, *w);
+  }
+}
+
+} // namespace loft::core
--- a/src/core/relay.cpp
+++ b/src/core/relay.cpp
@@ -14,42 +14,33 @@
     pruned_at_ = now;
     std::erase_if(known_, [&](const auto &k) { return now - k.second > forget_s_; });
   }
-  if (waiting_.size() >= kMostWaiting || (known_.size() >= most_ && !known_.contains(machine))) return std::nullopt;
+  if (passed_.full() || (known_.size() >= most_ && !known_.contains(machine))) return std::nullopt;
   known_[machine] = now;
-  waiting_[++nonce_] = {req, now};
-  order_.push_back(nonce_);
-  return nonce_;
+  return passed_.take(req, now + kPatience, machine);
 }
 
-std::optional<RequestId> ReportRelay::answered(std::uint64_t nonce) {
-  auto it = waiting_.find(nonce);
-  if (it == waiting_.end()) return std::nullopt;
-  const RequestId req = it->second.req;
-  waiting_.erase(it);
-  return req;
+std::optional<RequestId> ReportRelay::answered(std::uint64_t nonce, bool stays) {
+  const auto item = passed_.answered(nonce);
+  if (!item) return std::nullopt;
+  if (!stays) left(item->kept);
+  return item->req;
 }
 
 std::vector<RequestId> ReportRelay::give_up(double now) {
   std::vector<RequestId> out;
-  while (!order_.empty()) {
-    auto it = waiting_.find(order_.front());
-    if (it != waiting_.end()) {
-      if (now - it->second.since < kPatience) break;
-      out.push_back(it->second.req);
-      waiting_.erase(it);
-      broken_until_ = now + kBrokenFor;
-    }
-    order_.pop_front();
+  for (const auto &item : passed_.give_up(now)) {
+    out.push_back(item.req);
+    left(item.kept);
   }
+  if (!out.empty()) broken_until_ = now + kBrokenFor;
   return out;
 }
 
 std::vector<RequestId> ReportRelay::give_up_all() {
-  std::vector<RequestId> out;
-  for (const auto &[nonce, w] : waiting_)
-    out.push_back(w.req);
-  waiting_.clear();
-  order_.clear();
+  const double broken = broken_until_;
+  auto out = give_up(std::numeric_limits<double>::infinity());
+  broken_until_ = broken;
+  known_.clear();
   return out;
 }
 
@@ -65,6 +56,8 @@
   over_ = rate_ > limits_.reports || workers > limits_.sockets;
   if (over_)
     wanted_ = true;
+  else if (now < called_until_)
+    wanted_ = true;
   else if (all_ < kBackBelow * limits_.reports &&
            static_cast<double>(workers) < kBackBelow * static_cast<double>(limits_.sockets))
     wanted_ = false;
--- a/src/core/reports.cpp
+++ b/src/core/reports.cpp
@@ -8,6 +8,7 @@
 constexpr double kWordLife = 1.2;       // s, of a sibling's word that it leads or passes reports on
 constexpr double kSentAwayAgain = 60.0; // s, that a worker that came back is kept
 constexpr double kLeaderKnownFor = 3.0; // s, from the state service
+constexpr double kCalledFor = 30.0;     // s, that siblings pass reports on after some workers were not heard here
 // Sockets are also needed for users, siblings and the services outside.
 constexpr double kRelaySockets = 0.6, kLeaderSockets = 0.4;
 // Reports a second that a leader takes straight from workers, for a whole core: beyond that siblings read them for
@@ -18,10 +19,10 @@
 }
 } // namespace
 
-ReportDesk::ReportDesk(Port &port, const Settings &s, Leadership &lead, Siblings &siblings, const RecordWatch &watch,
-                       Fleet &fleet)
-    : port_(port), settings_(s), lead_(lead), siblings_(siblings), watch_(watch), fleet_(fleet),
-      relay_(sockets_for(s, kRelaySockets), 3 * s.report_s + 2, port.nonce()),
+ReportDesk::ReportDesk(Port &port, const Settings &s, Leadership &lead, Siblings &siblings, Reach &reach,
+                       const Silence &silence, const RecordWatch &watch, Fleet &fleet)
+    : port_(port), settings_(s), lead_(lead), siblings_(siblings), reach_(reach), silence_(silence), watch_(watch),
+      fleet_(fleet), relay_(sockets_for(s, kRelaySockets), 3 * s.report_s + 2, port.nonce()),
       spread_({kDirectReports * s.cpu_share, sockets_for(s, kLeaderSockets)}) {}
 
 // The sibling that says it leads, with the highest term known here; -1 if none does.
@@ -63,6 +64,7 @@
 }
 
 void ReportDesk::count_rates() {
+  if (lead_.leading() && silence_.in_part()) spread_.call_for(port_.now() + kCalledFor);
   spread_.tick(port_.now(), Siblings::kPingEvery, lead_.leading() ? fleet_.kept_by(-1) : 0);
 }
 
@@ -75,7 +77,11 @@
 }
 
 std::optional<ReportDesk::Pending> ReportDesk::take(CmdReport &&cmd) {
-  if (relay_to() < 0) return hear({.req = cmd.req}, cmd.report);
+  reach_.heard(cmd.report.zone);
+  if (relay_to() < 0) {
+    if (lead_.role() == Role::Follower) relay_.left(cmd.report.machine);
+    return hear({.req = cmd.req}, cmd.report);
+  }
   pass_on(std::move(cmd));
   return std::nullopt;
 }
@@ -83,11 +89,11 @@
 std::optional<ReportDesk::Pending> ReportDesk::take_passed(const CmdPeer &cmd) {
   const int sibling = siblings_.by_sender(cmd.message.sender);
   if (sibling < 0) return std::nullopt; // not from a node of these settings
+  reach_.heard_by_sibling();
   return hear({.link = cmd.link, .nonce = cmd.message.nonce, .sibling = sibling}, cmd.message.report);
 }
 
 std::optional<ReportDesk::Pending> ReportDesk::hear(const Asker &from, const WorkerReport &r) {
-  siblings_.worker_reported();
   lead_.hear_of(r.token, "a worker has seen a higher term");
   auto no = [&](std::string_view why) {
     tell(from, 503, {}, why);
@@ -126,7 +132,6 @@
 }
 
 void ReportDesk::pass_on(CmdReport &&cmd) {
-  siblings_.worker_reported();
   lead_.hear_of(cmd.report.token, "a worker has seen a higher term");
   const int to = relay_to(); // may have changed with that
   const auto nonce = to >= 0 ? relay_.take(cmd.req, cmd.report.machine, port_.now()) : std::nullopt;
@@ -147,7 +152,7 @@
 
 // The answer to the report that was passed on under this number, and to no other.
 void ReportDesk::take_orders(const wire::PeerMessage &m) {
-  const auto req = relay_.answered(m.nonce);
+  const auto req = relay_.answered(m.nonce, m.status != 421);
   if (!req) return; // given up
   if (m.status == 200 && m.term >= lead_.highest_term())
     return port_.reply(*req, 200, wire::encode_orders(m.term, m.orders));
--- a/src/core/scaler.cpp
+++ b/src/core/scaler.cpp
@@ -12,6 +12,7 @@
 constexpr double kScaleEvery = 1.0;
 constexpr double kListEvery = 3.0;
 constexpr double kTypesEvery = 60.0;
+constexpr double kProbeEvery = 5.0;
 constexpr double kNoCapacityPause = 12.0;
 constexpr double kMinimumCharge = 60.0; // a returned machine costs at least this long
 constexpr double kHoldBootsKept = 1.5;  // boot times an idle machine is held that some job class needs whole
@@ -28,9 +29,9 @@
 
 Scaler::Scaler(Port &port, const Settings &settings, Catalogue &catalogue, const Operators &operators,
                const Leadership &lead, const JobTable &jobs, const FailureJudge &judge, Fleet &fleet,
-               const Placer &placer, const Wishes &wishes)
+               const Silence &silence, const Placer &placer, const Wishes &wishes)
     : port_(port), settings_(settings), catalogue_(catalogue), operators_(operators), lead_(lead), jobs_(jobs),
-      judge_(judge), fleet_(fleet), placer_(placer), wishes_(wishes),
+      judge_(judge), fleet_(fleet), silence_(silence), placer_(placer), wishes_(wishes),
       calls_(0.7 * settings.cloud_rps, std::max(1.0, 0.7 * settings.cloud_rps)) {}
 
 void Scaler::on(const TermBegun &) {
@@ -88,6 +89,12 @@
   });
 }
 
+void Scaler::probe() {
+  if (types_loading_ || !catalogue_.known() || port_.now() < next_probe_) return;
+  next_probe_ = port_.now() + kProbeEvery * (0.8 + 0.4 * port_.random());
+  load_types();
+}
+
 void Scaler::tick() {
   if (!types_loading_ && port_.now() >= next_types_ && (!catalogue_.known() || lead_.leading())) load_types();
   if (!lead_.active()) return;
@@ -130,6 +137,7 @@
     const bool fresh = fleet_.index(l.name) < 0;
     const int m = fleet_.add(l.name, l.type, l.zone, l.spot);
     if (fresh) fleet_.set_rented_at(m, port_.now() - l.age_s);
+    if (l.status == MachineStatus::Running) fleet_.listed_running(m);
     if (l.status == MachineStatus::Failed) fleet_.listed_failed(m);
   }
 }
@@ -145,11 +153,13 @@
   const double now = port_.now(), cheapest = catalogue_.cheapest_cpu();
   fleet_.each([&](int m, const Machine &n) {
     const double age = now - n.rented_at, boot = n.type >= 0 ? catalogue_.type(n.type).boot_s : 60;
-    bool go = !n.heard && now - n.known_since > 10 && age > kBootGiveUp * boot + 10;
-    // Many machines silent at once points at this node's network rather than at them.
-    go |= n.heard && n.lost && (lost <= live || now - n.last_answer > settings_.lease_s + 30);
+    const bool awaited = silence_.awaited(m);
+    bool go = !n.heard && !awaited && now - n.known_since > 10 && age > kBootGiveUp * boot + 10;
+    // Many machines silent at once points at the network rather than at them.
+    go |= n.heard && n.lost && !awaited && (lost <= live || now - n.last_answer > settings_.lease_s + 30);
     go |= n.taken_at && now > *n.taken_at + 1 && now - n.last_answer > settings_.report_s * 1.5 + 1;
-    if (n.heard && !n.lost && n.slots.empty() && n.idle_since >= 0 && (age >= kMinimumCharge - 2 || n.order)) {
+    if (n.heard && !n.lost && !awaited && n.slots.empty() && n.idle_since >= 0 &&
+        (age >= kMinimumCharge - 2 || n.order)) {
       const bool keep = !n.spot && placer_.kept(n.type, 300);
       double hold = boot * (keep ? kHoldBootsKept : operators_.tunables().idle_boots);
       if (!keep && n.type >= 0 && n.size.cpus > 0)
@@ -225,8 +235,9 @@
     bool spot;
   };
   std::vector<Place> booting;
-  fleet_.each([&](int, const Machine &m) {
-    if (!m.heard && !m.returning && m.type >= 0) booting.push_back({m.size, m.type, m.zone, m.spot});
+  fleet_.each([&](int i, const Machine &m) {
+    if (m.heard || m.returning || m.type < 0 || (m.listed_running && !silence_.expected(i))) return;
+    booting.push_back({m.size, m.type, m.zone, m.spot});
   });
   for (const auto &[key, count] : rents_open_)
     for (int i = 0; i < count; ++i) {
@@ -240,7 +251,7 @@
            std::pair(-static_cast<int>(jobs_[b].spec.urgency), jobs_[b].submit_wall);
   });
   std::vector<int> index;
-  auto up = placer_.snapshot(index, -1);
+  auto up = placer_.snapshot(index, -1, [this](int m) { return silence_.expected(m); });
   // Machines already up, those alike together, and the CPU seconds that they are expected to still spend.
   struct Alike {
     PlaceMachine one;
--- a/src/core/siblings.cpp
+++ b/src/core/siblings.cpp
@@ -7,7 +7,6 @@
 namespace {
 constexpr double kCutOffAfter = 1.5; // s, without any answer from the state service
 constexpr double kLately = 3.0;      // s
-constexpr double kDeafPause = 15.0;  // s, before a node that has stepped down as deaf stands again
 } // namespace
 
 Siblings::Siblings(Port &port, const Settings &settings, Leadership &lead, StoreBudget &budget, JobTable &jobs,
@@ -47,6 +46,7 @@
     m.nonce = ++ping_nonce_;
     m.term = lead_.highest_term();
     m.sender = self_;
+    m.reach = own_;
     states_[i].nonce = m.nonce;
     states_[i].sent_at = port_.now();
     port_.send({static_cast<int>(i), 0, std::move(m)});
@@ -60,7 +60,7 @@
   r.term = standing.leads ? lead_.term() : lead_.highest_term();
   // More than can be repeated: the leader is not to go on on this node's word.
   r.cut_off = cut_off() && confirmed_cancels_.size() <= wire::kPeerMaxCancelled;
-  r.hears_workers = port_.now() - last_report_at_ < kLately;
+  r.reach = own_;
   r.sender = self_;
   r.leads = standing.leads;
   r.spreads = standing.spreads;
@@ -82,7 +82,7 @@
   if (m.nonce != s.nonce) return false; // an old answer, perhaps held up on the way
   s.stated_at = s.sent_at;              // it cannot be older than the question
   s.cut_off = m.cut_off;
-  s.hears_workers = m.hears_workers;
+  s.reach = m.reach;
   s.leads = m.leads;
   s.spreads = m.spreads;
   s.passes = m.passes;
@@ -100,26 +100,6 @@
     port_.send({static_cast<int>(i), 0, m});
 }
 
-void Siblings::abdicate_if_deaf(std::size_t live) {
-  // After standing still it has not read yet what workers have sent meanwhile.
-  if (port_.now() - deaf_tick_at_ > 1) deaf_from_ = port_.now();
-  deaf_tick_at_ = port_.now();
-  if (!lead_.active()) return;
-  // Every worker reports within 1.25 of the interval. Each second saved here is one more for workers, which
-  // wait 4 s for an answer before they try elsewhere, to reach the next leader within their lease.
-  // A few machines may hang by chance.
-  const double patience = live >= 4 ? 1.25 * settings_.report_s + 1.5 : std::max(4.5, 2 * settings_.report_s + 2);
-  if (port_.now() - std::max({last_report_at_, lead_.leading_since(), deaf_from_}) < patience) return;
-  // That several fall silent at once is enough. Where few have been heard a sibling has to have heard some: the workers
-  // may be what has failed. Waiting for that with several would send workers that try a sibling back to this node.
-  for (const auto &s : states_)
-    if (!s.cut_off && port_.now() - s.stated_at < kPingEvery * 3 && (live >= 4 || s.hears_workers)) {
-      lead_.step_down("no worker reaches this node");
-      lead_.stand_back(kDeafPause);
-      return;
-    }
-}
-
 bool Siblings::common_outage() const {
   if (!cut_off() || states_.empty()) return false;
   return std::all_of(states_.begin(), states_.end(),
--- a/src/core/users.cpp
+++ b/src/core/users.cpp
@@ -12,6 +12,9 @@
 constexpr std::size_t kMostKnown = 4000;   // open records
 constexpr double kConfirmEvery = 0.03;     // least time between comparisons
 constexpr double kQuestionPatience = 0.25; // that a question waits for one
+// Within what a user waits for an answer (2 s, and 5 s for what changes something), a sibling's has to be there.
+constexpr double kLookWithin = 1.8, kChangeWithin = 4.5, kLeastForSibling = 0.15;
+constexpr double kWordLife = 1.2; // s, of a sibling's word that the state service answers it
 } // namespace
 
 UserDesk::Verdict UserDesk::judge(const JobSpec &spec, std::string &why) const {
@@ -38,6 +41,80 @@
   return Verdict::Never;
 }
 
+// ---- by way of siblings ----
+
+// One that the state service answers, the leader if it can be.
+int UserDesk::helper() const {
+  int best = -1;
+  for (std::size_t i = 0; i < siblings_.count(); ++i) {
+    const auto &s = siblings_[i];
+    if (s.cut_off || port_.now() - s.stated_at > kWordLife) continue;
+    if (best < 0 || s.leads) best = static_cast<int>(i);
+  }
+  return best;
+}
+
+bool UserDesk::can_answer() const {
+  return !siblings_.cut_off() || helper() >= 0;
+}
+
+// Never what a sibling has passed on to this node: two that each think well of the other would send it to and fro.
+bool UserDesk::pass_on(RequestId req, Verb verb, const std::string &id, double asked, std::string body) {
+  const double until = asked + (verb == Verb::Look ? kLookWithin : kChangeWithin);
+  const int to = helper();
+  if (to < 0 || Port::is_stand_in(req) || passed_.full() || port_.now() + kLeastForSibling > until ||
+      body.size() + 256 > wire::kPeerMaxRelayed)
+    return false;
+  wire::PeerMessage m;
+  m.kind = wire::PeerMessage::Kind::Ask;
+  m.nonce = passed_.take(req, until, {verb, id});
+  m.term = lead_.highest_term();
+  m.sender = siblings_.self();
+  m.verb = verb;
+  m.id = id;
+  m.body = std::move(body);
+  port_.send({to, 0, std::move(m)});
+  return true;
+}
+
+void UserDesk::no_answer(const Question &q, Verb verb, std::string_view why, std::string body) {
+  if (!pass_on(q.req, verb, q.id, q.asked, std::move(body))) port_.refuse(q.req, why);
+}
+
+void UserDesk::take_asked(const CmdPeer &cmd) {
+  const auto &m = cmd.message;
+  if (siblings_.by_sender(m.sender) < 0) return; // not from a node of these settings
+  const auto req = port_.stand_in(cmd.link, m.nonce);
+  if (!req) return; // it gives up by itself
+  if (m.verb == Verb::Look) return take(CmdLookup{*req, m.id});
+  if (m.verb == Verb::Abort) return take(CmdAbort{*req, m.id});
+  auto spec = wire::decode_job(m.body);
+  auto *job = std::get_if<JobSpec>(&spec);
+  if (!job || job->id != m.id) return port_.refuse(*req, "a sibling passed on what is no job");
+  take(CmdSubmit{*req, std::move(*job)});
+}
+
+// What a sibling read after the user had asked. What this node has learnt since is newer, and is told instead.
+void UserDesk::take_told(const wire::PeerMessage &m) {
+  const auto item = passed_.answered(m.nonce);
+  if (!item) return; // given up
+  if (m.status == 200) {
+    const auto &id = item->kept.id;
+    const bool brief = item->kept.verb != Verb::Look;
+    if (const auto *end = ended_.find(id)) return answer_end(item->req, id, *end, brief);
+    if (const auto it = known_open_.find(id); it != known_open_.end() && it->second.cancelled)
+      return tell_open({item->req, id, brief, port_.now()}, true);
+  }
+  port_.reply(item->req, m.status, m.body, m.retry_s ? std::optional<int>(m.retry_s) : std::nullopt);
+}
+
+void UserDesk::tick() {
+  for (const auto &item : passed_.give_up(port_.now()))
+    port_.refuse(item.req, "neither the state service nor a sibling has answered");
+}
+
+// ---- submissions ----
+
 void UserDesk::take(CmdSubmit &&cmd) {
   if (const auto *end = ended_.find(cmd.spec.id)) return answer_end(cmd.req, cmd.spec.id, *end, true);
   std::string why;
@@ -45,6 +122,7 @@
   case Verdict::Never:
     return port_.reply(cmd.req, 422, wire::encode_error(why));
   case Verdict::Unknown:
+    if (pass_on(cmd.req, Verb::Submit, cmd.spec.id, port_.now(), wire::encode(wire::to_json(cmd.spec)))) return;
     return port_.refuse(cmd.req, "machine types are not known yet");
   case Verdict::Ok:
     break;
@@ -53,61 +131,67 @@
   auto value = wire::to_json(record);
   if (static_cast<double>(value.dump().size()) > settings_.state_value_kb * 1024 - 64)
     return port_.reply(cmd.req, 422, wire::encode_error("the job's description is too long to be kept"));
+  const Question q{cmd.req, cmd.spec.id, true, port_.now()};
+  auto body = [spec = std::move(cmd.spec)] { return wire::encode(wire::to_json(spec)); };
+  if (siblings_.cut_off() && pass_on(q.req, Verb::Submit, q.id, q.asked, body())) return;
   if (under_way_ >= kMaxUserOps || !budget_.take_write(port_.now()))
-    return port_.refuse(cmd.req, "too many submissions at once");
+    return port_.refuse(q.req, "too many submissions at once");
   ++under_way_;
-  std::string id = cmd.spec.id;
-  port_.store(StoreCommit{{{"open/" + id, 0}, {"end/" + id, 0}}, {{"open/" + id, std::move(value), 0}}}, kUserDeadline,
-              [this, req = cmd.req, id](const wire::StoreReply &r) {
+  port_.store(StoreCommit{{{"open/" + q.id, 0}, {"end/" + q.id, 0}}, {{"open/" + q.id, std::move(value), 0}}},
+              kUserDeadline, [this, q, body = std::move(body)](const wire::StoreReply &r) {
                 --under_way_;
                 if (r.status == 200) {
-                  note_open(id, r.revision, false);
-                  return port_.reply(req, 201, wire::encode_accepted(id, JobState::Queued));
+                  note_open(q.id, r.revision, false);
+                  return port_.reply(q.req, 201, wire::encode_accepted(q.id, JobState::Queued));
                 }
-                if (r.status == 409) return answer_state(req, id, true);
-                port_.refuse(req, "the state service did not confirm the submission");
+                if (r.status == 409) return answer_state(q);
+                // It may have been carried out, or may be yet: the same again is the same job.
+                no_answer(q, Verb::Submit, "the state service did not confirm the submission", body());
               });
 }
 
+// ---- questions ----
+
 void UserDesk::take(CmdLookup &&cmd) {
   if (!wire::valid_job_id(cmd.id)) return port_.reply(cmd.req, 404, wire::encode_error("no such job"));
-  answer_state(cmd.req, cmd.id, false);
+  answer_state({cmd.req, cmd.id, false, port_.now()});
 }
 
-void UserDesk::answer_state(RequestId req, const std::string &id, bool as_submit) {
-  if (const auto *end = ended_.find(id)) return answer_end(req, id, *end, as_submit);
-  auto known = known_open_.find(id);
-  if (known == known_open_.end()) return read_open(req, id, as_submit);
+void UserDesk::answer_state(const Question &q) {
+  if (const auto *end = ended_.find(q.id)) return answer_end(q.req, q.id, *end, q.as_submit);
+  auto known = known_open_.find(q.id);
   // Cancelled is for ever; that it is still open has to be confirmed.
-  if (known->second.cancelled) return tell_open(req, id, true, as_submit);
-  if (questions_.size() >= kMaxUserOps) return port_.refuse(req, "too many questions at once");
-  questions_.push_back({req, id, as_submit, port_.now()});
+  if (known != known_open_.end() && known->second.cancelled) return tell_open(q, true);
+  if (siblings_.cut_off() && pass_on(q.req, Verb::Look, q.id, q.asked)) return;
+  if (known == known_open_.end()) return read_open(q);
+  if (questions_.size() >= kMaxUserOps) return port_.refuse(q.req, "too many questions at once");
+  questions_.push_back(q);
 }
 
-void UserDesk::read_open(RequestId req, const std::string &id, bool as_submit) {
+void UserDesk::read_open(const Question &q) {
   if (under_way_ >= kMaxUserOps || !budget_.take_read(port_.now(), 1.3))
-    return port_.refuse(req, "too many questions at once");
+    return port_.refuse(q.req, "too many questions at once");
   ++under_way_;
-  port_.store(StoreGet{"open/" + id}, kUserDeadline / 2, [this, req, id, as_submit](const wire::StoreReply &r) {
+  port_.store(StoreGet{"open/" + q.id}, kUserDeadline / 2, [this, q](const wire::StoreReply &r) {
     --under_way_;
-    if (r.status == 404) return read_end(req, id, as_submit, false);
+    if (r.status == 404) return read_end(q, false);
     if (auto end = r.entries.size() == 1 ? wire::final_from_json(r.entries[0].value) : std::nullopt) {
-      ended_.remember(id, *end);
-      return answer_end(req, id, *end, as_submit);
+      ended_.remember(q.id, *end);
+      return answer_end(q.req, q.id, *end, q.as_submit);
     }
     auto open = r.status == 200 && r.entries.size() == 1 ? wire::open_from_json(r.entries[0].value) : std::nullopt;
-    if (!open) return port_.refuse(req, "the state service did not answer");
-    note_open(id, r.entries[0].stamp, open->cancelled);
-    tell_open(req, id, open->cancelled, as_submit);
+    if (!open) return no_answer(q, Verb::Look, "the state service did not answer");
+    note_open(q.id, r.entries[0].stamp, open->cancelled);
+    tell_open(q, open->cancelled);
   });
 }
 
-void UserDesk::tell_open(RequestId req, const std::string &id, bool cancelled, bool as_submit) {
+void UserDesk::tell_open(const Question &q, bool cancelled) {
   // What this node has learnt while the question was under way is newer than what was found.
-  if (const auto *end = ended_.find(id)) return answer_end(req, id, *end, as_submit);
-  if (auto it = known_open_.find(id); it != known_open_.end()) cancelled |= it->second.cancelled;
-  auto view = insight_.view(id, cancelled);
-  port_.reply(req, 200, as_submit ? wire::encode_accepted(id, view.state) : wire::encode_job_view(view));
+  if (const auto *end = ended_.find(q.id)) return answer_end(q.req, q.id, *end, q.as_submit);
+  if (auto it = known_open_.find(q.id); it != known_open_.end()) cancelled |= it->second.cancelled;
+  auto view = insight_.view(q.id, cancelled);
+  port_.reply(q.req, 200, q.as_submit ? wire::encode_accepted(q.id, view.state) : wire::encode_job_view(view));
 }
 
 void UserDesk::note_open(const std::string &id, std::uint64_t stamp, bool cancelled) {
@@ -148,7 +232,7 @@
         compare.guards.push_back({key, it->second.stamp});
       asked.push_back(std::move(q));
     } else {
-      answer_state(q.req, q.id, q.as_submit); // ended, cancelled or pushed out meanwhile
+      answer_state(q); // ended, cancelled or pushed out meanwhile
     }
   }
   if (asked.empty()) {
@@ -159,11 +243,11 @@
     confirming_ = false;
     for (const auto &q : asked) {
       if (r.status == 200) {
-        tell_open(q.req, q.id, false, q.as_submit);
+        tell_open(q, false);
       } else if (r.status != 409) {
-        port_.refuse(q.req, "the state service did not answer");
+        no_answer(q, Verb::Look, "the state service did not answer");
       } else if (std::find(r.failed.begin(), r.failed.end(), "open/" + q.id) != r.failed.end()) {
-        read_open(q.req, q.id, q.as_submit); // cancelled or over by now
+        read_open(q); // cancelled or over by now
       } else {
         questions_.push_back(q);
       }
@@ -171,17 +255,16 @@
   });
 }
 
-void UserDesk::read_end(RequestId req, const std::string &id, bool as_submit, bool as_abort) {
+void UserDesk::read_end(const Question &q, bool as_abort) {
   ++under_way_;
-  port_.store(
-      StoreGet{"end/" + id}, kUserDeadline / 2, [this, req, id, as_submit, as_abort](const wire::StoreReply &r) {
-        --under_way_;
-        if (r.status == 404 && !as_submit) return port_.reply(req, 404, wire::encode_error("no such job"));
-        auto end = r.status == 200 && r.entries.size() == 1 ? wire::end_from_json(r.entries[0].value) : std::nullopt;
-        if (!end) return port_.refuse(req, "the state service did not answer");
-        ended_.remember(id, *end);
-        answer_end(req, id, *end, as_submit || as_abort);
-      });
+  port_.store(StoreGet{"end/" + q.id}, kUserDeadline / 2, [this, q, as_abort](const wire::StoreReply &r) {
+    --under_way_;
+    if (r.status == 404 && !q.as_submit) return port_.reply(q.req, 404, wire::encode_error("no such job"));
+    auto end = r.status == 200 && r.entries.size() == 1 ? wire::end_from_json(r.entries[0].value) : std::nullopt;
+    if (!end) return no_answer(q, as_abort ? Verb::Abort : Verb::Look, "the state service did not answer");
+    ended_.remember(q.id, *end);
+    answer_end(q.req, q.id, *end, q.as_submit || as_abort);
+  });
 }
 
 void UserDesk::answer_end(RequestId req, const std::string &id, const EndRecord &end, bool brief) {
@@ -195,32 +278,35 @@
   const auto &id = cmd.id;
   if (!wire::valid_job_id(id)) return port_.reply(cmd.req, 404, wire::encode_error("no such job"));
   if (const auto *end = ended_.find(id)) return answer_end(cmd.req, id, *end, true);
+  const Question q{cmd.req, id, false, port_.now()};
+  if (siblings_.cut_off() && pass_on(q.req, Verb::Abort, id, q.asked)) return;
   if (under_way_ >= kMaxUserOps || !budget_.take_write(port_.now()))
     return port_.refuse(cmd.req, "too many requests at once");
   ++under_way_;
-  port_.store(StoreGet{"open/" + id}, kUserDeadline / 2, [this, req = cmd.req, id](const wire::StoreReply &r) {
+  port_.store(StoreGet{"open/" + id}, kUserDeadline / 2, [this, q](const wire::StoreReply &r) {
     --under_way_;
-    if (r.status == 404) return read_end(req, id, false, true);
+    if (r.status == 404) return read_end(q, true);
     if (auto end = r.entries.size() == 1 ? wire::final_from_json(r.entries[0].value) : std::nullopt) {
-      ended_.remember(id, *end);
-      return answer_end(req, id, *end, true);
+      ended_.remember(q.id, *end);
+      return answer_end(q.req, q.id, *end, true);
     }
     auto open = r.status == 200 && r.entries.size() == 1 ? wire::open_from_json(r.entries[0].value) : std::nullopt;
-    if (!open) return port_.refuse(req, "the state service did not answer");
+    if (!open) return no_answer(q, Verb::Abort, "the state service did not answer");
     if (open->cancelled) {
-      note_open(id, r.entries[0].stamp, true);
-      return port_.reply(req, 200, wire::encode_accepted(id, JobState::Cancelled));
+      note_open(q.id, r.entries[0].stamp, true);
+      return port_.reply(q.req, 200, wire::encode_accepted(q.id, JobState::Cancelled));
     }
     open->cancelled = true;
     ++under_way_;
-    port_.store(StoreCommit{{{"open/" + id, r.entries[0].stamp}}, {{"open/" + id, wire::to_json(*open), 0}}},
-                kUserDeadline, [this, req, id](const wire::StoreReply &c) {
+    port_.store(StoreCommit{{{"open/" + q.id, r.entries[0].stamp}}, {{"open/" + q.id, wire::to_json(*open), 0}}},
+                kUserDeadline, [this, q](const wire::StoreReply &c) {
                   --under_way_;
                   if (c.status == 200) {
-                    note_open(id, c.revision, true);
-                    return port_.reply(req, 200, wire::encode_accepted(id, JobState::Cancelled));
+                    note_open(q.id, c.revision, true);
+                    return port_.reply(q.req, 200, wire::encode_accepted(q.id, JobState::Cancelled));
                   }
-                  port_.refuse(req, "the state service did not confirm the cancellation");
+                  if (c.status == 409) return port_.refuse(q.req, "the job has just changed; ask again");
+                  no_answer(q, Verb::Abort, "the state service did not confirm the cancellation");
                 });
   });
 }
--- a/src/wire/admin.cpp
+++ b/src/wire/admin.cpp
@@ -183,13 +183,21 @@
   return out;
 }
 
+static Json reach_json(const ReachWord &w) {
+  Json j = to_json(ReachRecord{w, 0});
+  j.erase("at");
+  return j;
+}
+
 std::string encode_status(const AdminStatus &s) {
   Json siblings = Json::array(), fleet = Json::array(), queues = Json::array();
   for (const auto &x : s.siblings)
     siblings.push_back({{"node", x.node},
                         {"heard_s_ago", age(x.heard_s)},
                         {"cut_off_from_state_service", x.cut_off},
-                        {"hears_workers", x.hears_workers},
+                        {"hears_workers", x.reach.workers == Hearing::Hears},
+                        {"reaches", reach_json(x.reach)},
+                        {"told_by", x.told_by},
                         {"passes_reports_on", x.passes_reports},
                         {"workers_kept", x.keeps}});
   for (const auto &x : s.fleet)
@@ -210,8 +218,13 @@
                       {"oldest_waiting_s", std::round(x.oldest_s)}});
   Json leader = {{"node", s.leader.empty() ? Json() : Json(s.leader)}, {"term", s.term}};
   if (!s.leader_since.empty()) leader["since"] = s.leader_since;
+  Json reach = reach_json(s.reach.word), by_zone = Json::object();
+  for (const auto &[zone, machines] : s.reach.machines)
+    by_zone[zone] = machines;
+  reach["machines_by_zone"] = std::move(by_zone);
   return dump(
       {{"node", s.node},
+       {"reaches", std::move(reach)},
        {"role", s.role},
        {"leader", std::move(leader)},
        {"troubles", s.troubles},
--- a/src/wire/messages.cpp
+++ b/src/wire/messages.cpp
@@ -660,6 +660,29 @@
   return LeaderRecord{*node, *nonce};
 }
 
+namespace {
+constexpr const char *kHearing[] = {"unknown", "hears", "silent"}, *kCloud[] = {"unknown", "answers", "fails"};
+}
+
+Json to_json(const ReachRecord &r) {
+  return {{"workers", kHearing[static_cast<int>(r.word.workers)]},
+          {"machines", r.word.machines},
+          {"quiet_s", r.word.quiet_s},
+          {"cloud", kCloud[static_cast<int>(r.word.cloud)]},
+          {"at", r.wall}};
+}
+
+std::optional<ReachRecord> reach_from_json(const Json &j) {
+  const auto workers = find_name(kHearing, at(j, "workers")), cloud = find_name(kCloud, at(j, "cloud"));
+  const auto machines = count(at(j, "machines"));
+  const auto quiet = amount(at(j, "quiet_s"), ReachWord::kMostQuiet), when = amount(at(j, "at"), 1e12);
+  if (!quiet || !workers || !cloud || !machines || !when) return std::nullopt;
+  return ReachRecord{{static_cast<Hearing>(*workers),
+                      static_cast<std::uint16_t>(std::min<std::uint64_t>(*machines, 65535)), *quiet,
+                      static_cast<CloudWord>(*cloud)},
+                     *when};
+}
+
 Json to_json(const std::vector<MachineType> &types) {
   Json list = Json::array();
   for (const auto &t : types)
--- a/src/wire/peer.cpp
+++ b/src/wire/peer.cpp
@@ -9,7 +9,7 @@
 namespace {
 
 constexpr std::uint32_t kMagic = 0x5254464c; // "LFTR"
-constexpr std::uint16_t kVersion = 3;
+constexpr std::uint16_t kVersion = 4;
 
 template <class T> void put(std::string &out, T v) {
   for (std::size_t i = 0; i < sizeof v; ++i)
@@ -131,6 +131,42 @@
   return r.ok;
 }
 
+// A body of HTTP, as it is.
+void put_body(std::string &out, std::string_view body) {
+  put(out, static_cast<std::uint32_t>(body.size()));
+  out += body;
+}
+bool get_body(Reader &r, std::string &to) {
+  const auto n = r.get<std::uint32_t>();
+  if (!r.ok || n != r.in.size()) return r.ok = false; // it is the last in its frame
+  to = r.in;
+  r.in = {};
+  return true;
+}
+
+void put_ask(std::string &out, const PeerMessage &m) {
+  put(out, static_cast<std::uint8_t>(m.verb));
+  put_text(out, m.id);
+  put_body(out, m.body);
+}
+bool get_ask(Reader &r, PeerMessage &m) {
+  const auto verb = r.get<std::uint8_t>();
+  if (verb > static_cast<unsigned>(PeerMessage::Verb::Abort)) return false;
+  m.verb = static_cast<PeerMessage::Verb>(verb);
+  return r.text(m.id) && valid_job_id(m.id) && get_body(r, m.body);
+}
+
+void put_told(std::string &out, const PeerMessage &m) {
+  put(out, m.status);
+  put(out, m.retry_s);
+  put_body(out, m.body);
+}
+bool get_told(Reader &r, PeerMessage &m) {
+  m.status = r.get<std::uint16_t>();
+  m.retry_s = r.get<std::uint16_t>();
+  return r.ok && m.status >= 200 && m.status < 600 && get_body(r, m.body);
+}
+
 std::string frame(PeerMessage::Kind kind, const std::string &body) {
   std::string out;
   out.reserve(kPeerHeader + body.size());
@@ -152,18 +188,30 @@
   put(body, m.nonce);
   put(body, m.term);
   put(body, m.sender);
-  if (m.kind == PeerMessage::Kind::Report || m.kind == PeerMessage::Kind::Orders) {
-    if (m.kind == PeerMessage::Kind::Report)
-      put_report(body, m.report);
-    else
-      put_orders(body, m);
+  switch (m.kind) {
+  case PeerMessage::Kind::Report:
+    put_report(body, m.report);
     return frame(m.kind, body);
+  case PeerMessage::Kind::Orders:
+    put_orders(body, m);
+    return frame(m.kind, body);
+  case PeerMessage::Kind::Ask:
+    put_ask(body, m);
+    return frame(m.kind, body);
+  case PeerMessage::Kind::Told:
+    put_told(body, m);
+    return frame(m.kind, body);
+  default:
+    break;
   }
   put(body, m.uptime_ms);
   put(body, m.reads);
   put(body, m.writes);
+  put(body, static_cast<std::uint8_t>(m.cut_off | m.leads << 1 | m.spreads << 2 | m.passes << 3));
   put(body,
-      static_cast<std::uint8_t>(m.cut_off | m.hears_workers << 1 | m.leads << 2 | m.spreads << 3 | m.passes << 4));
+      static_cast<std::uint8_t>(static_cast<unsigned>(m.reach.workers) | static_cast<unsigned>(m.reach.cloud) << 2));
+  put(body, m.reach.machines);
+  put(body, static_cast<std::uint16_t>(std::clamp(m.reach.quiet_s, 0.0, ReachWord::kMostQuiet) * 10));
   auto count = std::min(m.cancelled.size(), kPeerMaxCancelled);
   put(body, static_cast<std::uint8_t>(count));
   for (std::size_t i = 0; i < count; ++i)
@@ -188,7 +236,7 @@
   auto kind = head.get<std::uint16_t>();
   auto length = head.get<std::uint32_t>();
   if (!head.ok) return PeerRead::NeedMore;
-  if (magic != kMagic || version != kVersion || kind < 1 || kind > 5) return PeerRead::Garbage;
+  if (magic != kMagic || version != kVersion || kind < 1 || kind > 7) return PeerRead::Garbage;
   if (length > (kind > 3 ? kPeerMaxRelayed : kPeerMaxBody)) return PeerRead::Garbage;
   if (buffer.size() < kPeerHeader + length) return PeerRead::NeedMore;
   Reader r{buffer.substr(kPeerHeader, length)};
@@ -202,18 +250,34 @@
     buffer.remove_prefix(kPeerHeader + length);
     return PeerRead::Frame;
   };
-  if (out.kind == PeerMessage::Kind::Report) return done(get_report(r, out.report));
-  if (out.kind == PeerMessage::Kind::Orders) return done(get_orders(r, out));
+  switch (out.kind) {
+  case PeerMessage::Kind::Report:
+    return done(get_report(r, out.report));
+  case PeerMessage::Kind::Orders:
+    return done(get_orders(r, out));
+  case PeerMessage::Kind::Ask:
+    return done(get_ask(r, out));
+  case PeerMessage::Kind::Told:
+    return done(get_told(r, out));
+  default:
+    break;
+  }
   out.uptime_ms = r.get<std::uint32_t>();
   out.reads = r.get<std::uint16_t>();
   out.writes = r.get<std::uint16_t>();
   auto flags = r.get<std::uint8_t>();
-  if (flags > 31) return PeerRead::Garbage;
+  if (flags > 15) return PeerRead::Garbage;
   out.cut_off = flags & 1;
-  out.hears_workers = flags & 2;
-  out.leads = flags & 4;
-  out.spreads = flags & 8;
-  out.passes = flags & 16;
+  out.leads = flags & 2;
+  out.spreads = flags & 4;
+  out.passes = flags & 8;
+  const auto reach = r.get<std::uint8_t>();
+  if ((reach & 3) > static_cast<unsigned>(Hearing::Silent) || reach >> 2 > static_cast<unsigned>(CloudWord::Fails))
+    return PeerRead::Garbage;
+  out.reach.workers = static_cast<Hearing>(reach & 3);
+  out.reach.cloud = static_cast<CloudWord>(reach >> 2);
+  out.reach.machines = r.get<std::uint16_t>();
+  out.reach.quiet_s = std::min(ReachWord::kMostQuiet, r.get<std::uint16_t>() / 10.0);
   auto count = r.get<std::uint8_t>();
   for (unsigned i = 0; r.ok && i < count; ++i) {
     std::string id;
--- a/tests/wire_test.cpp
+++ b/tests/wire_test.cpp
@@ -131,7 +131,8 @@
   m.kind = PeerMessage::Kind::Pong;
   m.nonce = 0x1122334455667788;
   m.term = 77;
-  m.cut_off = m.hears_workers = true;
+  m.cut_off = m.passes = true;
+  m.reach = {Hearing::Silent, 700, 12.5, CloudWord::Fails};
   m.uptime_ms = 123456;
   m.reads = 345;
   m.writes = 21;
@@ -153,7 +154,11 @@
     EXPECT_EQ(r.uptime_ms, m.uptime_ms);
     EXPECT_EQ(r.reads, m.reads);
     EXPECT_EQ(r.writes, m.writes);
-    EXPECT_TRUE(r.cut_off && r.hears_workers);
+    EXPECT_TRUE(r.cut_off && r.passes);
+    EXPECT_EQ(r.reach.workers, Hearing::Silent);
+    EXPECT_EQ(r.reach.machines, 700);
+    EXPECT_EQ(r.reach.quiet_s, 12.5);
+    EXPECT_EQ(r.reach.cloud, CloudWord::Fails);
     EXPECT_EQ(r.cancelled, m.cancelled);
   }
   EXPECT_EQ(frames, 2);
--- a/tests/world_cloud.cpp
+++ b/tests/world_cloud.cpp
@@ -33,8 +33,9 @@
       }
     } else if (auto *h = std::get_if<core::CloudRent>(&op.what)) {
       auto [it, fresh] = rents_.try_emplace(h->request);
+      auto there = std::count_if(boxes_.begin(), boxes_.end(), [](const Box &b) { return !b.gone; });
       if (fresh)
-        for (int k = 0; k < h->count && boxes_.size() < 400; ++k) {
+        for (int k = 0; k < h->count && there < 400; ++k, ++there) {
           Box b;
           char name[16];
           std::snprintf(name, sizeof name, "n-%06zu", boxes_.size());
