--- a/include/loftrouter/core/reach.hpp
+++ b/include/loftrouter/core/reach.hpp
@@ -53,6 +53,8 @@
   void tick(std::size_t kept);
   double last_report_at() const { return last_report_at_; }
   const ReachWord &own() const { return own_; }
+  // Workers report to a sibling that can pass their reports on here.
+  bool carried(const ReachWord &w) const { return w.carried_s < heard_.window_s(); }
   std::optional<Word> word(std::size_t sibling) const;                  // nothing: no fresh one
   std::vector<std::pair<std::string, double>> machines_by_zone() const; // about so many report here
   bool probe_wanted() const; // whether the cloud answers this node is of interest: the leader gets no answer
--- a/include/loftrouter/core/siblings.hpp
+++ b/include/loftrouter/core/siblings.hpp
@@ -27,6 +27,9 @@
     double sent_at = -1e9, stated_at = -1e9, uptime_s = 0; // of its last answer: when it was asked for
     bool cut_off = false, leads = false, spreads = false, passes = false;
     ReachWord reach;
+    // Of its last question here, by its own dialling: it could pass reports on to this node.
+    double asked_at = -1e9;
+    ReachWord asks_with;
     std::uint64_t term = 0; // that it knows of, or leads
     StoreBudget::Use use;
   };
--- a/include/loftrouter/core/silence.hpp
+++ b/include/loftrouter/core/silence.hpp
@@ -40,6 +40,9 @@
   bool awaited(int m) const;  // it is not to be given back
   bool expected(int m) const; // nor to be replaced
   const Count &all() const { return all_; }
+  // Nothing is heard of anybody: what is rented now would not be either, unless all are gone. For as long as waiting
+  // costs no more than renting anew.
+  bool nobody_heard() const { return nobody_heard_; }
   // A whole zone, a way or everything is silent: some workers may reach a sibling instead.
   bool in_part() const { return in_part_; }
   void on(const TermEnded &);
@@ -58,9 +61,16 @@
   const Leadership &lead_;
   const Fleet &fleet_;
   std::vector<std::vector<Count>> table_; // by way (this node, siblings, not heard yet), then zone
-  std::vector<Count> ways_, zones_;
+  // A group, and when it was last silent: for a while afterwards its machines are still about to report.
+  struct Group {
+    Count count;
+    double silent_at = -1e9;
+  };
+  bool silent(const Group &g) const { return port_.now() - g.silent_at < late_after(settings_); }
+  std::vector<Group> ways_, zones_;
   Count all_;
-  bool in_part_ = false;
+  double all_silent_at_ = -1e9;
+  bool in_part_ = false, nobody_heard_ = false;
   std::string told_;
   double next_ = 0;
 };
--- a/include/loftrouter/core/types.hpp
+++ b/include/loftrouter/core/types.hpp
@@ -87,8 +87,9 @@
 struct ReachWord {
   static constexpr double kMostQuiet = 3600;
   Hearing workers = Hearing::Unknown;
-  std::uint16_t machines = 0;  // about so many report to it straight
-  double quiet_s = kMostQuiet; // since one last did
+  std::uint16_t machines = 0;    // about so many report to it straight
+  double quiet_s = kMostQuiet;   // since one last did
+  double carried_s = kMostQuiet; // since one last reported to a sibling that can pass reports on to it
   CloudWord cloud = CloudWord::Unknown;
 };
 struct ReachRecord {
--- a/include/loftrouter/core/users.hpp
+++ b/include/loftrouter/core/users.hpp
@@ -45,7 +45,9 @@
   };
   struct Passed {
     Verb verb;
-    std::string id;
+    std::string id, body; // the latter only if it is short
+    double asked;
+    std::uint64_t tried; // siblings, by bit
   };
   struct KnownOpen {
     std::uint64_t stamp;
@@ -59,8 +61,9 @@
   void note_open(const std::string &id, std::uint64_t stamp, bool cancelled);
   void read_open(const Question &q);
   void read_end(const Question &q, bool as_abort);
-  int helper() const; // the sibling to pass on to, or -1
-  bool pass_on(RequestId req, Verb verb, const std::string &id, double asked, std::string body = {});
+  int helper(std::uint64_t tried = 0) const; // the sibling to pass on to, or -1
+  bool pass_on(RequestId req, Verb verb, const std::string &id, double asked, std::string body = {},
+               std::uint64_t tried = 0);
   // The state service has not answered: somebody else may.
   void no_answer(const Question &q, Verb verb, std::string_view why, std::string body = {});
 
--- a/src/core/placer.cpp
+++ b/src/core/placer.cpp
@@ -76,9 +76,10 @@
   const int first = std::max(0, only), end = only >= 0 ? only + 1 : static_cast<int>(fleet_.slots());
   for (int m = first; m < end; ++m) {
     const Machine *p = fleet_.find(m);
-    if (!p || !p->heard || p->returning || p->taken_at || p->draining || p->order || p->type < 0) continue;
+    if (!p || p->returning || p->taken_at || p->draining || p->order || p->type < 0) continue;
     // Probably dead, hanging or cut off.
-    if ((p->lost || p->silent(port_.now(), settings_.report_s)) && !(silent_too && silent_too(m))) continue;
+    if ((!p->heard || p->lost || p->silent(port_.now(), settings_.report_s)) && !(silent_too && silent_too(m)))
+      continue;
     PlaceMachine pm;
     pm.id = m;
     pm.size = p->size;
--- a/src/core/reach.cpp
+++ b/src/core/reach.cpp
@@ -10,7 +10,7 @@
 namespace {
 const std::string kPrefix = "reach/";
 constexpr double kTtl = 10.0, kTouchEvery = 3.0, kRetry = 2.0; // s, of the lease that a word hangs on
-constexpr double kWordsAMinute = 6, kWordsAtOnce = 3;          // most that a node writes
+constexpr double kWordsAMinute = 6, kWordsAtOnce = 6;          // most that a node writes
 constexpr double kListEvery = 2.0, kListEveryDeaf = 0.5;       // while a link is down
 constexpr double kLinkWord = 1.5;                              // s, of a sibling's word by link
 constexpr double kListLife = 3.0;                              // s, of what a list has shown
@@ -21,7 +21,8 @@
 constexpr double kSilentFor = 60.0;                            // s, that a node takes itself for silent
 constexpr double kCloudPatience = 20.0, kCloudFresh = 15.0;    // s
 constexpr int kCloudTries = 2;
-constexpr double kSooner = 1.5;                        // s, by which workers were heard elsewhere later than here
+constexpr double kCarry = 3.0;  // s, for siblings to learn that reports are to be passed on, and for the next reports
+constexpr double kSooner = 1.5; // s, by which workers were heard elsewhere later than here
 constexpr double kRankStep = 0.3, kMostHandicap = 1.5; // s, of the worse placed behind the better placed
 } // namespace
 
@@ -92,6 +93,10 @@
   own_.machines =
       static_cast<std::uint16_t>(std::min(6e4, std::ceil(reports * settings_.report_s / heard_.window_s())));
   own_.quiet_s = std::min(ReachWord::kMostQuiet, now - last_direct_at_);
+  own_.carried_s = ReachWord::kMostQuiet;
+  for (std::size_t i = 0; i < siblings_.count(); ++i)
+    if (const double age = now - siblings_[i].asked_at; age < kLinkWord)
+      own_.carried_s = std::min(own_.carried_s, siblings_[i].asks_with.quiet_s + age);
   const bool leads = lead_.leading();
   if (reports > 0 || (leads && now - last_report_at_ < heard_.window_s())) {
     own_.workers = Hearing::Hears;
@@ -110,7 +115,7 @@
 
 // One line a change, of what this node finds itself cut off from.
 void Reach::tell_of_changes() {
-  std::vector<std::pair<std::string, bool>> now{{"state service", !siblings_.cut_off()},
+  std::vector<std::pair<std::string, bool>> now{{"state service", port_.now() - port_.state_ok_at() < 2 * kLinkWord},
                                                 {"workers", own_.workers != Hearing::Silent},
                                                 {"cloud", own_.cloud != CloudWord::Fails}};
   for (std::size_t i = 0; i < siblings_.count(); ++i)
@@ -134,9 +139,10 @@
 
 // ---- words by way of the state service ----
 
+// Neither hears a sibling's word on the link that this node dials, nor is known to be heard on those that they dial.
 bool Reach::some_link_down() const {
   for (std::size_t i = 0; i < siblings_.count(); ++i)
-    if (port_.now() - siblings_[i].stated_at > kLinkWord) return true;
+    if (port_.now() - std::min(siblings_[i].stated_at, siblings_[i].asked_at) > kLinkWord) return true;
   return false;
 }
 
@@ -165,10 +171,14 @@
   if (lease_ == 0 || siblings_.cut_off()) return;
   // Over the links it is told anyway, and more often.
   auto band = [](std::uint16_t machines) { return static_cast<int>(std::log2(machines + 1.0) / 2); };
-  const bool changed =
-      !written_ || (some_link_down() && (own_.workers != written_->workers || own_.cloud != written_->cloud ||
-                                         band(own_.machines) != band(written_->machines) ||
-                                         (own_.workers == Hearing::Hears && port_.now() - written_at_ > kAgain)));
+  auto heard = [this](const ReachWord &w) { return w.workers == Hearing::Hears || carried(w); };
+  // That it hears nobody any more shows by the word's age.
+  auto weighty = [&](const ReachWord &before) {
+    return (own_.workers != before.workers && own_.workers != Hearing::Unknown) || own_.cloud != before.cloud ||
+           (heard(own_) && (!heard(before) || band(own_.machines) > band(before.machines) ||
+                            port_.now() - written_at_ > kAgain));
+  };
+  const bool changed = !written_ || (some_link_down() && weighty(*written_));
   if (changed && writes_.take(port_.now())) write_word();
 }
 
@@ -214,7 +224,10 @@
   const auto &s = by_state_[i];
   if (!s.present || port_.now() - listed_at_ > kListLife) return std::nullopt;
   Word w{s.record.word, std::max(0.0, port_.wall() - s.record.wall), false};
-  if (w.says.workers == Hearing::Hears && w.age_s > kHearsLife) w.says.workers = Hearing::Unknown;
+  if (w.age_s > kHearsLife) {
+    if (w.says.workers == Hearing::Hears) w.says.workers = Hearing::Unknown;
+    w.says.carried_s = ReachWord::kMostQuiet;
+  }
   if (w.age_s > kSilentFor) w.says = {};
   return w;
 }
@@ -231,17 +244,16 @@
 
 // How ill placed a node is to lead: the larger the worse.
 double Reach::rank(const ReachWord &w) const {
-  return (w.workers == Hearing::Silent    ? 4
-          : w.workers == Hearing::Unknown ? 1
-                                          : 0) +
-         (w.cloud == CloudWord::Fails ? 2 : 0);
+  const int workers = w.workers == Hearing::Hears ? 0 : carried(w) ? 1 : w.workers == Hearing::Unknown ? 2 : 5;
+  return workers + (w.cloud == CloudWord::Fails ? 3 : 0);
 }
 
 void Reach::step_down(std::string_view why, std::size_t sibling, const Word &w) {
+  const auto how = w.says.workers == Hearing::Hears ? fmt::format("hears about {}", w.says.machines)
+                   : carried(w.says)                ? "gets them by way of a sibling"
+                                                    : "may reach them";
   lead_.step_down(
-      fmt::format("{}; {} {} ({})", why, siblings_.name(sibling),
-                  w.says.workers == Hearing::Hears ? fmt::format("hears about {}", w.says.machines) : "may reach them",
-                  w.by_link ? "by link" : "by the state service"));
+      fmt::format("{}; {} {} ({})", why, siblings_.name(sibling), how, w.by_link ? "by link" : "by the state service"));
   lead_.stand_back(kStandBack);
 }
 
@@ -253,15 +265,17 @@
   const double now = port_.now();
   const auto live = fleet_.live();
   const bool several = live >= Silence::Count::kLeast;
-  const bool young = now - lead_.took_over_at()<kYoung, heard_any = last_report_at_> lead_.leading_since();
+  const bool young = now - lead_.took_over_at() < kYoung;
+  const bool heard_any = last_report_at_ > lead_.leading_since();
   // Each second saved here is one more for workers, which wait 4 s for an answer before they try elsewhere, to reach
   // the next leader within their lease. A few machines may hang by chance. On links that come and go, the leader
   // changes once a minute at most.
   const double patience =
       (several ? late_after(settings_) : std::max(4.5, 2 * settings_.report_s + 2)) + (young && heard_any ? kFlap : 0);
   const double quiet = now - std::max({last_report_at_, lead_.leading_since(), awake_from_});
-  const bool deaf = quiet >= patience;
+  // If a sibling hears them and can pass their reports on, it is given time to do so.
   const auto &all = silence_.all();
+  const bool deaf = all.known > 0 && quiet >= patience + (carried(own_) ? kCarry : 0);
   const std::size_t here = all.known - all.late;
   const bool few = !deaf && !young && all.known >= 2 * Silence::Count::kLeast && 3 * all.late >= 2 * all.known &&
                    now - awake_from_ > patience;
@@ -270,14 +284,15 @@
   if (!deaf && !few && !cloud) return;
   for (std::size_t i = 0; i < siblings_.count(); ++i) {
     const auto w = word(i);
-    if (!w || w->says.workers == Hearing::Silent) continue; // it would serve no better
-    const bool hears = w->says.workers == Hearing::Hears;
+    if (!w) continue;
+    const bool direct = w->says.workers == Hearing::Hears, hears = direct || carried(w->says);
+    if (w->says.workers == Hearing::Silent && !hears) continue; // it would serve no better
     // Whatever silenced them here may have silenced them there at the same moment.
-    if (deaf && hears && w->says.quiet_s + w->age_s + kSooner > quiet) continue;
+    if (deaf && hears && std::min(w->says.quiet_s, w->says.carried_s) + w->age_s + kSooner > quiet) continue;
     // That several fall silent at once is enough. Where few have been heard a sibling has to have heard some: the
     // workers may be what has failed. Waiting for that with several would send workers that try a sibling back here.
     if (deaf && (hears || (several && !young))) return step_down("no worker reaches this node", i, *w);
-    if (few && hears && w->says.machines > 2 * here + Silence::Count::kLeast && !siblings_[i].passes)
+    if (few && direct && w->says.machines > 2 * here + Silence::Count::kLeast && !siblings_[i].passes)
       return step_down(fmt::format("only {} of {} machines reach this node", here, all.known), i, *w);
     if (cloud && w->says.cloud == CloudWord::Answers) return step_down("the cloud does not answer this node", i, *w);
   }
--- a/src/core/reports.cpp
+++ b/src/core/reports.cpp
@@ -64,7 +64,9 @@
 }
 
 void ReportDesk::count_rates() {
-  if (lead_.leading() && silence_.in_part()) spread_.call_for(port_.now() + kCalledFor);
+  const auto &own = reach_.own();
+  if (lead_.leading() && (silence_.in_part() || (own.workers != Hearing::Hears && reach_.carried(own))))
+    spread_.call_for(port_.now() + kCalledFor);
   spread_.tick(port_.now(), Siblings::kPingEvery, lead_.leading() ? fleet_.kept_by(-1) : 0);
 }
 
--- a/src/core/scaler.cpp
+++ b/src/core/scaler.cpp
@@ -227,7 +227,7 @@
 }
 
 void Scaler::scale() {
-  if (listed_once_at_ < 0 || port_.now() - listed_once_at_ < 1.0) return;
+  if (listed_once_at_ < 0 || port_.now() - listed_once_at_ < 1.0 || silence_.nobody_heard()) return;
   const auto &types = catalogue_.types();
   struct Place {
     Resources free;
@@ -235,9 +235,9 @@
     bool spot;
   };
   std::vector<Place> booting;
-  fleet_.each([&](int i, const Machine &m) {
-    if (m.heard || m.returning || m.type < 0 || (m.listed_running && !silence_.expected(i))) return;
-    booting.push_back({m.size, m.type, m.zone, m.spot});
+  fleet_.each([&](int, const Machine &m) {
+    if (!m.heard && !m.listed_running && !m.returning && m.type >= 0)
+      booting.push_back({m.size, m.type, m.zone, m.spot});
   });
   for (const auto &[key, count] : rents_open_)
     for (int i = 0; i < count; ++i) {
--- a/src/core/siblings.cpp
+++ b/src/core/siblings.cpp
@@ -54,6 +54,10 @@
 }
 
 void Siblings::answer_ping(const CmdPeer &cmd, const Standing &standing) {
+  if (const int i = by_sender(cmd.message.sender); i >= 0) {
+    states_[static_cast<std::size_t>(i)].asked_at = port_.now();
+    states_[static_cast<std::size_t>(i)].asks_with = cmd.message.reach;
+  }
   wire::PeerMessage r;
   r.kind = wire::PeerMessage::Kind::Pong;
   r.nonce = cmd.message.nonce;
--- a/src/core/silence.cpp
+++ b/src/core/silence.cpp
@@ -40,25 +40,33 @@
     ++c.known;
     c.late += late;
   });
-  ways_.assign(table_.size(), {});
-  zones_.clear();
+  ways_.resize(table_.size());
+  for (auto *groups : {&ways_, &zones_})
+    for (auto &g : *groups)
+      g.count = {};
   all_ = {};
   for (std::size_t w = 0; w < table_.size(); ++w)
     for (std::size_t z = 0; z < table_[w].size(); ++z) {
-      ways_[w].add(table_[w][z]);
-      grown(zones_, static_cast<int>(z)).add(table_[w][z]);
+      ways_[w].count.add(table_[w][z]);
+      grown(zones_, static_cast<int>(z)).count.add(table_[w][z]);
       all_.add(table_[w][z]);
     }
+  for (auto *groups : {&ways_, &zones_})
+    for (auto &g : *groups)
+      if (g.count.silent()) g.silent_at = port_.now();
   std::string what;
+  nobody_heard_ = false;
   if (all_.silent()) {
     what = "all";
+    all_silent_at_ = port_.now();
+    fleet_.each([this](int m, const Machine &) { nobody_heard_ |= expected(m); });
   } else {
     for (std::size_t w = 0; w + 1 < ways_.size(); ++w)
-      if (ways_[w].silent())
+      if (ways_[w].count.silent())
         what += fmt::format("{}those that report {}", what.empty() ? "" : ", ",
                             w == 0 ? "here" : "by way of " + settings_.siblings[w - 1].node);
     for (std::size_t z = 0; z < zones_.size(); ++z)
-      if (zones_[z].silent())
+      if (zones_[z].count.silent())
         what += fmt::format("{}those in {}", what.empty() ? "" : ", ", catalogue_.zone_name(static_cast<int>(z)));
   }
   tell(!what.empty(), what);
@@ -78,11 +86,11 @@
 Silence::Cause Silence::cause(int m) const {
   const Machine &n = fleet_[m];
   if (!late_from(n)) return Cause::None;
-  if (all_.silent()) return Cause::All;
+  if (port_.now() - all_silent_at_ < late_after(settings_)) return Cause::All;
   const auto w = way(n), z = static_cast<std::size_t>(n.zone);
-  const bool by_way = w + 1 < ways_.size() && ways_[w].silent(), by_zone = z < zones_.size() && zones_[z].silent();
+  const bool by_way = w + 1 < ways_.size() && silent(ways_[w]), by_zone = z < zones_.size() && silent(zones_[z]);
   if (by_way && by_zone) // the larger explains both
-    return ways_[w].known > zones_[z].known ? Cause::Way : Cause::Zone;
+    return ways_[w].count.known > zones_[z].count.known ? Cause::Way : Cause::Zone;
   return by_way ? Cause::Way : by_zone ? Cause::Zone : Cause::Machine;
 }
 
@@ -115,7 +123,8 @@
   ways_.clear();
   zones_.clear();
   all_ = {};
-  in_part_ = false;
+  all_silent_at_ = -1e9;
+  in_part_ = nobody_heard_ = false;
   told_.clear();
 }
 
--- a/src/core/users.cpp
+++ b/src/core/users.cpp
@@ -14,7 +14,8 @@
 constexpr double kQuestionPatience = 0.25; // that a question waits for one
 // Within what a user waits for an answer (2 s, and 5 s for what changes something), a sibling's has to be there.
 constexpr double kLookWithin = 1.8, kChangeWithin = 4.5, kLeastForSibling = 0.15;
-constexpr double kWordLife = 1.2; // s, of a sibling's word that the state service answers it
+constexpr std::size_t kKeptBody = 4096; // of a description that may be passed on a second time
+constexpr double kWordLife = 1.2;       // s, of a sibling's word that the state service answers it
 } // namespace
 
 UserDesk::Verdict UserDesk::judge(const JobSpec &spec, std::string &why) const {
@@ -44,11 +45,11 @@
 // ---- by way of siblings ----
 
 // One that the state service answers, the leader if it can be.
-int UserDesk::helper() const {
+int UserDesk::helper(std::uint64_t tried) const {
   int best = -1;
-  for (std::size_t i = 0; i < siblings_.count(); ++i) {
+  for (std::size_t i = 0; i < siblings_.count() && i < 64; ++i) {
     const auto &s = siblings_[i];
-    if (s.cut_off || port_.now() - s.stated_at > kWordLife) continue;
+    if (s.cut_off || port_.now() - s.stated_at > kWordLife || (tried >> i & 1)) continue;
     if (best < 0 || s.leads) best = static_cast<int>(i);
   }
   return best;
@@ -59,15 +60,18 @@
 }
 
 // Never what a sibling has passed on to this node: two that each think well of the other would send it to and fro.
-bool UserDesk::pass_on(RequestId req, Verb verb, const std::string &id, double asked, std::string body) {
+bool UserDesk::pass_on(RequestId req, Verb verb, const std::string &id, double asked, std::string body,
+                       std::uint64_t tried) {
   const double until = asked + (verb == Verb::Look ? kLookWithin : kChangeWithin);
-  const int to = helper();
+  const int to = helper(tried);
   if (to < 0 || Port::is_stand_in(req) || passed_.full() || port_.now() + kLeastForSibling > until ||
       body.size() + 256 > wire::kPeerMaxRelayed)
     return false;
   wire::PeerMessage m;
   m.kind = wire::PeerMessage::Kind::Ask;
-  m.nonce = passed_.take(req, until, {verb, id});
+  m.nonce = passed_.take(req, until,
+                         {verb, id, body.size() <= kKeptBody ? body : std::string(), asked,
+                          tried | std::uint64_t(1) << to | (body.size() <= kKeptBody ? 0 : ~std::uint64_t(0))});
   m.term = lead_.highest_term();
   m.sender = siblings_.self();
   m.verb = verb;
@@ -98,9 +102,11 @@
 void UserDesk::take_told(const wire::PeerMessage &m) {
   const auto item = passed_.answered(m.nonce);
   if (!item) return; // given up
+  const auto &[verb, id, body, asked, tried] = item->kept;
+  // It may have been cut off at the same moment as this node, and not have known yet.
+  if (m.status == 503 && pass_on(item->req, verb, id, asked, body, tried)) return;
   if (m.status == 200) {
-    const auto &id = item->kept.id;
-    const bool brief = item->kept.verb != Verb::Look;
+    const bool brief = verb != Verb::Look;
     if (const auto *end = ended_.find(id)) return answer_end(item->req, id, *end, brief);
     if (const auto it = known_open_.find(id); it != known_open_.end() && it->second.cancelled)
       return tell_open({item->req, id, brief, port_.now()}, true);
--- a/src/wire/messages.cpp
+++ b/src/wire/messages.cpp
@@ -668,6 +668,7 @@
   return {{"workers", kHearing[static_cast<int>(r.word.workers)]},
           {"machines", r.word.machines},
           {"quiet_s", r.word.quiet_s},
+          {"carried_s", r.word.carried_s},
           {"cloud", kCloud[static_cast<int>(r.word.cloud)]},
           {"at", r.wall}};
 }
@@ -675,10 +676,12 @@
 std::optional<ReachRecord> reach_from_json(const Json &j) {
   const auto workers = find_name(kHearing, at(j, "workers")), cloud = find_name(kCloud, at(j, "cloud"));
   const auto machines = count(at(j, "machines"));
-  const auto quiet = amount(at(j, "quiet_s"), ReachWord::kMostQuiet), when = amount(at(j, "at"), 1e12);
-  if (!quiet || !workers || !cloud || !machines || !when) return std::nullopt;
+  const auto quiet = amount(at(j, "quiet_s"), ReachWord::kMostQuiet),
+             carried = amount(at(j, "carried_s"), ReachWord::kMostQuiet);
+  const auto when = amount(at(j, "at"), 1e12);
+  if (!quiet || !carried || !workers || !cloud || !machines || !when) return std::nullopt;
   return ReachRecord{{static_cast<Hearing>(*workers),
-                      static_cast<std::uint16_t>(std::min<std::uint64_t>(*machines, 65535)), *quiet,
+                      static_cast<std::uint16_t>(std::min<std::uint64_t>(*machines, 65535)), *quiet, *carried,
                       static_cast<CloudWord>(*cloud)},
                      *when};
 }
--- a/src/wire/peer.cpp
+++ b/src/wire/peer.cpp
@@ -211,7 +211,8 @@
   put(body,
       static_cast<std::uint8_t>(static_cast<unsigned>(m.reach.workers) | static_cast<unsigned>(m.reach.cloud) << 2));
   put(body, m.reach.machines);
-  put(body, static_cast<std::uint16_t>(std::clamp(m.reach.quiet_s, 0.0, ReachWord::kMostQuiet) * 10));
+  for (double s : {m.reach.quiet_s, m.reach.carried_s})
+    put(body, static_cast<std::uint16_t>(std::clamp(s, 0.0, ReachWord::kMostQuiet) * 10));
   auto count = std::min(m.cancelled.size(), kPeerMaxCancelled);
   put(body, static_cast<std::uint8_t>(count));
   for (std::size_t i = 0; i < count; ++i)
@@ -277,7 +278,8 @@
   out.reach.workers = static_cast<Hearing>(reach & 3);
   out.reach.cloud = static_cast<CloudWord>(reach >> 2);
   out.reach.machines = r.get<std::uint16_t>();
-  out.reach.quiet_s = std::min(ReachWord::kMostQuiet, r.get<std::uint16_t>() / 10.0);
+  for (double *s : {&out.reach.quiet_s, &out.reach.carried_s})
+    *s = std::min(ReachWord::kMostQuiet, r.get<std::uint16_t>() / 10.0);
   auto count = r.get<std::uint8_t>();
   for (unsigned i = 0; r.ok && i < count; ++i) {
     std::string id;
--- a/tests/fuzz/targets.cpp
+++ b/tests/fuzz/targets.cpp
@@ -191,7 +191,14 @@
     bytes += encode_peer(m);
     m.kind = PeerMessage::Kind::Digest;
     m.news = {{"j-1", 1, 2, true, "why"}};
-    return {bytes, encode_peer(m)};
+    const auto digest = encode_peer(m);
+    m.kind = PeerMessage::Kind::Ask;
+    m.id = "j-1";
+    m.body = "body";
+    auto asked = encode_peer(m);
+    m.kind = PeerMessage::Kind::Told;
+    m.status = 200;
+    return {bytes, digest, asked + encode_peer(m)};
   }
   std::mt19937 rng(1); // long ones: what can go wrong takes many turns
   std::vector<std::string> all(24, std::string(600, 0));
--- a/tests/wire_test.cpp
+++ b/tests/wire_test.cpp
@@ -132,7 +132,7 @@
   m.nonce = 0x1122334455667788;
   m.term = 77;
   m.cut_off = m.passes = true;
-  m.reach = {Hearing::Silent, 700, 12.5, CloudWord::Fails};
+  m.reach = {Hearing::Silent, 700, 12.5, 3.5, CloudWord::Fails};
   m.uptime_ms = 123456;
   m.reads = 345;
   m.writes = 21;
@@ -158,6 +158,7 @@
     EXPECT_EQ(r.reach.workers, Hearing::Silent);
     EXPECT_EQ(r.reach.machines, 700);
     EXPECT_EQ(r.reach.quiet_s, 12.5);
+    EXPECT_EQ(r.reach.carried_s, 3.5);
     EXPECT_EQ(r.reach.cloud, CloudWord::Fails);
     EXPECT_EQ(r.cancelled, m.cancelled);
   }
@@ -204,6 +205,30 @@
   EXPECT_EQ(encode_orders(1, r.orders), encode_orders(1, m.orders));
 }
 
+TEST(Peer, QuestionsPassedOnGoThereAndBack) {
+  PeerMessage m, r;
+  m.kind = PeerMessage::Kind::Ask;
+  m.verb = PeerMessage::Verb::Abort;
+  m.id = "j-000412";
+  m.body = std::string(5000, 'x');
+  ASSERT_EQ(read_one(encode_peer(m), r), PeerRead::Frame);
+  EXPECT_EQ(r.verb, m.verb);
+  EXPECT_EQ(r.id, m.id);
+  EXPECT_EQ(r.body, m.body);
+  m.kind = PeerMessage::Kind::Told;
+  m.status = 503;
+  m.retry_s = 2;
+  ASSERT_EQ(read_one(encode_peer(m), r), PeerRead::Frame);
+  EXPECT_EQ(r.status, 503);
+  EXPECT_EQ(r.retry_s, 2);
+  EXPECT_EQ(r.body, m.body);
+  m.status = 99; // no answer of HTTP's
+  EXPECT_EQ(read_one(encode_peer(m), r), PeerRead::Garbage);
+  m.kind = PeerMessage::Kind::Ask;
+  m.id = "nonsense";
+  EXPECT_EQ(read_one(encode_peer(m), r), PeerRead::Garbage);
+}
+
 TEST(Peer, GarbageClosesTheLink) {
   PeerMessage r, m;
   m.cancelled = {"j-000001"};
--- a/tests/world.cpp
+++ b/tests/world.cpp
@@ -61,8 +61,21 @@
 }
 
 void World::cut_state(int i, double for_s, Cut how) {
-  nodes_[static_cast<std::size_t>(i)].state_cut_until = t_ + for_s;
-  nodes_[static_cast<std::size_t>(i)].state_cut = how;
+  nodes_[static_cast<std::size_t>(i)].state = {t_ + for_s, how};
+}
+
+void World::cut_cloud(int i, double for_s, Cut how) {
+  nodes_[static_cast<std::size_t>(i)].cloud = {t_ + for_s, how};
+}
+
+void World::cut_peer(int from, int to, double for_s, Cut how) {
+  nodes_[static_cast<std::size_t>(from)].peers[to] = {t_ + for_s, how};
+}
+
+void World::cut_peers(double for_s) {
+  for (int i = 0; i < o_.nodes; ++i)
+    for (int k = 0; k < o_.nodes; ++k)
+      cut_peer(i, k, for_s, Cut::Drop);
 }
 
 void World::stall(int i, double for_s, bool within) {
@@ -79,9 +92,8 @@
   return static_cast<int>(std::count_if(boxes_.begin(), boxes_.end(), [](auto &b) { return b.sick && !b.gone; }));
 }
 
-void World::cut_workers(int i, double for_s, bool hold) {
-  nodes_[static_cast<std::size_t>(i)].worker_cut_until = t_ + for_s;
-  nodes_[static_cast<std::size_t>(i)].worker_hold = hold;
+void World::cut_workers(int i, double for_s, Cut how) {
+  nodes_[static_cast<std::size_t>(i)].workers = {t_ + for_s, how};
 }
 
 void World::cut_boxes(double share, double for_s) {
@@ -138,6 +150,7 @@
   // Every node's steady clock runs a little differently.
   double mono = t_ * (1 + 0.0002 * i) + 1000 * i;
   auto effects = n.core->apply(std::move(batch), {mono, 1.7e9 + t_});
+  if (const auto term = n.core->term(); term != std::exchange(n.term, term) && term) elected_at.push_back(t_);
   if (std::getenv("WORLD_LOG"))
     for (const auto &l : effects.logs)
       std::fprintf(stderr, "%9.3f node-%d %s\n", t_, i, core::log_text(l).c_str());
@@ -179,11 +192,16 @@
     });
   }
   for (const auto &p : effects.peers) {
-    if (chance(o_.loss) || t_ < peers_cut_until_) continue;
+    if (chance(o_.loss)) continue;
     relayed += p.message.kind == wire::PeerMessage::Kind::Report;
     // Link ids in this world: the asker's index.
     int to = p.sibling >= 0 ? (p.sibling < i ? p.sibling : p.sibling + 1) : static_cast<int>(p.link);
     double there = t_ + (chance(o_.loss) ? uniform(0.1, 30) : uniform(0.001, 0.005));
+    // Answers come on the link that was dialled by who asked.
+    if (const Link &l = p.sibling >= 0 ? n.peers[to] : nodes_[static_cast<std::size_t>(to)].peers[i]; l.cut(t_)) {
+      if (l.how != Cut::Hold && l.how != Cut::Slow) continue;
+      there = l.how == Cut::Hold ? l.cut_until + uniform(0, 0.01) : t_ + uniform(0.3, 1.5);
+    }
     schedule(there, [this, to, i, pong = p.sibling < 0, m = p.message] {
       wire::PeerMessage read;
       const auto bytes = wire::encode_peer(m);
--- a/tests/world.hpp
+++ b/tests/world.hpp
@@ -39,13 +39,17 @@
   // Troubles, to be called at the moment they begin.
   void crash(int node, double back_after);
   void outage(double for_s);
-  enum class Cut { Drop, Hold, Refuse, NoAnswers }; // Refuse: 503; NoAnswers: carried out, but no answer arrives
+  // Refuse: an error at once; NoAnswers: carried out, but no answer arrives; Slow: each way takes a second or so.
+  enum class Cut { Drop, Hold, Refuse, NoAnswers, Slow };
   void cut_state(int node, double for_s, Cut how);
+  void cut_cloud(int node, double for_s, Cut how);
   // Stands still while its clocks run on; `within`: after it has decided and before what it decided leaves.
   void stall(int node, double for_s, bool within);
-  void cut_workers(int node, double for_s, bool hold);
-  void cut_peers(double for_s) { peers_cut_until_ = t_ + for_s; } // connections between nodes
-  void cut_boxes(double share, double for_s);                     // workers that reach nobody
+  void cut_workers(int node, double for_s, bool hold) { cut_workers(node, for_s, hold ? Cut::Hold : Cut::Drop); }
+  void cut_workers(int node, double for_s, Cut how);
+  void cut_peer(int from, int to, double for_s, Cut how); // the connection that `from` dials
+  void cut_peers(double for_s);                           // connections between nodes
+  void cut_boxes(double share, double for_s);             // workers that reach nobody
   void at(double t, std::function<void()> fn) { schedule(t, std::move(fn)); }
 
   std::string submit(JobSpec spec);                  // returns the id; retried until accepted
@@ -61,6 +65,9 @@
   bool lose_watches = false;       // watches of the state service get no answer
   int relayed = 0;                 // reports passed on from node to node
   int lease_kills = 0;             // tasks ended because their worker's lease ran out
+  int rented = 0;                  // machines
+  std::vector<double> started_at;  // of each start
+  std::vector<double> elected_at;  // of each term that was begun
   int starts = 0, finished_jobs = 0, accepted_jobs = 0, cancelled_jobs = 0;
   double now() const { return t_; }
   // What a node answers now, status and body; the status stays 0 until it does.
@@ -70,6 +77,9 @@
   };
   std::shared_ptr<Answer> submit_at(int node, const JobSpec &spec); // once
   std::shared_ptr<Answer> look_up(int node, const std::string &id);
+  std::shared_ptr<Answer> abort_at(int node, const std::string &id); // once
+  std::shared_ptr<Answer> up(int node);
+  int kill_machines(double share); // at once, with all on them; how many
   std::shared_ptr<Answer> admin(int node, const std::string &method, const std::string &target,
                                 const std::string &body = "");
   int starts_of(const std::string &id) const { return starts_by_job_.count(id) ? starts_by_job_.at(id) : 0; }
@@ -95,14 +105,19 @@
     std::function<void()> fn;
     bool operator<(const Event &o) const { return t != o.t ? t > o.t : n > o.n; }
   };
+  struct Link {
+    double cut_until = -1;
+    Cut how = Cut::Drop;
+    bool cut(double now) const { return now < cut_until; }
+  };
   struct Node {
     std::unique_ptr<core::Core> core;
     int life = 0;
+    std::uint64_t term = 0; // that it leads, as last seen
     std::vector<core::Command> queue;
     bool scheduled = false;
-    double state_cut_until = -1, worker_cut_until = -1;
-    Cut state_cut = Cut::Drop;
-    bool worker_hold = false;
+    Link state, cloud, workers;
+    std::map<int, Link> peers;                   // dialled, by whom they go to
     double stalled_until = -1, stall_within = 0; // the latter: how long, from its next decision on
     std::map<core::OpId, bool> waiting;
     std::map<core::RequestId, std::function<void(const core::Reply &)>> answers;
@@ -156,6 +171,7 @@
   void push(int i, core::Command c);
   void drain(int i, int life);
   void carry_out(int i, core::Effects effects);
+  template <class Cmd> std::shared_ptr<Answer> ask_once(int node, const Cmd &cmd);
   void ask(int i, std::function<core::Command(core::RequestId)> make, std::function<void(const core::Reply &)> fn);
   void store_op(int i, const core::StoreOp &op);
   wire::StoreReply execute(const core::StoreOp &op);
@@ -192,7 +208,7 @@
   std::uint64_t epoch_ = 1, next_lease_ = 1;
   std::deque<wire::Event> history_;
   std::vector<Follower> followers_;
-  double outage_until_ = -1, peers_cut_until_ = -1;
+  double outage_until_ = -1;
   std::vector<MachineType> types_;
   std::deque<Box> boxes_;
   std::map<std::string, std::vector<std::string>> rents_;
--- a/tests/world_cloud.cpp
+++ b/tests/world_cloud.cpp
@@ -17,6 +17,12 @@
   double there = t_ + uniform(0.02, 0.1);
   bool lose_answer = chance(o_.loss);
   if (chance(o_.loss)) there = t_ + uniform(1, 60);
+  if (const Link &l = nodes_[static_cast<std::size_t>(i)].cloud; l.cut(t_)) {
+    if (l.how == Cut::Drop || l.how == Cut::Refuse) return;
+    if (l.how == Cut::Hold) there = l.cut_until + uniform(0, 0.01);
+    if (l.how == Cut::Slow) there = t_ + uniform(0.3, 1.5);
+    lose_answer |= l.how == Cut::NoAnswers;
+  }
   schedule(there, [this, op, answer, lose_answer] {
     wire::CloudReply r;
     r.status = 200;
@@ -47,6 +53,7 @@
           b.sick = chance(o_.sick);
           boxes_.push_back(b);
           it->second.push_back(b.name);
+          ++rented;
           boot(boxes_.back());
         }
       r.names = it->second;
@@ -85,6 +92,18 @@
              [this, i] { boxes_[i].hang_until = t_ + uniform(2, 30); });
 }
 
+int World::kill_machines(double share) {
+  int died = 0;
+  for (auto &b : boxes_) {
+    if (!b.up || b.gone || !chance(share)) continue;
+    free_all(b);
+    b.up = false;
+    ++died;
+    schedule(t_ + 30, [&b] { b.failed = true; }); // it is listed as running until then
+  }
+  return died;
+}
+
 void World::kill_box(Box &b) {
   free_all(b);
   b.gone = true;
--- a/tests/world_state.cpp
+++ b/tests/world_state.cpp
@@ -107,7 +107,7 @@
     for (auto &e : history_)
       if (e.stamp > w.from && e.key.compare(0, w.prefix.size(), w.prefix) == 0) r.events.push_back(e);
     Node &n = nodes_[static_cast<std::size_t>(w.node)];
-    if (r.events.empty() || t_ < n.state_cut_until) {
+    if (r.events.empty() || n.state.cut(t_)) {
       ++f;
       continue;
     }
@@ -130,11 +130,13 @@
   schedule(t_ + op.deadline_s, [answer] { answer({}); });
   double there = t_ + uniform(0.001, 0.006);
   bool lose_answer = false;
-  if (t_ < n.state_cut_until) {
-    if (n.state_cut == Cut::Drop) return;
-    if (n.state_cut == Cut::Hold) there = n.state_cut_until + uniform(0, 0.01); // delivered once the cut is over
-    lose_answer = n.state_cut == Cut::NoAnswers;
-    if (n.state_cut == Cut::Refuse && !std::holds_alternative<core::StoreFollow>(op.what)) {
+  if (n.state.cut(t_)) {
+    const auto how = n.state.how;
+    if (how == Cut::Drop) return;
+    if (how == Cut::Hold) there = n.state.cut_until + uniform(0, 0.01); // delivered once the cut is over
+    if (how == Cut::Slow) there = t_ + uniform(0.3, 1.5);
+    lose_answer = how == Cut::NoAnswers;
+    if (how == Cut::Refuse && !std::holds_alternative<core::StoreFollow>(op.what)) {
       wire::StoreReply refusal;
       refusal.status = 503;
       schedule(there, [answer, refusal] { answer(refusal); });
@@ -165,7 +167,7 @@
       followers_.push_back({i, life, op.op, f->prefix, f->from});
       schedule(t_ + f->hold_s, [this, i, life, id = op.op, answer, status] {
         // Whoever still waits has missed nothing, unless it is cut off: then it waits on.
-        if (t_ < outage_until_ || t_ < nodes_[static_cast<std::size_t>(i)].state_cut_until) return;
+        if (t_ < outage_until_ || nodes_[static_cast<std::size_t>(i)].state.cut(t_)) return;
         if (std::erase_if(followers_, [&](auto &x) { return x.op == id && x.node == i && x.life == life; }))
           answer(status(200));
       });
--- a/tests/world_users.cpp
+++ b/tests/world_users.cpp
@@ -90,33 +90,39 @@
       });
 }
 
-std::shared_ptr<World::Answer> World::submit_at(int node, const JobSpec &spec) {
-  auto &told = told_[spec.id];
-  told.spec = spec;
-  told.finished.assign(spec.tasks, 0);
+template <class Cmd> std::shared_ptr<World::Answer> World::ask_once(int node, const Cmd &cmd) {
   auto out = std::make_shared<Answer>();
   ask(
       node,
-      [spec](core::RequestId q) {
-        return core::CmdSubmit{q, spec};
+      [cmd](core::RequestId q) {
+        Cmd mine = cmd;
+        mine.req = q;
+        return mine;
       },
       [out](const core::Reply &r) {
-        *out = {r.status, json()};
+        *out = {r.status, wire::decode(r.body).value_or(json())};
       });
   return out;
 }
 
+std::shared_ptr<World::Answer> World::submit_at(int node, const JobSpec &spec) {
+  auto &told = told_[spec.id];
+  told.spec = spec;
+  told.finished.assign(spec.tasks, 0);
+  return ask_once(node, core::CmdSubmit{0, spec});
+}
+
 std::shared_ptr<World::Answer> World::look_up(int node, const std::string &id) {
-  auto out = std::make_shared<Answer>();
-  ask(
-      node,
-      [id](core::RequestId q) {
-        return core::CmdLookup{q, id};
-      },
-      [out](const core::Reply &r) {
-        *out = {r.status, wire::decode(r.body).value_or(json())};
-      });
-  return out;
+  return ask_once(node, core::CmdLookup{0, id});
+}
+
+std::shared_ptr<World::Answer> World::abort_at(int node, const std::string &id) {
+  told_[id].cancel_asked = true;
+  return ask_once(node, core::CmdAbort{0, id});
+}
+
+std::shared_ptr<World::Answer> World::up(int node) {
+  return ask_once(node, core::CmdUp{0});
 }
 
 std::shared_ptr<World::Answer> World::admin(int node, const std::string &method, const std::string &target,
--- a/tests/world_workers.cpp
+++ b/tests/world_workers.cpp
@@ -58,9 +58,15 @@
   double there = t_ + uniform(0.001, 0.005);
   bool lose_answer = chance(o_.loss);
   if (t_ < b.cut_until) return;
-  if (t_ < n.worker_cut_until) {
-    if (!n.worker_hold) return;
-    there = n.worker_cut_until;
+  if (n.workers.cut(t_)) {
+    if (n.workers.how == Cut::Drop) return;
+    if (n.workers.how == Cut::Refuse) {
+      schedule(there, [next_node] { next_node(-1); });
+      return;
+    }
+    if (n.workers.how == Cut::Hold) there = n.workers.cut_until;
+    if (n.workers.how == Cut::Slow) there = t_ + uniform(0.3, 1.5);
+    lose_answer |= n.workers.how == Cut::NoAnswers;
   } else if (chance(o_.loss)) {
     there = t_ + uniform(0.1, 60); // late, when the worker has long given up
   }
@@ -154,6 +160,7 @@
     placed_check(b, *r);
     r->on = true;
     ++starts;
+    started_at.push_back(t_);
     ++starts_by_job_[r->job];
     b.next_report = std::min(b.next_report, t_ + 0.5);
     if (b.sick || broken_jobs_.count(r->job)) {
