--- a/include/loftrouter/core/administration.hpp
+++ b/include/loftrouter/core/administration.hpp
@@ -6,6 +6,7 @@
 
 #include <string_view>
 
+#include "loftrouter/core/cells.hpp"
 #include "loftrouter/core/insight.hpp"
 #include "loftrouter/core/reports.hpp"
 
@@ -16,9 +17,9 @@
   Administration(Port &port, const Settings &settings, const Catalogue &catalogue, Operators &operators,
                  StoreBudget &budget, const Leadership &lead, const RecordWatch &watch, const JobTable &jobs,
                  const FailureJudge &judge, const Fleet &fleet, const Scaler &scaler, const Siblings &siblings,
-                 const Reach &reach, const ReportDesk &reports, const Insight &insight, const Ledger &ledger)
+                 const Reach &reach, const Cells &cells, const ReportDesk &reports, const Insight &insight, const Ledger &ledger)
       : port_(port), settings_(settings), catalogue_(catalogue), operators_(operators), budget_(budget), lead_(lead),
-        watch_(watch), jobs_(jobs), judge_(judge), fleet_(fleet), scaler_(scaler), siblings_(siblings), reach_(reach),
+        watch_(watch), jobs_(jobs), judge_(judge), fleet_(fleet), scaler_(scaler), siblings_(siblings), reach_(reach), cells_(cells),
         reports_(reports), insight_(insight), ledger_(ledger) {}
 
   void take(CmdAdmin &&cmd);
@@ -46,6 +47,7 @@
   const Scaler &scaler_;
   const Siblings &siblings_;
   const Reach &reach_;
+  const Cells &cells_;
   const ReportDesk &reports_;
   const Insight &insight_;
   const Ledger &ledger_;
--- a/include/loftrouter/core/commands.hpp
+++ b/include/loftrouter/core/commands.hpp
@@ -7,6 +7,7 @@
 
 #include "loftrouter/core/types.hpp"
 #include "loftrouter/wire/admin.hpp"
+#include "loftrouter/wire/cell.hpp"
 #include "loftrouter/wire/messages.hpp"
 #include "loftrouter/wire/peer.hpp"
 
@@ -56,7 +57,12 @@
   std::uint64_t link; // where an answer goes
   wire::PeerMessage message;
 };
-using Command = std::variant<CmdTick, CmdSubmit, CmdLookup, CmdAbort, CmdUp, CmdReport, CmdStoreReply, CmdCloudReply,
+struct CmdCell {      // from a node of another cell
+  int node;           // the one that was dialled, or -1
+  std::uint64_t link; // where an answer goes
+  wire::CellMessage message;
+};
+using Command = std::variant<CmdCell, CmdTick, CmdSubmit, CmdLookup, CmdAbort, CmdUp, CmdReport, CmdStoreReply, CmdCloudReply,
                              CmdPeer, CmdAdmin>;
 
 } // namespace loft::core
--- a/include/loftrouter/core/core.hpp
+++ b/include/loftrouter/core/core.hpp
@@ -7,6 +7,7 @@
 #pragma once
 
 #include "loftrouter/core/administration.hpp"
+#include "loftrouter/core/cells.hpp"
 #include "loftrouter/core/chronicle.hpp"
 #include "loftrouter/core/insight.hpp"
 #include "loftrouter/core/reports.hpp"
@@ -31,6 +32,7 @@
   void on(CmdUp &&);
   void on(CmdReport &&);
   void on(CmdPeer &&);
+  void on(CmdCell &&cmd) { cells_.take(std::move(cmd)); }
   void on(CmdSubmit &&cmd) { users_.take(std::move(cmd)); }
   void on(CmdLookup &&cmd) { users_.take(std::move(cmd)); }
   void on(CmdAbort &&cmd) { users_.take(std::move(cmd)); }
@@ -63,6 +65,7 @@
   ReportDesk reports_;
   Placer placer_;
   Scaler scaler_;
+  Cells cells_;
   Insight insight_;
   UserDesk users_;
   Administration administration_;
--- a/include/loftrouter/core/effects.hpp
+++ b/include/loftrouter/core/effects.hpp
@@ -76,7 +76,13 @@
   std::uint64_t link;
   wire::PeerMessage message;
 };
+struct CellSend { // to a node of another cell
+  int node;       // -1: on `link`
+  std::uint64_t link;
+  wire::CellMessage message;
+};
 struct Effects {
+  std::vector<CellSend> cells;
   std::vector<PeerSend> peers;
   std::vector<Reply> replies;
   std::vector<StoreOp> store;
--- a/include/loftrouter/core/events.hpp
+++ b/include/loftrouter/core/events.hpp
@@ -99,6 +99,16 @@
   std::uint32_t tasks;
 };
 
+// ---- work lent to other cells ----
+struct LoanRecorded { // by a confirmed write: it may be offered
+  int job;
+  std::uint64_t generation;
+};
+struct LoanDropped { // the same, without it: its end may be forgotten there
+  int job;
+  std::uint64_t generation;
+};
+
 // ---- machines, by their index in the fleet table; free once MachineReturned has been taken ----
 struct MachineUp { // its first report
   int machine;
@@ -122,7 +132,7 @@
 
 using Event = std::variant<TermElected, TermBegun, TermEnded, JobAccepted, JobCancelled, JobChanged, JobSuspected,
                            JobOver, EndLearnt, TaskHeld, TaskFreed, TaskRuns, TaskExited, TaskRetried, TaskLost,
-                           TaskPreempted, TasksStoppedByBudget, TasksGivenUp, MachineUp, MachineLost, MachineCondemned,
+                           TaskPreempted, TasksStoppedByBudget, TasksGivenUp, LoanRecorded, LoanDropped, MachineUp, MachineLost, MachineCondemned,
                            MachineReturned, OrdersChanged>;
 
 class Events {
--- a/include/loftrouter/core/jobs.hpp
+++ b/include/loftrouter/core/jobs.hpp
@@ -18,8 +18,8 @@
 
 namespace loft::core {
 
-// Unaccounted: started by an earlier leader, and not heard of since.
-enum class TaskState : std::uint8_t { Pending, Unaccounted, Placed, Done };
+// Unaccounted: started by an earlier leader, and not heard of since. Lent: another cell may run it.
+enum class TaskState : std::uint8_t { Pending, Unaccounted, Placed, Done, Lent };
 struct Task {
   TaskState state = TaskState::Pending;
   std::int32_t machine = -1, zone = -1; // while placed
@@ -32,17 +32,23 @@
   bool cancelled = false;
   bool ending = false; // its final record is being written
   std::vector<Task> tasks;
-  std::uint32_t done = 0, placed = 0, unaccounted = 0;
+  std::uint32_t done = 0, placed = 0, unaccounted = 0, lent = 0;
   std::uint64_t gang_attempt = 0; // current attempt of a gang
   bool gang_closed = false;       // that attempt takes no replacements any more
   int team = -1, image = -1;
   std::vector<int> zone_used; // placed tasks, by zone
+  std::vector<LoanRecord> loans;
+  std::uint32_t lent_running = 0; // of the lent tasks, as last told
+  std::optional<Lent> borrowed;   // another cell's work: its other tasks count as done
+  bool paused = false;            // nothing of it may be started now
+  bool settled = false;           // borrowed: home has it back
 
-  std::uint32_t pending() const { return spec.tasks - done - placed - unaccounted; }
+  std::uint32_t pending() const { return spec.tasks - done - placed - unaccounted - lent; }
   // Nothing of it is left to run or may still be running.
   bool finishable() const {
     if (ending) return false;
-    if (cancelled) return placed == 0 && unaccounted == 0;
+    if (borrowed) return settled && placed == 0 && unaccounted == 0;
+    if (cancelled) return placed == 0 && unaccounted == 0 && lent == 0;
     return spec.shape != Shape::Service && done == spec.tasks;
   }
 };
@@ -84,6 +90,16 @@
   void adopt_gang_attempt(int j, std::uint64_t attempt);
   void close_gang(int j, bool closed);
 
+  // Work that another cell runs. Its tasks wait for nobody here until the loan has lapsed or is dropped; those that are
+  // done there are finished as any other.
+  void lend(int j, LoanRecord loan);
+  void charge_loan(int j, std::uint64_t generation, const accounts::Usage &charged);
+  void set_lent_running(int j, std::uint32_t tasks) { at(j).lent_running = tasks; }
+  void lapse_loan(int j, std::uint64_t generation);
+  void drop_loan(int j, std::uint64_t generation);
+  void pause(int j, bool paused);
+  void settle(int j); // borrowed: home knows how it ended
+
   // Mono, when every lease that an earlier leader may have kept alive has run out; 0: nothing is waited for.
   double unaccounted_until() const { return unaccounted_until_; }
   // What was not seen by then is gone. Which jobs are concerned.
@@ -95,6 +111,7 @@
 
 private:
   void set(int j, std::uint32_t i, TaskState state, int machine = -1, int zone = -1);
+  void free_lent(int j, const Ranges &tasks);
   Job &at(int j) { return *jobs_[static_cast<std::size_t>(j)]; }
 
   Port &port_;
--- a/include/loftrouter/core/operators.hpp
+++ b/include/loftrouter/core/operators.hpp
@@ -16,7 +16,7 @@
 class Operators {
 public:
   static constexpr const char *kTunablesKey = "conf/operator", *kOrdersKey = "conf/machines",
-                              *kBudgetsKey = "conf/budgets";
+                              *kBudgetsKey = "conf/budgets", *kCellsKey = "conf/cells";
 
   Operators(Port &port, Events &events) : port_(port), events_(events) {}
 
@@ -24,6 +24,7 @@
   void take(const std::vector<wire::Entry> &entries);
   const wire::Tunables &tunables() const { return tunables_; }
   const wire::Budgets &budgets() const { return budgets_; }
+  const wire::CellRules &cell_rules() const { return cell_rules_; }
   const wire::MachineOrders &orders() const { return orders_; }
   std::optional<wire::MachineOrder> order(const std::string &machine) const;
 
@@ -33,6 +34,7 @@
   wire::Tunables tunables_;
   wire::MachineOrders orders_;
   wire::Budgets budgets_;
+  wire::CellRules cell_rules_;
   bool loading_ = false;
   double next_ = 0;
 };
--- a/include/loftrouter/core/placement.hpp
+++ b/include/loftrouter/core/placement.hpp
@@ -37,6 +37,7 @@
   std::uint32_t limit = 0;    // most of them allowed by the team's limit
   Urgency urgency = Urgency::Normal;
   bool guaranteed = false; // within its team's guarantee
+  bool borrowed = false;   // another cell's: after all of this cell's own work
   double wait_s = 0;
   bool started = false; // some of its tasks have been placed
   bool in_time = false; // placed now, its tasks would end in time
--- a/include/loftrouter/core/port.hpp
+++ b/include/loftrouter/core/port.hpp
@@ -50,6 +50,7 @@
   std::optional<RequestId> stand_in(std::uint64_t link, std::uint64_t nonce);
   static bool is_stand_in(RequestId req) { return req >= kStandIns; }
   void send(PeerSend message) { effects_.peers.push_back(std::move(message)); }
+  void send(CellSend message) { effects_.cells.push_back(std::move(message)); }
   void call(WorkerCall call) { effects_.workers.push_back(std::move(call)); }
 
   void show(LogLevel most) { shown_ = most; }
--- a/include/loftrouter/core/recorder.hpp
+++ b/include/loftrouter/core/recorder.hpp
@@ -44,7 +44,8 @@
   void load_end(const wire::Entry &e); // an open record that says how its job ended, not yet moved
   void take_open(const std::string &key, const wire::Json &value, std::uint64_t stamp);
 
-  void flush(); // at the end of each batch
+  static constexpr std::size_t kMostLoans = 2; // of a job at a time: a record has room for them
+  void flush();                                // at the end of each batch
   void on(const TermElected &);
   void on(const TermBegun &);
   void on(const TermEnded &);
@@ -77,6 +78,7 @@
     wire::Json progress; // as last written
     EndRecord end;       // while it is being written
     bool ended_in_place = false;
+    std::vector<std::uint64_t> loans_covered, loans_recorded; // generations, as the marks
   };
   struct Move { // from open/ to end/, when there is time
     std::string id;
@@ -105,6 +107,7 @@
   void add_shard(std::size_t s, Transaction &t, const std::string &without_period = "");
   void commit(Transaction &&t);
   void flushed(const Transaction &t, const wire::StoreReply &r);
+  void loans_recorded(int j);
   void ended(int j, EndRecord end);
   void resync(int j);
   void resync_shard(std::size_t s);
--- a/include/loftrouter/core/reports.hpp
+++ b/include/loftrouter/core/reports.hpp
@@ -4,6 +4,7 @@
 // report, from the leader alone, or is sent away; see relay.hpp and docs/safety.md, "Reports passed on".
 #pragma once
 
+#include <functional>
 #include <optional>
 #include <string_view>
 #include <vector>
@@ -47,6 +48,8 @@
 
   Siblings::Standing standing() const;
   Load load() const;
+  // Reports of which this holds get no answer for now: a leader may not keep alive what it cannot vouch for.
+  void refuse_while(std::function<bool(const WorkerReport &)> unsure) { unsure_ = std::move(unsure); }
   std::size_t kept() const { return relay_.workers(); } // workers whose reports this node passes on
   void on(const TermBegun &) { spread_.begin(spread_known_); }
   void on(const TermEnded &) { sent_away_.clear(); }
@@ -72,6 +75,7 @@
   Fleet &fleet_;
   ReportRelay relay_;
   WorkerSpread spread_;
+  std::function<bool(const WorkerReport &)> unsure_;
   bool spread_known_ = false;     // what the last known leader did
   std::vector<double> sent_away_; // to a sibling, when; by machine
 };
--- a/include/loftrouter/core/settings.hpp
+++ b/include/loftrouter/core/settings.hpp
@@ -17,6 +17,15 @@
 struct Sibling {
   std::string node, zone, address;
 };
+// Cells that work as one fleet; switched on in the features file. Without a name this one is alone.
+struct OtherCell {
+  std::string name;
+  std::vector<std::string> nodes; // addresses for frames
+};
+struct CellSettings {
+  std::string name;
+  std::vector<OtherCell> others;
+};
 struct Settings {
   std::string node, zone, listen, peer_listen;
   std::vector<Sibling> siblings;
@@ -31,6 +40,7 @@
   double cpu_share = 1, memory_mb = 256;
   int fd_limit = 1024;
   double clock_bound_ms = 10;
+  CellSettings cells;
   bool accounts = false; // what teams use is kept and budgets are held; switched on in the features file
 };
 
--- a/include/loftrouter/core/types.hpp
+++ b/include/loftrouter/core/types.hpp
@@ -49,10 +49,26 @@
 // Half-open index ranges, sorted and apart.
 using Ranges = std::vector<std::pair<std::uint32_t, std::uint32_t>>;
 
+// At a borrower: whose work it is, by which hand-over, and which of the job's tasks.
+struct Lent {
+  std::string home;
+  std::uint64_t generation = 0;
+  Ranges tasks;
+};
 struct OpenRecord {
   JobSpec spec;
   double submit_wall = 0;
-  bool cancelled = false;
+  bool cancelled = false;   // of lent work: somebody here wants its id
+  std::optional<Lent> lent; // not a job of this cell's own users
+};
+// At home: tasks that another cell runs, or has run.
+struct LoanRecord {
+  std::uint64_t generation = 0;
+  std::string cell;
+  Ranges tasks;
+  double lease_s = 0;      // of that cell's workers
+  bool lapsed = false;     // its tasks are free again; what was used of it may still be told
+  accounts::Usage charged; // to the job, of what was used there
 };
 struct EndRecord {
   bool cancelled = false;
@@ -70,6 +86,7 @@
   // With accounts: used so far; held by attempts under way when this was written, ms; and when, ms since 1970.
   accounts::Usage usage;
   std::int64_t running_ms = 0, at_ms = 0;
+  std::vector<LoanRecord> loans;
 };
 using SumsByTeam = std::map<std::pair<std::string, std::string>, accounts::Sums>; // period, team
 struct ProgressShard {
--- a/include/loftrouter/core/users.hpp
+++ b/include/loftrouter/core/users.hpp
@@ -60,6 +60,7 @@
   void tell_open(const Question &q, bool cancelled);
   void note_open(const std::string &id, std::uint64_t stamp, bool cancelled);
   void read_open(const Question &q);
+  void want_id(const Question &q, std::uint64_t stamp, OpenRecord record);
   void read_end(const Question &q, bool as_abort);
   int helper(std::uint64_t tried = 0) const; // the sibling to pass on to, or -1
   bool pass_on(RequestId req, Verb verb, const std::string &id, double asked, std::string body = {},
--- a/include/loftrouter/core/watch.hpp
+++ b/include/loftrouter/core/watch.hpp
@@ -19,6 +19,7 @@
 
   void tick();
   bool informed() const;
+  double informed_at() const { return informed_at_; } // mono
   double informed_wall() const { return informed_wall_; }
 
   void on(const TermElected &);
--- a/include/loftrouter/wire/admin.hpp
+++ b/include/loftrouter/wire/admin.hpp
@@ -37,6 +37,13 @@
   std::map<std::string, TeamBudget> teams;
 };
 
+// What may leave this cell, and what is taken from others.
+struct CellRules {
+  bool lend = true, borrow = true;
+  double most_borrowed_cpus = 1e6;
+  std::vector<std::string> stay_teams, stay_classes; // whose work stays, however long the queue
+};
+
 struct AdminRequest {
   enum class Kind : std::uint8_t {
     Status,
@@ -48,7 +55,9 @@
     Machine,
     Budgets,
     ChangeBudgets,
-    Statement
+    Statement,
+    Cells,
+    ChangeCells
   } kind = Kind::Status;
   std::string team, from;                                            // jobs, report: only this team's; after this job
   double period_s = 86400;                                           // report
@@ -73,6 +82,9 @@
 // What of `j` is known and in its range goes into `b`: the clock, and teams one by one (null: none); otherwise what is
 // wrong, naming the field.
 std::optional<std::string> apply_budgets(const Json &j, Budgets &b);
+Json to_json(const CellRules &r);
+std::optional<std::string> apply_cell_rules(const Json &j, CellRules &r);
+std::string encode_cell_rules(const CellRules &r);
 Json to_json(const MachineOrders &orders);
 MachineOrders machine_orders_from_json(const Json &j);
 
@@ -109,6 +121,14 @@
     double cpu_s = 0, up_s = 0, cpu_share = 1;        // used since it started; of a core, allowed
   } load;
   std::vector<Kind> fleet;
+  struct Cell { // another one
+    std::string name;
+    double heard_s; // negative: never
+    bool lends;     // cancellations leave time for it
+    std::uint64_t lent_tasks, borrowed_tasks;
+  };
+  std::string cell; // this one's name; empty: it is alone
+  std::vector<Cell> cells;
   struct Queue {
     std::string team;
     int jobs = 0;
--- a/include/loftrouter/wire/peer.hpp
+++ b/include/loftrouter/wire/peer.hpp
@@ -23,7 +23,9 @@
     Report = 4,
     Orders = 5,
     Ask = 6,
-    Told = 7
+    Told = 7,
+    CellAsk = 8, // a frame of another cell that has come to a node which does not lead
+    CellTold = 9 // the leader's answer to it, for that cell
   } kind = Kind::Ping;
   std::uint64_t nonce = 0;             // a pong repeats its ping's, orders their report's, what is told its question's
   std::uint64_t term = 0;              // highest term the sender knows of
@@ -48,12 +50,13 @@
   std::vector<TaskOrder> orders; // with 200
   enum class Verb : std::uint8_t { Submit, Look, Abort } verb = Verb::Look; // Ask
   std::string id;                                                           // Ask: the job's
-  std::string body;          // Ask: the description of a job to be submitted; Told: the answer's
+  // Ask: the description of a job to be submitted; Told: the answer's; CellAsk, CellTold: the frame.
+  std::string body;
   std::uint16_t retry_s = 0; // Told: 0: none
 };
 
 // Frames of reports, orders, questions and what is told may be larger: what a worker's or user's own message may be.
-constexpr std::size_t kPeerMaxRelayed = 64 * 1024;
+constexpr std::size_t kPeerMaxRelayed = 64 * 1024, kPeerMaxPassed = kPeerMaxRelayed + 4096; // the latter: with another cell's frame in it
 constexpr std::size_t kPeerHeader = 12, kPeerMaxBody = 4096, kPeerMaxCancelled = 64, kPeerMaxNews = 100,
                       kPeerMaxReason = 200;
 // What one job's news takes of a frame's body.
--- a/src/core/administration.cpp
+++ b/src/core/administration.cpp
@@ -50,10 +50,13 @@
     return port_.reply_json(cmd.req, 200, wire::encode_settings(operators_.tunables(), operators_.orders()));
   case Kind::Change:
   case Kind::ChangeBudgets:
+  case Kind::ChangeCells:
   case Kind::Machine:
     return change(cmd.req, ask);
   case Kind::Budgets:
     return port_.reply_json(cmd.req, 200, wire::encode_budgets(operators_.budgets()));
+  case Kind::Cells:
+    return port_.reply_json(cmd.req, 200, wire::encode_cell_rules(operators_.cell_rules()));
   case Kind::Statement:
     return statement(cmd.req, ask);
   }
@@ -108,6 +111,10 @@
     k.spot = spot;
     s.fleet.push_back(k);
   }
+  s.cell = settings_.cells.name;
+  if (leads)
+    for (const auto &c : cells_.states())
+      s.cells.push_back({c.name, c.heard_s, c.lends, c.lent_tasks, c.borrowed_tasks});
   if (leads) { // only the leader knows
     for (const auto &t : settings_.teams)
       s.queues.push_back({.team = t.name});
@@ -227,18 +234,24 @@
 void Administration::change(RequestId req, const wire::AdminRequest &ask) {
   const bool settings = ask.kind == wire::AdminRequest::Kind::Change;
   const bool budgets = ask.kind == wire::AdminRequest::Kind::ChangeBudgets;
+  const bool cells = ask.kind == wire::AdminRequest::Kind::ChangeCells;
   if (budgets && !ledger_.on()) return fail(req, 409, kNoAccounts);
   if (budgets && ask.change.contains("teams"))
     for (const auto &[team, b] : ask.change["teams"].items())
       if (jobs_.find_team(team) < 0) return fail(req, 422, "teams: there is no such team");
-  const std::string key = budgets ? Operators::kBudgetsKey : settings ? Operators::kTunablesKey : Operators::kOrdersKey;
+  const std::string key = cells ? Operators::kCellsKey : budgets ? Operators::kBudgetsKey : settings ? Operators::kTunablesKey : Operators::kOrdersKey;
   if (!budget_.take_write(port_.now())) return fail(req, 503, "too many requests at once");
-  port_.store(StoreGet{key}, kAdminDeadline / 2, [this, req, ask, settings, budgets, key](const wire::StoreReply &r) {
+  port_.store(StoreGet{key}, kAdminDeadline / 2, [this, req, ask, settings, budgets, cells, key](const wire::StoreReply &r) {
     if (r.status != 200 && r.status != 404) return fail(req, 503, "the state service did not answer");
     const auto stamp = r.status == 200 && !r.entries.empty() ? r.entries[0].stamp : 0;
     const wire::Json before = stamp ? r.entries[0].value : wire::Json::object();
     wire::Json after;
-    if (budgets) {
+    if (cells) {
+      wire::CellRules rules;
+      (void)wire::apply_cell_rules(before, rules);
+      (void)wire::apply_cell_rules(ask.change, rules); // checked at the door
+      after = wire::to_json(rules);
+    } else if (budgets) {
       wire::Budgets b;
       (void)wire::apply_budgets(before, b);
       (void)wire::apply_budgets(ask.change, b); // checked at the door
@@ -259,13 +272,14 @@
       after = wire::to_json(orders);
     }
     port_.store(StoreCommit{{{key, stamp}}, {{key, after, 0}}}, kAdminDeadline / 2,
-                [this, req, key, after, budgets](const wire::StoreReply &c) {
+                [this, req, key, after, budgets, cells](const wire::StoreReply &c) {
                   if (c.status == 409) return fail(req, 409, "somebody else has just changed it; ask again");
                   if (c.status != 200) return fail(req, 503, "the state service did not confirm the change");
                   operators_.take({{key, after, c.revision, 0}});
                   port_.reply_json(req, 200,
-                                   budgets ? wire::encode_budgets(operators_.budgets())
-                                           : wire::encode_settings(operators_.tunables(), operators_.orders()));
+                                   cells     ? wire::encode_cell_rules(operators_.cell_rules())
+                                   : budgets ? wire::encode_budgets(operators_.budgets())
+                                             : wire::encode_settings(operators_.tunables(), operators_.orders()));
                 });
   });
 }
--- a/src/core/core.cpp
+++ b/src/core/core.cpp
@@ -5,7 +5,7 @@
 namespace loft::core {
 
 Core::Core(Settings settings, std::uint64_t seed)
-    : settings_(std::move(settings)), port_(seed), wishes_(settings_), catalogue_(settings_.zones),
+    : settings_(with_cell_teams(std::move(settings))), port_(seed), wishes_(settings_), catalogue_(settings_.zones),
       operators_(port_, events_), budget_(settings_), lead_(port_, events_, settings_, catalogue_),
       jobs_(port_, events_, settings_), ended_(events_), judge_(port_, events_, jobs_, operators_),
       reasons_(port_, jobs_, judge_, wishes_), ledger_(port_, settings_, catalogue_, jobs_, operators_),
@@ -18,15 +18,21 @@
       placer_(port_, events_, settings_, catalogue_, operators_, lead_, jobs_, judge_, recorder_, fleet_, wishes_,
               ledger_),
       scaler_(port_, settings_, catalogue_, operators_, lead_, jobs_, judge_, fleet_, silence_, placer_, wishes_),
+      cells_(port_, events_, settings_, catalogue_, operators_, lead_, watch_, budget_, jobs_, judge_, ledger_, recorder_,
+             fleet_, siblings_, placer_, scaler_, wishes_),
       insight_(port_, settings_, catalogue_, operators_, lead_, watch_, jobs_, ended_, judge_, reasons_, fleet_,
                placer_, scaler_, wishes_, ledger_, siblings_),
       users_(port_, settings_, catalogue_, budget_, lead_, jobs_, ended_, siblings_, insight_),
       administration_(port_, settings_, catalogue_, operators_, budget_, lead_, watch_, jobs_, judge_, fleet_, scaler_,
-                      siblings_, reach_, reports_, insight_, ledger_),
-      chronicle_(port_, jobs_, fleet_) {}
+                      siblings_, reach_, cells_, reports_, insight_, ledger_),
+      chronicle_(port_, jobs_, fleet_) {
+  reports_.refuse_while([this](const WorkerReport &r) { return cells_.unsure_of(r); });
+}
 
 Effects Core::apply(std::vector<Command> batch, Now at) {
   port_.begin(at);
+  cells_.expire();
+  deliver();
   for (auto &c : batch) {
     std::visit([this](auto &&cmd) { on(std::move(cmd)); }, std::move(c));
     deliver();
@@ -52,7 +58,7 @@
       };
       (one(parts), ...);
     };
-    hand(chronicle_, judge_, fleet_, silence_, ledger_, recorder_, watch_, reports_, placer_, scaler_, reasons_,
+    hand(chronicle_, judge_, fleet_, silence_, ledger_, recorder_, watch_, reports_, placer_, scaler_, cells_, reasons_,
          insight_, users_, jobs_);
   });
 }
@@ -75,6 +81,7 @@
   users_.tick();
   step([this] { scaler_.tick(); });
   if (reach_.probe_wanted()) scaler_.probe();
+  step([this] { cells_.tick(); });
   step([this] { operators_.tick(); });
   if (!lead_.leading()) return;
   step([this] {
@@ -135,6 +142,10 @@
     return reports_.take_orders(m);
   case Kind::Report:
     return answer(reports_.take_passed(cmd));
+  case Kind::CellAsk:
+    return cells_.take_passed(cmd);
+  case Kind::CellTold:
+    return cells_.take_back(m);
   case Kind::Ask:
     return users_.take_asked(cmd);
   case Kind::Told:
--- a/src/core/fleet.cpp
+++ b/src/core/fleet.cpp
@@ -276,7 +276,7 @@
     if (slot.stop) {
       if (slot.seen && slot.phase != TaskPhase::Exited)
         orders.push_back({TaskOrder::Verb::Stop, slot.job_id, slot.index, slot.attempt, slot.grace_s});
-    } else if (may_start && !slot.seen && slot.job >= 0 && recorder_.recorded(slot.job, slot.index) && !n.returning &&
+    } else if (may_start && !slot.seen && slot.job >= 0 && !jobs_[slot.job].paused && recorder_.recorded(slot.job, slot.index) && !n.returning &&
                starts < kMostOrders) {
       if (!std::exchange(slot.sent, true)) {
         slot.held_since = port_.now();
@@ -422,7 +422,7 @@
 
 std::vector<std::uint32_t> Fleet::running_counts() const {
   std::vector<std::uint32_t> out(jobs_.slots(), 0);
-  jobs_.each([&](int j, const Job &n) { out[static_cast<std::size_t>(j)] = n.unaccounted; });
+  jobs_.each([&](int j, const Job &n) { out[static_cast<std::size_t>(j)] = n.unaccounted + n.lent_running; });
   for (const auto &m : machines_)
     if (m)
       for (const auto &s : m->slots)
@@ -431,7 +431,7 @@
 }
 
 std::uint32_t Fleet::running(int j) const {
-  std::uint32_t out = jobs_[j].unaccounted;
+  std::uint32_t out = jobs_[j].unaccounted + jobs_[j].lent_running;
   for (const auto &m : machines_)
     if (m)
       for (const auto &s : m->slots)
--- a/src/core/insight.cpp
+++ b/src/core/insight.cpp
@@ -66,6 +66,13 @@
   if (wait.empty() && n.placed && n.done == 0 && last.empty() && !any_running(j))
     wait = n.placed == 1 ? "its task has a machine and fetches its image"
                          : fmt::format("its {} tasks have machines and fetch their images", n.placed);
+  if (n.lent) {
+    std::string cells;
+    for (const auto &l : n.loans)
+      if (!l.lapsed) cells += (cells.empty() ? "" : " and ") + l.cell;
+    const auto where = fmt::format("{} of it {} in cell {}", plural(n.lent, "task"), n.lent == 1 ? "is" : "are", cells);
+    wait = wait.empty() ? where : wait + "; " + where;
+  }
   if (wait.empty()) return last;
   return last.empty() ? wait : wait + "; " + last;
 }
--- a/src/core/operators.cpp
+++ b/src/core/operators.cpp
@@ -30,6 +30,12 @@
         port_.log(LogLevel::Error, "budgets_unreadable", {{"why", *problem}});
       else
         budgets_ = std::move(b);
+    } else if (e.key == kCellsKey) {
+      wire::CellRules r;
+      if (auto problem = wire::apply_cell_rules(e.value, r))
+        port_.log(LogLevel::Error, "cell_rules_unreadable", {{"why", *problem}});
+      else
+        cell_rules_ = std::move(r);
     } else if (e.key == kOrdersKey) {
       orders_ = wire::machine_orders_from_json(e.value);
     }
--- a/src/core/placement.cpp
+++ b/src/core/placement.cpp
@@ -171,6 +171,7 @@
   auto waits_long = [&](const PlaceJob &j) { return !j.started && j.wait_s > o.reserve_after_s; };
   auto rank = [&](std::size_t i) {
     const auto &j = *jobs[i];
+    if (j.borrowed) return -1;
     return (waits_long(j) ? 100 : 0) + static_cast<int>(j.urgency) * 2 + (j.guaranteed ? 1 : 0);
   };
   const auto none = Resources{-1, -1, -1};
--- a/src/core/placer.cpp
+++ b/src/core/placer.cpp
@@ -153,7 +153,7 @@
   if (n.spec.spread) p.zone_cap = static_cast<int>((n.spec.tasks + 1) / 2);
   p.barred = judge_.barred(j);
   p.ready = n.pending();
-  bool held = n.cancelled || n.ending || ledger_.spent(n.team); // of its team's budget, not an end
+  bool held = n.cancelled || n.ending || n.paused || ledger_.spent(n.team); // of its team's budget, not an end
   if (suspect) {                                                // one task, or one gang, at a time and seldom
     held |= port_.now() < judge_.retry_at(j) || n.placed > 0 || n.unaccounted > 0;
     if (n.spec.shape != Shape::Gang) p.ready = std::min(p.ready, 1U);
@@ -167,7 +167,8 @@
   p.limit = held ? 0 : p.ready;
   p.urgency = n.spec.urgency;
   p.wait_s = std::max(0.0, age(n));
-  p.started = n.placed + n.done > 0 || suspect; // a suspect reserves nothing
+  p.borrowed = n.borrowed.has_value();
+  p.started = n.placed + n.done > 0 || suspect || p.borrowed; // a suspect reserves nothing, nor does others' work
   // Work that nobody wants at a certain time waits for cheap places, of which it may have what others leave.
   if (patient(j)) p.most_dear = 1 - 1 / kDear;
   // The last of its tasks starts once the others have had their turn on the fleet.
@@ -192,7 +193,7 @@
   jobs_.each([&](int, const Job &n) {
     if (n.team < 0) return;
     auto &left = room[static_cast<std::size_t>(n.team)];
-    const double on = n.placed + n.unaccounted;
+    const double on = n.placed + n.unaccounted + n.lent; // the limit holds over all cells together
     if (left.cpus >= 0) left.cpus = std::max(0.0, left.cpus - on * n.spec.need.cpus);
     if (left.gpus >= 0) left.gpus = std::max(0.0, left.gpus - on * n.spec.need.gpus);
   });
@@ -224,7 +225,7 @@
     PlaceJob &p = line_[k];
     if (!has_room(p, machines[0])) continue;
     const Job *n = jobs_.find(p.self);
-    if (!n || n->serial != line_serials_[k] || n->cancelled || n->ending || ledger_.spent(n->team)) continue;
+    if (!n || n->serial != line_serials_[k] || n->cancelled || n->ending || n->paused || ledger_.spent(n->team)) continue;
     if (p.gang || p.one_zone || p.zone_cap >= 0 || judge_.failed_lately(p.self)) {
       const bool guaranteed = p.guaranteed;
       p = place_job(p.self);
@@ -398,7 +399,7 @@
       if (slot.stop) { // going anyway
         o.free.add(slot.need);
         o.at_once &= owner && owner->spec.checkpoint_s <= 0;
-      } else if (owner && owner->spec.urgency < p.urgency && owner->spec.shape == Shape::Array) {
+      } else if (owner && (owner->spec.urgency < p.urgency || owner->borrowed) && owner->spec.shape == Shape::Array) {
         const double ran = slot.running_since >= 0 ? port_.now() - slot.running_since : 0.1;
         o.victims.push_back({ran * slot.need.cpus, s, slot.need});
         o.at_once &= owner->spec.checkpoint_s <= 0;
@@ -437,7 +438,7 @@
 // A job that fits nowhere may take the place of work of lower priority, where the least work is lost. Tasks
 // that cannot save exit as soon as they are told, so their successors are started by the very same answer.
 void Placer::preempt(std::vector<int> starved) {
-  std::erase_if(starved, [this](int j) { return jobs_[j].spec.urgency == Urgency::Low; });
+  std::erase_if(starved, [this](int j) { return jobs_[j].spec.urgency == Urgency::Low || jobs_[j].borrowed; });
   if (starved.empty()) return;
   std::stable_sort(starved.begin(), starved.end(),
                    [this](int a, int b) { return jobs_[a].spec.urgency > jobs_[b].spec.urgency; });
--- a/src/core/recorder.cpp
+++ b/src/core/recorder.cpp
@@ -14,6 +14,7 @@
 constexpr std::size_t kAccountChars = 130; // the same with its account, beside its id and one set
 constexpr std::size_t kSumsChars = 130;    // of a record, a team's sums, while a period ends and the next begins
 constexpr double kSettleEvery = 0.1;       // s
+constexpr std::size_t kLoanChars = 230;    // of a loan: names, account, a few ranges
 const std::string kAccounts = "accounts/";
 } // namespace
 
@@ -43,6 +44,7 @@
     known.started.insert(known.started.end(), p.started.begin(), p.started.end());
     known.finished.insert(known.finished.end(), p.finished.begin(), p.finished.end());
     known.failed_on = std::max(known.failed_on, p.failed_on);
+    known.loans.insert(known.loans.end(), p.loans.begin(), p.loans.end());
     if (p.at_ms > known.at_ms) {
       known.usage = p.usage;
       known.running_ms = p.running_ms;
@@ -86,6 +88,8 @@
       for (auto i = a; i < b && i < n.spec.tasks; ++i)
         marks(j)[i] = kStarted | kRecorded;
     jobs_.restore(j, it->second);
+    for (const auto &l : it->second.loans)
+      entry(j).loans_recorded.push_back(l.generation);
     judge_.restore(j, it->second.failed_on);
     ledger_.restore(j, it->second);
   }
@@ -159,7 +163,8 @@
 // range.
 std::size_t Recorder::entry_chars(const Job &n) const {
   const std::size_t set = std::min<std::size_t>(n.spec.tasks / 4 + 3, set_chars());
-  return ledger_.on() ? kAccountChars + n.spec.id.size() + set : kEntryChars + 2 * set;
+  const std::size_t loans = settings_.cells.name.empty() ? 0 : kMostLoans * kLoanChars;
+  return (ledger_.on() ? kAccountChars + n.spec.id.size() + set : kEntryChars + 2 * set) + loans;
 }
 
 // A job stays in its shard for as long as this node leads; room for its largest form is reserved.
@@ -304,6 +309,12 @@
 void Recorder::add_end(int j, Transaction &t, bool in_place) {
   const Job &n = jobs_[j];
   Entry &e = entry(j);
+  if (n.borrowed) { // its home keeps how it ended
+    t.guards.push_back({"open/" + n.spec.id, n.open_stamp});
+    t.writes.push_back({"open/" + n.spec.id, std::nullopt, 0});
+    t.ends.push_back(n.spec.id);
+    return jobs_.set_ending(j, true);
+  }
   e.end = reasons_.end_record(j);
   if (ledger_.on()) {
     e.end.usage = ledger_.usage(j);
@@ -345,6 +356,10 @@
     p.finished = narrow(std::move(p.finished), set_chars() / 14);
   }
   p.failed_on = judge_.suspect(j) ? judge_.failed_on(j) : 0;
+  p.loans = n.loans;
+  e.loans_covered.clear();
+  for (const auto &l : n.loans)
+    e.loans_covered.push_back(l.generation);
   ledger_.write(j, p);
   e.progress = wire::to_json(p);
   // What the transaction covers: tasks placed, or done, from here on wait for the next one.
@@ -401,10 +416,12 @@
         if (mark & kCovered) mark |= kRecorded;
         if (mark & kDoneCovered) mark |= kDoneRecorded;
       }
+      loans_recorded(j);
     });
     each(t.ends, [&](int j) {
       const Entry &e = entry(j);
       const std::string id = jobs_[j].spec.id;
+      if (jobs_[j].borrowed) return remove(j);
       if (e.ended_in_place) moves_.push_back({id, r.revision, wire::to_json(e.end)});
       ended_.remember(id, e.end);
       remove(j);
@@ -445,6 +462,17 @@
       mark_shard(s, list == &t.shards);
 }
 
+// What a confirmed write has said of a job's loans.
+void Recorder::loans_recorded(int j) {
+  Entry &e = entry(j);
+  auto lacks = [](const auto &all, std::uint64_t g) { return std::find(all.begin(), all.end(), g) == all.end(); };
+  for (auto g : e.loans_covered)
+    if (lacks(e.loans_recorded, g)) events_.publish(LoanRecorded{j, g});
+  for (auto g : e.loans_recorded)
+    if (lacks(e.loans_covered, g)) events_.publish(LoanDropped{j, g});
+  e.loans_recorded = e.loans_covered;
+}
+
 void Recorder::resync_shard(std::size_t s) {
   if (shards_[s].resyncing) return;
   shards_[s].resyncing = true;
@@ -574,6 +602,7 @@
       }
       return;
     }
+    if (jobs_[k].borrowed) return remove(k);
     port_.store(StoreGet{"end/" + id}, 1.0, [this, id, find](const wire::StoreReply &e) {
       const int jj = find();
       if (jj < 0) return;
--- a/src/core/reports.cpp
+++ b/src/core/reports.cpp
@@ -108,6 +108,7 @@
   if (!siblings_.answering()) return no("leadership is being renewed");
   // A machine that was given back can only speak through packets held up on the way.
   if (fleet_.gone(r.machine)) return no("this machine was given back");
+  if (unsure_ && unsure_(r)) return no("what it runs for another cell is being confirmed");
   spread_.heard(from.direct());
   if (from.direct())
     if (const int s = keeper_for(r); s >= 0) {
--- a/src/core/users.cpp
+++ b/src/core/users.cpp
@@ -1,6 +1,7 @@
 #include "loftrouter/core/users.hpp"
 
 #include <algorithm>
+#include <utility>
 
 #include <fmt/format.h>
 
@@ -19,7 +20,7 @@
 } // namespace
 
 UserDesk::Verdict UserDesk::judge(const JobSpec &spec, std::string &why) const {
-  const int team = jobs_.find_team(spec.team);
+  const int team = spec.team.starts_with('@') ? -1 : jobs_.find_team(spec.team); // such names stand for other cells
   if (team < 0) {
     why = fmt::format("unknown team {}", spec.team);
     return Verdict::Never;
@@ -133,7 +134,7 @@
   case Verdict::Ok:
     break;
   }
-  OpenRecord record{cmd.spec, port_.wall(), false};
+  OpenRecord record{cmd.spec, port_.wall(), false, {}};
   auto value = wire::to_json(record);
   if (static_cast<double>(value.dump().size()) > settings_.state_value_kb * 1024 - 64)
     return port_.reply(cmd.req, 422, wire::encode_error("the job's description is too long to be kept"));
@@ -187,6 +188,7 @@
     }
     auto open = r.status == 200 && r.entries.size() == 1 ? wire::open_from_json(r.entries[0].value) : std::nullopt;
     if (!open) return no_answer(q, Verb::Look, "the state service did not answer");
+    if (open->lent) return q.as_submit ? want_id(q, r.entries[0].stamp, std::move(*open)) : read_end(q, false);
     note_open(q.id, r.entries[0].stamp, open->cancelled);
     tell_open(q, open->cancelled);
   });
@@ -261,6 +263,15 @@
   });
 }
 
+// A submission whose id another cell's work bears here, which is then given back: own users come first.
+void UserDesk::want_id(const Question &q, std::uint64_t stamp, OpenRecord record) {
+  const std::string why = "work of cell " + record.lent->home + " bears this id here; it is being given back";
+  if (!std::exchange(record.cancelled, true) && budget_.take_write(port_.now()))
+    port_.store(StoreCommit{{{"open/" + q.id, stamp}}, {{"open/" + q.id, wire::to_json(record), 0}}}, kUserDeadline,
+                [](const wire::StoreReply &) {});
+  port_.refuse(q.req, why, 2);
+}
+
 void UserDesk::read_end(const Question &q, bool as_abort) {
   ++under_way_;
   port_.store(StoreGet{"end/" + q.id}, kUserDeadline / 2, [this, q, as_abort](const wire::StoreReply &r) {
@@ -298,6 +309,7 @@
     }
     auto open = r.status == 200 && r.entries.size() == 1 ? wire::open_from_json(r.entries[0].value) : std::nullopt;
     if (!open) return no_answer(q, Verb::Abort, "the state service did not answer");
+    if (open->lent) return read_end(q, true); // not a job of this cell's users
     if (open->cancelled) {
       note_open(q.id, r.entries[0].stamp, true);
       return port_.reply(q.req, 200, wire::encode_accepted(q.id, JobState::Cancelled));
--- a/src/wire/admin.cpp
+++ b/src/wire/admin.cpp
@@ -114,17 +114,21 @@
                         Plain{"foreseen", "GET", Kind::Foreseen}, Plain{"report", "GET", Kind::Report},
                         Plain{"settings", "GET", Kind::Settings}, Plain{"settings", "PUT", Kind::Change},
                         Plain{"budgets", "GET", Kind::Budgets}, Plain{"budgets", "PUT", Kind::ChangeBudgets},
-                        Plain{"statement", "GET", Kind::Statement}}) {
+                        Plain{"statement", "GET", Kind::Statement}, Plain{"cells", "GET", Kind::Cells},
+                        Plain{"cells", "PUT", Kind::ChangeCells}}) {
     if (path != p.path) continue;
     known = true;
     if (method != p.method) continue;
     r.kind = p.kind;
-    if (r.kind != Kind::Change && r.kind != Kind::ChangeBudgets) return r;
+    if (r.kind != Kind::Change && r.kind != Kind::ChangeBudgets && r.kind != Kind::ChangeCells) return r;
     auto j = parse_body(body);
     if (!j) return AdminError{400, "body: not a JSON object"};
     Tunables settings;
     Budgets budgets;
-    if (auto problem = r.kind == Kind::Change ? apply_tunables(*j, settings) : apply_budgets(*j, budgets))
+    CellRules cells;
+    if (auto problem = r.kind == Kind::Change        ? apply_tunables(*j, settings)
+                       : r.kind == Kind::ChangeCells ? apply_cell_rules(*j, cells)
+                                                     : apply_budgets(*j, budgets))
       return AdminError{400, *problem};
     r.change = std::move(*j);
     return r;
@@ -218,6 +222,13 @@
                       {"oldest_waiting_s", std::round(x.oldest_s)}});
   Json leader = {{"node", s.leader.empty() ? Json() : Json(s.leader)}, {"term", s.term}};
   if (!s.leader_since.empty()) leader["since"] = s.leader_since;
+  Json cells = Json::array();
+  for (const auto &c : s.cells)
+    cells.push_back({{"cell", c.name},
+                     {"heard_s_ago", age(c.heard_s)},
+                     {"may_be_lent_to", c.lends},
+                     {"tasks_lent", c.lent_tasks},
+                     {"tasks_borrowed", c.borrowed_tasks}});
   Json reach = reach_json(s.reach.word), by_zone = Json::object();
   for (const auto &[zone, machines] : s.reach.machines)
     by_zone[zone] = machines;
@@ -243,6 +254,8 @@
        {"siblings", std::move(siblings)},
        {"fleet", std::move(fleet)},
        {"queues", std::move(queues)},
+       {"cell", s.cell.empty() ? Json() : Json(s.cell)},
+       {"cells", std::move(cells)},
        {"batch_ms", {{"p50", rounded(s.round_p50)}, {"p99", rounded(s.round_p99)}}},
        {"queue_wait_ms", {{"p50", rounded(s.queue_p50)}, {"p99", rounded(s.queue_p99)}}}});
 }
@@ -305,6 +318,42 @@
   return std::nullopt;
 }
 
+Json to_json(const CellRules &r) {
+  return {{"lend", r.lend},
+          {"borrow", r.borrow},
+          {"most_borrowed_cpus", r.most_borrowed_cpus},
+          {"stay_teams", r.stay_teams},
+          {"stay_classes", r.stay_classes}};
+}
+
+std::optional<std::string> apply_cell_rules(const Json &j, CellRules &r) {
+  for (const auto &[name, value] : j.items()) {
+    if (name == "lend" || name == "borrow") {
+      if (!value.is_boolean()) return name + ": true or false is wanted";
+      (name == "lend" ? r.lend : r.borrow) = value.get<bool>();
+    } else if (name == "most_borrowed_cpus") {
+      const double v = value.is_number() ? value.get<double>() : std::nan("");
+      if (!(v >= 0 && v <= 1e6)) return "most_borrowed_cpus: a number from 0 to 1000000 is wanted";
+      r.most_borrowed_cpus = v;
+    } else if (name == "stay_teams" || name == "stay_classes") {
+      std::vector<std::string> all;
+      if (!value.is_array() || value.size() > 100) return name + ": a list of at most 100 names is wanted";
+      for (const auto &v : value) {
+        if (!v.is_string() || !valid_name(v.get<std::string>())) return name + ": names are wanted";
+        all.push_back(v.get<std::string>());
+      }
+      (name == "stay_teams" ? r.stay_teams : r.stay_classes) = std::move(all);
+    } else {
+      return fmt::format("{}: no such setting", valid_name(name) ? name : "a field");
+    }
+  }
+  return std::nullopt;
+}
+
+std::string encode_cell_rules(const CellRules &r) {
+  return dump(to_json(r));
+}
+
 std::string encode_budgets(const Budgets &b) {
   return dump(to_json(b));
 }
--- a/src/wire/messages.cpp
+++ b/src/wire/messages.cpp
@@ -512,6 +512,7 @@
 Json to_json(const OpenRecord &r) {
   Json j = {{"spec", to_json(r.spec)}, {"at", r.submit_wall}};
   if (r.cancelled) j["cancelled"] = true;
+  if (r.lent) j["lent"] = {{"home", r.lent->home}, {"gen", r.lent->generation}, {"tasks", set_json(r.lent->tasks)}};
   return j;
 }
 
@@ -520,7 +521,15 @@
   auto spec = job_from_json(at(j, "spec"), problem);
   auto when = amount(at(j, "at"), 1e12);
   if (!spec || !when) return std::nullopt;
-  return OpenRecord{std::move(*spec), *when, at(j, "cancelled").is_boolean()};
+  OpenRecord out{std::move(*spec), *when, at(j, "cancelled").is_boolean(), {}};
+  if (const Json &lent = at(j, "lent"); !lent.is_null()) {
+    const auto home = text(at(lent, "home"));
+    const auto generation = count(at(lent, "gen"));
+    auto tasks = set_from(at(lent, "tasks"));
+    if (!home || !generation || !tasks) return std::nullopt;
+    out.lent = Lent{*home, *generation, std::move(*tasks)};
+  }
+  return out;
 }
 
 Json to_json(const EndRecord &r) {
@@ -571,6 +580,15 @@
     j["h"] = r.running_ms;
     j["t"] = r.at_ms;
   }
+  for (const auto &l : r.loans) {
+    Json e = {{"g", l.generation},
+              {"c", l.cell},
+              {"l", l.lease_s},
+              {"u", accounts::pack(l.charged)},
+              {"r", set_json(l.tasks)}};
+    if (l.lapsed) e["x"] = true;
+    j["l"].push_back(std::move(e));
+  }
   return j;
 }
 
@@ -636,6 +654,16 @@
       r.running_ms = static_cast<std::int64_t>(std::min<std::uint64_t>(count(at(e, "h")).value_or(0), 1ULL << 53));
       r.at_ms = static_cast<std::int64_t>(std::min<std::uint64_t>(count(at(e, "t")).value_or(0), 1ULL << 53));
     }
+    for (const Json &loans = at(e, "l"); const auto &l : loans.is_array() ? loans : Json::array()) {
+      const auto generation = count(at(l, "g"));
+      const auto cell = text(at(l, "c"));
+      const auto lease = amount(at(l, "l"));
+      const auto used = at(l, "u").is_string() ? accounts::unpack<accounts::kUsageColumns>(at(l, "u").get<std::string>())
+                                               : std::nullopt;
+      auto tasks = set_from(at(l, "r"));
+      if (!generation || !cell || !lease || !used || !tasks) return false;
+      r.loans.push_back({*generation, *cell, std::move(*tasks), *lease, at(l, "x").is_boolean(), *used});
+    }
     out.jobs.emplace_back(std::string(id), std::move(r));
     return true;
   };
--- a/src/wire/peer.cpp
+++ b/src/wire/peer.cpp
@@ -3,49 +3,17 @@
 #include <algorithm>
 
 #include "loftrouter/wire/messages.hpp"
+#include "loftrouter/wire/packed.hpp"
 
 namespace loft::wire {
 
+using namespace packed;
+
 namespace {
 
 constexpr std::uint32_t kMagic = 0x5254464c; // "LFTR"
 constexpr std::uint16_t kVersion = 4;
 
-template <class T> void put(std::string &out, T v) {
-  for (std::size_t i = 0; i < sizeof v; ++i)
-    out.push_back(static_cast<char>(v >> (8 * i)));
-}
-
-struct Reader {
-  std::string_view in;
-  bool ok = true;
-  template <class T> T get() {
-    T v = 0;
-    if (in.size() < sizeof v) {
-      ok = false;
-      return 0;
-    }
-    for (std::size_t i = 0; i < sizeof v; ++i)
-      v = static_cast<T>(v | static_cast<T>(static_cast<T>(static_cast<unsigned char>(in[i])) << (8 * i)));
-    in.remove_prefix(sizeof v);
-    return v;
-  }
-  // Short text: its length, then its bytes.
-  bool text(std::string &to) {
-    auto n = get<std::uint8_t>();
-    if (!ok || in.size() < n) return ok = false;
-    to = in.substr(0, n);
-    in.remove_prefix(n);
-    return true;
-  }
-};
-
-void put_text(std::string &out, std::string_view text) {
-  text = text.substr(0, 255);
-  put(out, static_cast<std::uint8_t>(text.size()));
-  out += text;
-}
-
 // The tasks of one machine are mostly of a few jobs in a row: an empty name stands for the one before.
 void put_task(std::string &out, const std::string &job, std::string_view &before, std::uint32_t index,
               std::uint64_t attempt) {
@@ -131,19 +99,6 @@
   return r.ok;
 }
 
-// A body of HTTP, as it is.
-void put_body(std::string &out, std::string_view body) {
-  put(out, static_cast<std::uint32_t>(body.size()));
-  out += body;
-}
-bool get_body(Reader &r, std::string &to) {
-  const auto n = r.get<std::uint32_t>();
-  if (!r.ok || n != r.in.size()) return r.ok = false; // it is the last in its frame
-  to = r.in;
-  r.in = {};
-  return true;
-}
-
 void put_ask(std::string &out, const PeerMessage &m) {
   put(out, static_cast<std::uint8_t>(m.verb));
   put_text(out, m.id);
@@ -201,6 +156,10 @@
   case PeerMessage::Kind::Told:
     put_told(body, m);
     return frame(m.kind, body);
+  case PeerMessage::Kind::CellAsk:
+  case PeerMessage::Kind::CellTold:
+    put_body(body, m.body);
+    return frame(m.kind, body);
   default:
     break;
   }
@@ -237,8 +196,8 @@
   auto kind = head.get<std::uint16_t>();
   auto length = head.get<std::uint32_t>();
   if (!head.ok) return PeerRead::NeedMore;
-  if (magic != kMagic || version != kVersion || kind < 1 || kind > 7) return PeerRead::Garbage;
-  if (length > (kind > 3 ? kPeerMaxRelayed : kPeerMaxBody)) return PeerRead::Garbage;
+  if (magic != kMagic || version != kVersion || kind < 1 || kind > 9) return PeerRead::Garbage;
+  if (length > (kind > 7 ? kPeerMaxPassed : kind > 3 ? kPeerMaxRelayed : kPeerMaxBody)) return PeerRead::Garbage;
   if (buffer.size() < kPeerHeader + length) return PeerRead::NeedMore;
   Reader r{buffer.substr(kPeerHeader, length)};
   out = {};
@@ -260,6 +219,9 @@
     return done(get_ask(r, out));
   case PeerMessage::Kind::Told:
     return done(get_told(r, out));
+  case PeerMessage::Kind::CellAsk:
+  case PeerMessage::Kind::CellTold:
+    return done(get_body(r, out.body));
   default:
     break;
   }
--- /dev/null
+++ b/tests/federation.hpp
@@ -0,0 +1,46 @@
+// Several simulated worlds as cells of one fleet: the frames between them, and what must hold over all of them.
+#pragma once
+
+#include <map>
+
+#include "world.hpp"
+
+namespace loft::test {
+
+class Federation {
+public:
+  // One cell each; their names, addresses and job numbers are set here.
+  Federation(std::uint64_t seed, std::vector<WorldOptions> cells, double loss = 0);
+
+  World &operator[](int c) { return *worlds_[static_cast<std::size_t>(c)]; }
+  int size() const { return static_cast<int>(worlds_.size()); }
+  void run(double until);
+  double now() const { return t_; }
+  // Frames from one cell's node to another's are lost; -1: all nodes.
+  void cut(int from, int from_node, int to, int to_node, double for_s);
+  void cut(int a, int b, double for_s) {
+    cut(a, -1, b, -1, for_s);
+    cut(b, -1, a, -1, for_s);
+  }
+  bool all_over() const;
+  std::vector<std::string> broken() const; // in all of them, and over them
+  int frames = 0;
+  std::map<std::string, int> started_elsewhere; // tasks, by job: not in the cell that accepted it
+  static std::string name(int c) { return std::string(1, static_cast<char>('p' + c)); }
+
+private:
+  struct Cut {
+    int from, from_node, to, to_node;
+    double until;
+  };
+  void send(int cell, int node, const core::CellSend &c);
+  void started(int cell, const World::On &task);
+  std::mt19937_64 rng_;
+  double loss_, t_ = 0;
+  std::vector<std::unique_ptr<World>> worlds_;
+  std::vector<WorldOptions> options_;
+  std::vector<Cut> cuts_;
+  std::vector<std::string> broken_;
+};
+
+} // namespace loft::test
--- a/tests/world.hpp
+++ b/tests/world.hpp
@@ -29,6 +29,9 @@
   double hang_per_hour = 0;
   bool accounts = false;
   double value_kb = 8; // most that the state service takes as a value
+  long most_machines = 400;
+  CellSettings cells;
+  int first_job = 1; // number of the first
   std::vector<Team> teams{{"red", 0, 0, 0, 0}, {"blue", 0, 12, 0, 0}};
 };
 
@@ -61,6 +64,29 @@
   JobSpec job(Shape shape, std::uint32_t tasks, double cpus, double run_s, const std::string &team = "red");
   void run(double until);
 
+  // Several cells, joined by tests/federation.hpp: frames to others; jobs of others; a task that starts here.
+  std::function<void(int node, const core::CellSend &)> send_cell;
+  void deliver_cell(int node, core::CmdCell cmd, double after_s);
+  struct Told {
+    bool accepted = false, done = false, cancelled = false, cancel_asked = false;
+    double cancelled_at = -1;
+    JobSpec spec;
+    std::vector<char> finished;
+    double held_s = 0;
+  };
+  std::function<Told *(const std::string &job)> foreign;
+  Told *own(const std::string &job) {
+    const auto it = told_.find(job);
+    return it == told_.end() || !it->second.spec.tasks || it->second.spec.id.empty() ? nullptr : &it->second;
+  }
+  struct On { // a task that is on a machine
+    std::string job;
+    std::uint32_t index;
+    std::uint64_t serial;
+  };
+  std::vector<On> on_machines() const;
+  std::function<void(const On &)> started;
+
   std::vector<std::string> broken; // rules broken, in words
   bool lose_watches = false;       // watches of the state service get no answer
   int relayed = 0;                 // reports passed on from node to node
@@ -155,13 +181,11 @@
     std::set<std::string> images;
     std::vector<Run> runs;
   };
-  struct Told {
-    bool accepted = false, done = false, cancelled = false, cancel_asked = false;
-    double cancelled_at = -1;
-    JobSpec spec;
-    std::vector<char> finished;
-    double held_s = 0;
-  };
+  // A job that this world's or another's users have submitted.
+  Told *known(const std::string &job) {
+    if (Told *t = own(job)) return t;
+    return foreign ? foreign(job) : nullptr;
+  }
 
   double uniform(double a, double b) { return std::uniform_real_distribution<double>(a, b)(rng_); }
   bool chance(double p) { return uniform(0, 1) < p; }
