--- a/bench/load.cpp
+++ b/bench/load.cpp
@@ -71,7 +71,7 @@
   s.estimate_s = kTaskFor;
   s.deadline_s = 300;
   stamps_["open/" + s.id] = ++revision_;
-  news_.push_back({"open/" + s.id, wire::to_json(OpenRecord{s, now().wall, false}), revision_});
+  news_.push_back({"open/" + s.id, wire::to_json(OpenRecord{s, now().wall, false, {}}), revision_});
 }
 
 void Load::step() {
--- a/include/loftrouter/app/features.hpp
+++ b/include/loftrouter/app/features.hpp
@@ -4,13 +4,18 @@
 #include <string>
 #include <variant>
 
+#include "loftrouter/core/settings.hpp"
+
 namespace loft::app {
 
 struct Features {
   bool accounts = false; // what teams use is kept, and their budgets are held
+  CellSettings cells;    // that work as one fleet with this one
 };
 // Or what is wrong, with line and column. Unknown tables and keys are refused.
 std::variant<Features, std::string> parse_features(const std::string &text);
 std::variant<Features, std::string> load_features(const std::string &path);
+// Into the settings; or what does not go with them.
+std::string apply_features(const Features &features, Settings &settings);
 
 } // namespace loft::app
--- a/include/loftrouter/cells/membership.hpp
+++ b/include/loftrouter/cells/membership.hpp
@@ -15,10 +15,13 @@
   // The node to talk to, or -1: not before the pause is over.
   int target(double now) const { return now < quiet_until_ || nodes_.empty() ? -1 : nodes_[current_]; }
   // Something was sent that wants an answer.
-  void asked(double now) { if (asked_at_ < 0) asked_at_ = now; }
+  void asked(double now) {
+    if (asked_at_ < 0) asked_at_ = now;
+  }
   // An answer has come by way of `node`; the leader there is `leader`, -1 if that is not said.
   void answered(int node, int leader, double now);
-  // What has waited too long means another node, and after all of them a pause: doubled each time, with `jitter` (0 to 1).
+  // What has waited too long means another node, and after all of them a pause: doubled each time, with `jitter` (0 to
+  // 1).
   void tick(double now, double jitter);
   bool reached(double now) const { return now - heard_at_ < kReached; }
   double heard_at() const { return heard_at_; }
--- a/include/loftrouter/cells/plan.hpp
+++ b/include/loftrouter/cells/plan.hpp
@@ -1,5 +1,6 @@
 // Where waiting work goes: a cell is scored as a machine is, by its free share of each resource against the demand of a
-// whole plan, from what it has told of itself. Pure functions of a snapshot; tests compare them with a slow plain model.
+// whole plan, from what it has told of itself. Pure functions of a snapshot; tests compare them with a slow plain
+// model.
 #pragma once
 
 #include <optional>
@@ -11,7 +12,7 @@
 
 namespace loft::cells {
 
-struct Work { // of one job, that could be lent
+struct Work {                     // of one job, that could be lent
   Resources need;                 // of each task
   std::vector<std::string> types; // allowed; none: any
   bool spot = false, whole = false;
--- a/include/loftrouter/core/cells.hpp
+++ b/include/loftrouter/core/cells.hpp
@@ -47,11 +47,11 @@
   void expire(); // before anything else of a batch: what is not confirmed any more stops
   void tick();
   void take(CmdCell &&cmd);
-  void take_passed(const CmdPeer &cmd);         // on the leader: a frame that came to a sibling
-  void take_back(const wire::PeerMessage &m);   // on that sibling: the answer
+  void take_passed(const CmdPeer &cmd);       // on the leader: a frame that came to a sibling
+  void take_back(const wire::PeerMessage &m); // on that sibling: the answer
   // The worker holds borrowed work of which this leader does not know yet whether it is confirmed.
   bool unsure_of(const WorkerReport &r) const;
-  bool may_leave(const JobSpec &spec) const;    // by the operators' settings
+  bool may_leave(const JobSpec &spec) const; // by the operators' settings
   std::vector<State> states() const;
 
   void on(const LoanRecorded &e);
@@ -90,8 +90,8 @@
     cells::Membership nodes;
     cells::View view;
     double heard_at = -1e9, lease_s = 0;
-    std::uint64_t term = 0;     // of its leader, as last heard
-    std::uint64_t question = 0; // the latest Renew to it
+    std::uint64_t term = 0;                                                          // of its leader, as last heard
+    std::uint64_t question = 0;                                                      // the latest Renew to it
     std::map<std::uint64_t, std::pair<double, std::vector<std::uint64_t>>> renewals; // asked when, about what
     double next_summary = 0, next_renew = 0;
     bool told_no_room = false;
@@ -157,21 +157,21 @@
   const Scaler &scaler_;
   const Wishes &wishes_;
   std::vector<Cell> cells_;
-  std::vector<std::string> node_addresses_; // of all cells, by how they are dialled
-  std::vector<std::vector<Loan>> loans_;    // by job
-  std::unordered_map<std::uint64_t, int> loan_jobs_; // by generation
-  std::vector<std::optional<Debt>> debts_;           // by job
-  std::vector<int> indebted_;                        // jobs that have one
+  std::vector<std::string> node_addresses_;                // of all cells, by how they are dialled
+  std::vector<std::vector<Loan>> loans_;                   // by job
+  std::unordered_map<std::uint64_t, int> loan_jobs_;       // by generation
+  std::vector<std::optional<Debt>> debts_;                 // by job
+  std::vector<int> indebted_;                              // jobs that have one
   std::map<std::pair<int, std::uint64_t>, int> debt_jobs_; // by home and generation
-  std::set<std::uint64_t> taking_;                   // offers whose record is being written
+  std::set<std::uint64_t> taking_;                         // offers whose record is being written
   std::vector<Lot> lots_;
-  std::vector<double> waits_;                 // by job: expected at home
+  std::vector<double> waits_; // by job: expected at home
   double wait_by_urgency_[4] = {}, own_waiting_cpus_ = 0;
-  std::unordered_map<std::uint64_t, Wanted> wanted_; // by ticket
+  std::unordered_map<std::uint64_t, Wanted> wanted_;    // by ticket
   std::unordered_map<std::uint64_t, double> not_again_; // (job serial, cell): not before
-  std::vector<int> eager_;                    // by job: decisions in a row that it should leave
+  std::vector<int> eager_;                              // by job: decisions in a row that it should leave
   cells::Promises promises_;
-  PassedOn<std::uint64_t> passed_;            // other cells' questions, to the leader; with their link
+  PassedOn<std::uint64_t> passed_; // other cells' questions, to the leader; with their link
   std::uint64_t numbers_, loans_made_ = 0;
   double next_tick_ = 0, next_decision_ = 0;
   std::string told_wrong_;
--- a/include/loftrouter/core/commands.hpp
+++ b/include/loftrouter/core/commands.hpp
@@ -62,7 +62,7 @@
   std::uint64_t link; // where an answer goes
   wire::CellMessage message;
 };
-using Command = std::variant<CmdCell, CmdTick, CmdSubmit, CmdLookup, CmdAbort, CmdUp, CmdReport, CmdStoreReply, CmdCloudReply,
-                             CmdPeer, CmdAdmin>;
+using Command = std::variant<CmdCell, CmdTick, CmdSubmit, CmdLookup, CmdAbort, CmdUp, CmdReport, CmdStoreReply,
+                             CmdCloudReply, CmdPeer, CmdAdmin>;
 
 } // namespace loft::core
--- a/include/loftrouter/core/events.hpp
+++ b/include/loftrouter/core/events.hpp
@@ -132,8 +132,8 @@
 
 using Event = std::variant<TermElected, TermBegun, TermEnded, JobAccepted, JobCancelled, JobChanged, JobSuspected,
                            JobOver, EndLearnt, TaskHeld, TaskFreed, TaskRuns, TaskExited, TaskRetried, TaskLost,
-                           TaskPreempted, TasksStoppedByBudget, TasksGivenUp, LoanRecorded, LoanDropped, MachineUp, MachineLost, MachineCondemned,
-                           MachineReturned, OrdersChanged>;
+                           TaskPreempted, TasksStoppedByBudget, TasksGivenUp, LoanRecorded, LoanDropped, MachineUp,
+                           MachineLost, MachineCondemned, MachineReturned, OrdersChanged>;
 
 class Events {
 public:
--- a/include/loftrouter/core/ledger.hpp
+++ b/include/loftrouter/core/ledger.hpp
@@ -31,7 +31,9 @@
   // was not written after all, and otherwise belongs to nobody.
   accounts::Usage usage(int j);
   // What another cell has used for it.
-  void add(int j, const accounts::Usage &used) { if (on()) charge(j, used); }
+  void add(int j, const accounts::Usage &used) {
+    if (on()) charge(j, used);
+  }
   // Charged since it was last written: the record that holds its sums must then hold it anew as well.
   bool changed(int j) const { return accounts_[static_cast<std::size_t>(j)].changed; }
   // Its end turns out to be written, with less than has been charged since: the sums follow what it says.
--- a/include/loftrouter/net/peers.hpp
+++ b/include/loftrouter/net/peers.hpp
@@ -1,4 +1,5 @@
-// Links between controllers: each dials every sibling and asks; answers come on the same link.
+// Links between controllers: each dials every sibling, and a leader nodes of other cells, and asks; answers come on the
+// same link. The latter are numbered after the siblings.
 #pragma once
 
 #include <functional>
@@ -22,7 +23,8 @@
   ~PeerLinks();
   void send_to_sibling(int sibling, std::string_view bytes); // dials if need be; drops what cannot be sent
   void send_on(LinkId link, std::string_view bytes);
-  void send_all(); // what the two above have taken: frames of one batch leave together
+  std::uint32_t remote_ip(LinkId link) const; // host order; 0: no such link
+  void send_all();                            // what the two above have taken: frames of one batch leave together
 
 private:
   struct Link;
--- a/include/loftrouter/wire/cell.hpp
+++ b/include/loftrouter/wire/cell.hpp
@@ -23,9 +23,9 @@
 };
 
 struct CellMessage {
-  // Summary: what the sender has, answered by Summaries (the same of the other). Want: room for so many tasks, answered by
-  // Room. Offer: a loan, answered by Taken or not. Renew: whether loans go on, answered by Renewed. Told: how a loan gets
-  // on, or that it has ended, answered by Settled once home has recorded that. Recall: a loan is to be given back.
+  // Summary: what the sender has, answered by Summaries (the same of the other). Want: room for so many tasks, answered
+  // by Room. Offer: a loan, answered by Taken or not. Renew: whether loans go on, answered by Renewed. Told: how a loan
+  // gets on, or that it has ended, answered by Settled once home has recorded that. Recall: a loan is to be given back.
   enum class Kind : std::uint16_t {
     Summary = 1,
     Summaries,
@@ -39,12 +39,12 @@
     Settled,
     Recall
   } kind = Kind::Summary;
-  std::string from, to;      // cells
-  std::uint64_t term = 0;    // of the leader that sends it
-  std::uint64_t number = 0;  // of a question; its answer repeats it
+  std::string from, to;     // cells
+  std::uint64_t term = 0;   // of the leader that sends it
+  std::uint64_t number = 0; // of a question; its answer repeats it
   // Summary, Summaries.
-  std::string address;       // at which the sender's leader takes such frames
-  double lease_s = 0;        // of its workers; in Renew, too
+  std::string address;        // at which the sender's leader takes such frames
+  double lease_s = 0;         // of its workers; in Renew, too
   std::vector<double> wait_s; // expected there, by urgency
   std::vector<CellKind> kinds;
   // Want, Room, Offer.
@@ -54,9 +54,9 @@
   bool spot = false, whole = false;
   // Offer, Taken, Told, Settled, Recall.
   std::uint64_t generation = 0;
-  std::string body; // Offer: the job's description; Taken: why not
-  Ranges ranges;    // Offer: the tasks; Told: those done
-  bool yes = false; // Taken; Told: it has ended
+  std::string body;             // Offer: the job's description; Taken: why not
+  Ranges ranges;                // Offer: the tasks; Told: those done
+  bool yes = false;             // Taken; Told: it has ended
   std::uint64_t other_term = 0; // Told: of the home leader that it is meant for
   std::uint32_t running = 0;
   accounts::Usage usage; // Told: so far
--- a/include/loftrouter/wire/packed.hpp
+++ b/include/loftrouter/wire/packed.hpp
@@ -1,5 +1,5 @@
-// What frames between controllers are packed with: little-endian numbers, short text, bytes. Reading checks every length;
-// what does not decode leaves `ok` false.
+// What frames between controllers are packed with: little-endian numbers, short text, bytes. Reading checks every
+// length; what does not decode leaves `ok` false.
 #pragma once
 
 #include <cstddef>
--- a/include/loftrouter/wire/peer.hpp
+++ b/include/loftrouter/wire/peer.hpp
@@ -56,7 +56,8 @@
 };
 
 // Frames of reports, orders, questions and what is told may be larger: what a worker's or user's own message may be.
-constexpr std::size_t kPeerMaxRelayed = 64 * 1024, kPeerMaxPassed = kPeerMaxRelayed + 4096; // the latter: with another cell's frame in it
+constexpr std::size_t kPeerMaxRelayed = 64 * 1024,
+                      kPeerMaxPassed = kPeerMaxRelayed + 4096; // the latter: with another cell's frame in it
 constexpr std::size_t kPeerHeader = 12, kPeerMaxBody = 4096, kPeerMaxCancelled = 64, kPeerMaxNews = 100,
                       kPeerMaxReason = 200;
 // What one job's news takes of a frame's body.
--- a/src/app/daemon.cpp
+++ b/src/app/daemon.cpp
@@ -63,7 +63,7 @@
               [this] {
                 if (!queue_.empty()) drain();
               }),
-        pass_on_every_(pass_on_every(s)), pass_on_(loop_, [this] {
+        siblings_(s.siblings.size()), cells_(s.cells.others), pass_on_every_(pass_on_every(s)), pass_on_(loop_, [this] {
           passing_on_ = false;
           peers_.send_all();
         }) {}
@@ -88,12 +88,46 @@
     std::vector<net::Address> out;
     for (const auto &x : s.siblings)
       out.push_back(*net::parse_address(x.address));
+    for (const auto &c : s.cells.others)
+      for (const auto &node : c.nodes)
+        out.push_back(*net::parse_address(node));
     return out;
   }
 
+  // Frames of another cell are taken from its configured addresses alone.
+  bool on_cell(net::LinkId link, int node, std::string_view &rest) {
+    wire::CellMessage m;
+    const auto got = wire::read_cell(rest, m);
+    if (got != wire::PeerRead::Frame) return got == wire::PeerRead::NeedMore;
+    const auto ip = peers_.remote_ip(link);
+    const bool known = std::any_of(cells_.begin(), cells_.end(), [&](const auto &c) {
+      return c.name == m.from && std::any_of(c.nodes.begin(), c.nodes.end(), [ip](const std::string &address) {
+               return net::parse_address(address)->ip == ip;
+             });
+    });
+    if (!known) {
+      if (!std::exchange(told_stranger_, true))
+        write_log({core::LogLevel::Error,
+                   "cell_refused",
+                   {{"from", m.from.substr(0, 60)}, {"why", "not from an address of the features file"}}});
+      return false;
+    }
+    push(core::CmdCell{node, link, std::move(m)});
+    return true;
+  }
+
   bool on_peer(net::LinkId link, int sibling, std::string &buffer) {
     std::string_view rest = buffer;
+    const int node = sibling - static_cast<int>(siblings_);
     for (;;) {
+      if (!cells_.empty() && wire::looks_like_cell(rest)) {
+        const auto before = rest.size();
+        if (!on_cell(link, std::max(-1, node), rest)) return false;
+        if (rest.size() < before) continue;
+        buffer.erase(0, buffer.size() - rest.size());
+        return true;
+      }
+      if (node >= 0 && rest.size() >= 4) return false; // from another cell, and no frame of one
       wire::PeerMessage m;
       const auto got = wire::read_peer(rest, m);
       if (got == wire::PeerRead::Frame) {
@@ -137,6 +171,14 @@
         peers_.send_on(p.link, frame);
       prompt |= p.message.kind != wire::PeerMessage::Kind::Report;
     }
+    for (const auto &c : effects.cells) {
+      const auto frame = wire::encode_cell(c.message);
+      if (c.node >= 0)
+        peers_.send_to_sibling(static_cast<int>(siblings_) + c.node, frame);
+      else
+        peers_.send_on(c.link, frame);
+      prompt = true;
+    }
     if (prompt) return peers_.send_all();
     if (effects.peers.empty() || passing_on_) return;
     passing_on_ = true;
@@ -220,6 +262,9 @@
   net::Couriers couriers_{loop_};
   net::Timer tick_;
   net::BeforeWait work_;
+  const std::size_t siblings_;
+  const std::vector<OtherCell> cells_;
+  bool told_stranger_ = false;
   double queued_at_ = 0;
   double pass_on_every_;
   net::Timer pass_on_;
--- a/src/app/features.cpp
+++ b/src/app/features.cpp
@@ -1,17 +1,91 @@
 #include "loftrouter/app/features.hpp"
 
+#include <algorithm>
+#include <cctype>
 #include <fstream>
 #include <sstream>
 
 #include <fmt/format.h>
 #include <toml++/toml.h>
 
+#include "loftrouter/net/loop.hpp"
+
 namespace loft::app {
 
 namespace {
 std::string at(const toml::source_region &where, std::string_view what) {
   return fmt::format("line {}, column {}: {}", where.begin.line, where.begin.column, what);
 }
+
+// Thrown with where and what.
+struct Bad {
+  std::string what;
+};
+
+const toml::table &table(const toml::node &node, std::string_view name) {
+  if (const auto *t = node.as_table()) return *t;
+  throw Bad{at(node.source(), fmt::format("{}: must be a table", name))};
+}
+
+void read_accounts(const toml::table &part, Features &out) {
+  for (const auto &[key, value] : part) {
+    if (key.str() != "enabled") throw Bad{at(key.source(), fmt::format("accounts.{}: no such key", key.str()))};
+    if (!value.is_boolean()) throw Bad{at(value.source(), "accounts.enabled: true or false is wanted")};
+    out.accounts = value.as_boolean()->get();
+  }
+}
+
+std::string read_cell_name(const toml::node &node, std::string_view path) {
+  const auto name = node.value<std::string>().value_or("");
+  const bool good = !name.empty() && name.size() <= 40 && std::all_of(name.begin(), name.end(), [](unsigned char c) {
+    return std::isalnum(c) || c == '-' || c == '_' || c == '.';
+  });
+  if (!good) throw Bad{at(node.source(), fmt::format("{}: a name of letters, digits, - _ and . is wanted", path))};
+  return name;
+}
+
+OtherCell read_other(const toml::table &part, const CellSettings &so_far) {
+  OtherCell cell;
+  for (const auto &[key, value] : part) {
+    if (key.str() == "name") {
+      cell.name = read_cell_name(value, "cells.other.name");
+      if (cell.name == so_far.name) throw Bad{at(value.source(), "cells.other.name: is this cell itself")};
+      for (const auto &o : so_far.others)
+        if (o.name == cell.name) throw Bad{at(value.source(), "cells.other.name: is there twice")};
+    } else if (key.str() == "nodes") {
+      const auto *list = value.as_array();
+      if (!list || list->empty() || list->size() > 16)
+        throw Bad{at(value.source(), "cells.other.nodes: 1 to 16 addresses are wanted")};
+      for (const auto &x : *list) {
+        const auto address = x.value<std::string>().value_or("");
+        if (!net::parse_address(address))
+          throw Bad{at(x.source(), "cells.other.nodes: an IPv4 address and port is wanted")};
+        for (const auto &o : so_far.others)
+          if (std::find(o.nodes.begin(), o.nodes.end(), address) != o.nodes.end())
+            throw Bad{at(x.source(), "cells.other.nodes: an address is in two cells")};
+        cell.nodes.push_back(address);
+      }
+    } else {
+      throw Bad{at(key.source(), fmt::format("cells.other.{}: no such key", key.str()))};
+    }
+  }
+  if (cell.name.empty() || cell.nodes.empty()) throw Bad{at(part.source(), "cells.other: name and nodes are wanted")};
+  return cell;
+}
+
+void read_cells(const toml::table &part, Features &out) {
+  if (const auto *name = part.get("name")) out.cells.name = read_cell_name(*name, "cells.name");
+  if (out.cells.name.empty()) throw Bad{at(part.source(), "cells.name: the name of this cell is wanted")};
+  for (const auto &[key, value] : part) {
+    if (key.str() == "name") continue;
+    if (key.str() != "other") throw Bad{at(key.source(), fmt::format("cells.{}: no such key", key.str()))};
+    const auto *list = value.as_array();
+    if (!list || list->size() > 16)
+      throw Bad{at(value.source(), "cells.other: at most 16 tables [[cells.other]] are wanted")};
+    for (const auto &x : *list)
+      out.cells.others.push_back(read_other(table(x, "cells.other"), out.cells));
+  }
+}
 } // namespace
 
 std::variant<Features, std::string> parse_features(const std::string &text) {
@@ -19,21 +93,34 @@
   try {
     const toml::table file = toml::parse(text);
     for (const auto &[name, node] : file) {
-      if (name.str() != "accounts") return at(name.source(), fmt::format("{}: no such part", name.str()));
-      const auto *part = node.as_table();
-      if (!part) return at(node.source(), fmt::format("{}: must be a table", name.str()));
-      for (const auto &[key, value] : *part) {
-        if (key.str() != "enabled") return at(key.source(), fmt::format("{}.{}: no such key", name.str(), key.str()));
-        if (!value.is_boolean()) return at(value.source(), "accounts.enabled: true or false is wanted");
-        out.accounts = value.as_boolean()->get();
-      }
+      if (name.str() == "accounts")
+        read_accounts(table(node, name.str()), out);
+      else if (name.str() == "cells")
+        read_cells(table(node, name.str()), out);
+      else
+        return at(name.source(), fmt::format("{}: no such part", name.str()));
     }
   } catch (const toml::parse_error &e) {
     return at(e.source(), e.description());
+  } catch (const Bad &e) {
+    return e.what;
   }
   return out;
 }
 
+std::string apply_features(const Features &features, Settings &settings) {
+  for (const auto &c : features.cells.others)
+    for (const auto &node : c.nodes) {
+      bool own = node == settings.peer_listen;
+      for (const auto &s : settings.siblings)
+        own |= node == s.address;
+      if (own) return fmt::format("cells.other: {} is an address of this cell", node);
+    }
+  settings.accounts = features.accounts;
+  settings.cells = features.cells;
+  return {};
+}
+
 std::variant<Features, std::string> load_features(const std::string &path) {
   std::ifstream file(path);
   std::stringstream text;
--- a/src/app/main.cpp
+++ b/src/app/main.cpp
@@ -32,7 +32,11 @@
       std::fprintf(stderr, "loftrouterd: features: %s\n", problem->c_str());
       return 2;
     }
-    settings.accounts = std::get<loft::app::Features>(read).accounts;
+    if (const auto problem = loft::app::apply_features(std::get<loft::app::Features>(read), settings);
+        !problem.empty()) {
+      std::fprintf(stderr, "loftrouterd: features: %s\n", problem.c_str());
+      return 2;
+    }
   }
   if (check) {
     std::puts("settings are good");
--- a/src/cells/plan.cpp
+++ b/src/cells/plan.cpp
@@ -13,7 +13,8 @@
 
 static std::uint32_t places(const Resources &room, const Resources &need) {
   double n = 1e6;
-  for (auto [r, d] : {std::pair(room.cpus, need.cpus), std::pair(room.gpus, need.gpus), std::pair(room.memory, need.memory)})
+  for (auto [r, d] :
+       {std::pair(room.cpus, need.cpus), std::pair(room.gpus, need.gpus), std::pair(room.memory, need.memory)})
     if (d > 0) n = std::min(n, std::floor(r / d + 1e-9));
   return static_cast<std::uint32_t>(std::max(0.0, n));
 }
@@ -84,11 +85,12 @@
   return sum;
 }
 
-std::uint32_t Promises::promise(std::uint64_t ticket, double cpus_each, std::uint32_t most, bool whole, double free_cpus,
-                                double now) {
+std::uint32_t Promises::promise(std::uint64_t ticket, double cpus_each, std::uint32_t most, bool whole,
+                                double free_cpus, double now) {
   const double left = free_cpus - promised_cpus(now);
   if (promises_.size() >= kMost || left <= 0) return 0;
-  const auto n = std::min(most, static_cast<std::uint32_t>(std::min(1e6, std::floor(left / std::max(0.01, cpus_each) + 1e-9))));
+  const auto n =
+      std::min(most, static_cast<std::uint32_t>(std::min(1e6, std::floor(left / std::max(0.01, cpus_each) + 1e-9))));
   if (n == 0 || (whole && n < most)) return 0;
   promises_.push_back({ticket, n, n * cpus_each, now + kKept});
   return n;
@@ -96,7 +98,8 @@
 
 bool Promises::take(std::uint64_t ticket, std::uint32_t tasks, double now) {
   expire(now);
-  const auto it = std::find_if(promises_.begin(), promises_.end(), [&](const Promise &p) { return p.ticket == ticket; });
+  const auto it =
+      std::find_if(promises_.begin(), promises_.end(), [&](const Promise &p) { return p.ticket == ticket; });
   if (it == promises_.end() || tasks > it->tasks) return false;
   promises_.erase(it);
   return true;
--- a/src/core/cells.cpp
+++ b/src/core/cells.cpp
@@ -10,20 +10,20 @@
 namespace {
 using Kind = wire::CellMessage::Kind;
 constexpr double kTick = 0.25, kDecideEvery = 0.5, kSummaryEvery = 1.0, kRenewShare = 0.25, kToldEvery = 0.5;
-constexpr double kToldAtLeast = 5.0;                       // s, between words about a debt on which nothing changes
-constexpr double kMostGrant = 10.0, kLeastGrant = 4.0;     // s
-constexpr double kGrantSlack = 8.0;                        // s, of a cancellation's time that grants leave
-constexpr double kOfferFor = 10.0, kOfferAgain = 1.0;      // s
-constexpr double kSureWithin = 2.0;                        // s, for a new leader to have what it borrows confirmed
-constexpr double kFirstGrant = 10.0;                       // s, for a new debt to be confirmed
-constexpr double kUnstarted = 20.0;                        // s, after which borrowed work that has not begun goes back
-constexpr double kNotAgain = 60.0, kNoRoomPause = 5.0;     // s, between two hand-overs of a job to the same cell
-constexpr double kHomeHasRoom = 10.0;                      // s
+constexpr double kToldAtLeast = 5.0;                   // s, between words about a debt on which nothing changes
+constexpr double kMostGrant = 10.0, kLeastGrant = 4.0; // s
+constexpr double kGrantSlack = 8.0;                    // s, of a cancellation's time that grants leave
+constexpr double kOfferFor = 10.0, kOfferAgain = 1.0;  // s
+constexpr double kSureWithin = 2.0;                    // s, for a new leader to have what it borrows confirmed
+constexpr double kFirstGrant = 10.0;                   // s, for a new debt to be confirmed
+constexpr double kUnstarted = 20.0;                    // s, after which borrowed work that has not begun goes back
+constexpr double kNotAgain = 60.0, kNoRoomPause = 5.0; // s, between two hand-overs of a job to the same cell
+constexpr double kHomeHasRoom = 10.0;                  // s
 constexpr std::size_t kMostWanted = 16, kMostDebts = 4000, kMostLoans = 10'000;
 constexpr std::uint32_t kLeastLent = 1;
 constexpr int kEager = 2;
-constexpr double kBorrowShare = 0.5, kBorrowLeast = 32;    // of the CPUs that are up; CPUs
-constexpr std::size_t kMostRanges = 4;                     // of a loan
+constexpr double kBorrowShare = 0.5, kBorrowLeast = 32; // of the CPUs that are up; CPUs
+constexpr std::size_t kMostRanges = 4;                  // of a loan
 const cells::Rules kRules;
 } // namespace
 
@@ -99,8 +99,9 @@
   if (cell < 0 || cmd.message.to != settings_.cells.name) {
     const auto wrong = fmt::format("{} -> {}", cmd.message.from, cmd.message.to);
     if (wrong != told_wrong_)
-      port_.log(LogLevel::Error, "cell_refused",
-                {{"frame", wrong}, {"why", cell < 0 ? "no such cell in the features file" : "this cell has another name"}});
+      port_.log(
+          LogLevel::Error, "cell_refused",
+          {{"frame", wrong}, {"why", cell < 0 ? "no such cell in the features file" : "this cell has another name"}});
     told_wrong_ = wrong;
     return;
   }
@@ -185,7 +186,8 @@
     if (!l || l->cell != cell) return;
     l->taken |= m.yes;
     if (m.yes || l->state.confirmed()) return;
-    port_.log(LogLevel::Info, "loan_refused", {{"job", jobs_[j].spec.id}, {"cell", c.name}, {"why", m.body.substr(0, 100)}});
+    port_.log(LogLevel::Info, "loan_refused",
+              {{"job", jobs_[j].spec.id}, {"cell", c.name}, {"why", m.body.substr(0, 100)}});
     l->state.close();
     return;
   }
@@ -417,8 +419,10 @@
     views.back().open = grant_s(c.lease_s) > 0;
     if (!views.back().open && c.lease_s > 0 && !std::exchange(c.told_no_room, true))
       port_.log(LogLevel::Error, "nothing_is_lent",
-                {{"cell", c.name}, {"why", "cancel_s leaves no time for a grant beside the lease of its workers"},
-                 {"cancel_s", settings_.cancel_s}, {"lease_s", c.lease_s}});
+                {{"cell", c.name},
+                 {"why", "cancel_s leaves no time for a grant beside the lease of its workers"},
+                 {"cancel_s", settings_.cancel_s},
+                 {"lease_s", c.lease_s}});
     any |= views.back().open && views.back().age_s < kRules.fresh_s;
   }
   if (!any) return;
@@ -485,7 +489,8 @@
 
 void Cells::lend(const Wanted &w, std::uint64_t ticket, std::uint32_t tasks) {
   const Job *n = jobs_.find(w.job);
-  if (!n || n->serial != w.serial || n->cancelled || n->ending || !lead_.active() || tasks == 0 || tasks > w.tasks) return;
+  if (!n || n->serial != w.serial || n->cancelled || n->ending || !lead_.active() || tasks == 0 || tasks > w.tasks)
+    return;
   const bool whole = n->spec.shape == Shape::Gang || n->spec.one_zone || n->spec.spread;
   if (n->pending() == 0 || n->loans.size() >= Recorder::kMostLoans || (whole && tasks < n->pending())) return;
   // What may run there counts against its team's limit from now on.
@@ -508,15 +513,19 @@
   if (got == 0 || (whole && got < n->pending())) return;
   const auto &c = cells_[static_cast<std::size_t>(w.cell)];
   const cells::Generation g = (lead_.term() << 20) + ++loans_made_;
-  grown(loans_, w.job).push_back({.state = cells::AtHome(g, lead_.term()),
-                                  .cell = w.cell,
-                                  .made_at = port_.now(),
-                                  .ticket = ticket,
-                                  .terms = terms(c.lease_s)});
+  grown(loans_, w.job)
+      .push_back({.state = cells::AtHome(g, lead_.term()),
+                  .cell = w.cell,
+                  .made_at = port_.now(),
+                  .ticket = ticket,
+                  .terms = terms(c.lease_s)});
   loan_jobs_[g] = w.job;
   not_again_[pair_key(n->serial, w.cell)] = port_.now() + kNotAgain;
   port_.log(LogLevel::Info, "lending",
-            {{"job", n->spec.id}, {"class", n->spec.job_class}, {"tasks", got}, {"cell", c.name},
+            {{"job", n->spec.id},
+             {"class", n->spec.job_class},
+             {"tasks", got},
+             {"cell", c.name},
              {"expected_wait_s", waits_[static_cast<std::size_t>(w.job)]}});
   jobs_.lend(w.job, {g, c.name, std::move(ranges), c.lease_s, false, {}});
 }
@@ -537,8 +546,8 @@
   m.generation = l.state.generation();
   JobSpec spec = n.spec;
   const double age = std::max(0.0, port_.wall() - n.submit_wall);
-  spec.deadline_s = wishes_.wanted_after(n.spec) ? std::optional(std::max(1.0, wishes_.due_after(n.spec, age) - age))
-                                                 : std::nullopt;
+  spec.deadline_s =
+      wishes_.wanted_after(n.spec) ? std::optional(std::max(1.0, wishes_.due_after(n.spec, age) - age)) : std::nullopt;
   m.body = wire::encode(wire::to_json(spec));
   for (const auto &x : n.loans)
     if (x.generation == m.generation) m.ranges = x.tasks;
@@ -553,7 +562,8 @@
     int job = j;
     Loan &l = *loan(generation, job);
     const Job &n = jobs_[j];
-    const auto record = std::find_if(n.loans.begin(), n.loans.end(), [g = generation](const auto &x) { return x.generation == g; });
+    const auto record =
+        std::find_if(n.loans.begin(), n.loans.end(), [g = generation](const auto &x) { return x.generation == g; });
     if (l.dropped || record == n.loans.end() || record->lapsed) continue;
     if (l.state.offers() && !l.taken && now >= l.next_offer) {
       l.next_offer = now + kOfferAgain;
@@ -567,8 +577,10 @@
     if (!l.state.closing() && l.taken && !l.progressed) { // taken, not begun, and there is room here again
       const bool room = waits_.size() > static_cast<std::size_t>(j) && waits_[static_cast<std::size_t>(j)] < 1 &&
                         own_waiting_cpus_ < 1;
-      if (!room) l.idle_since = -1;
-      else if (l.idle_since < 0) l.idle_since = now;
+      if (!room)
+        l.idle_since = -1;
+      else if (l.idle_since < 0)
+        l.idle_since = now;
       if (room && now - l.idle_since > kHomeHasRoom) l.state.close();
     }
     if (l.state.closing() && now >= l.next_recall && l.state.confirmed()) {
@@ -587,8 +599,8 @@
     if (Loan *l = loan(g, j)) drop(j, *l);
 }
 
-// Once it is recorded that it is over, its borrower is told so. One that was never confirmed has nothing to tell, and may
-// never have been recorded.
+// Once it is recorded that it is over, its borrower is told so. One that was never confirmed has nothing to tell, and
+// may never have been recorded.
 void Cells::drop(int j, Loan &l) {
   const auto g = l.state.generation();
   l.dropped = true;
@@ -614,7 +626,8 @@
     return reply(from, std::move(r));
   }
   const Job &n = jobs_[j];
-  const auto record = std::find_if(n.loans.begin(), n.loans.end(), [&](const auto &x) { return x.generation == m.generation; });
+  const auto record =
+      std::find_if(n.loans.begin(), n.loans.end(), [&](const auto &x) { return x.generation == m.generation; });
   if (l->dropped || record == n.loans.end() || !lead_.active()) return; // being recorded; it is told again
   const Ranges mine = record->tasks;
   const bool lapsed = record->lapsed;
@@ -644,7 +657,8 @@
   jobs_.set_lent_running(j, running);
   if (!m.yes) return;
   if (!lapsed && !l->state.ended(m.term, m.other_term)) return;
-  port_.log(LogLevel::Info, "loan_ended", {{"job", n.spec.id}, {"cell", cells_[static_cast<std::size_t>(cell)].name}, {"late", lapsed}});
+  port_.log(LogLevel::Info, "loan_ended",
+            {{"job", n.spec.id}, {"cell", cells_[static_cast<std::size_t>(cell)].name}, {"late", lapsed}});
   drop(j, *l);
 }
 
@@ -669,7 +683,8 @@
     borrowed += (n.pending() + n.placed) * n.spec.need.cpus;
     free -= n.pending() * n.spec.need.cpus;
   }
-  const double most = std::min(operators_.cell_rules().most_borrowed_cpus, std::max(kBorrowLeast, kBorrowShare * up) + free);
+  const double most =
+      std::min(operators_.cell_rules().most_borrowed_cpus, std::max(kBorrowLeast, kBorrowShare * up) + free);
   return std::max(0.0, std::min(most - borrowed, free + (rentable ? std::max(kBorrowLeast, kBorrowShare * up) : 0)));
 }
 
@@ -710,7 +725,8 @@
                 if (epoch != lead_.epoch()) return;
                 taking_.erase(g);
                 if (r.status == 409) return answer(false, "its id is in use here");
-                if (r.status != 200) return; // if it is there all the same, the watch tells, and the next offer gets a yes
+                if (r.status != 200)
+                  return; // if it is there all the same, the watch tells, and the next offer gets a yes
                 recorder_.take_open(key, value, r.revision);
                 answer(true, "");
               });
@@ -761,8 +777,10 @@
     const bool still = n.placed == 0 && n.unaccounted == 0;
     // Not begun for long, or own work waits: what has not begun goes back, what runs may end.
     const bool waits = n.pending() > 0 && !d.state.closed() && (n.placed == 0 || own_waiting_cpus_ > 0);
-    if (!waits) d.idle_since = -1;
-    else if (d.idle_since < 0) d.idle_since = now;
+    if (!waits)
+      d.idle_since = -1;
+    else if (d.idle_since < 0)
+      d.idle_since = now;
     if (waits && now - d.idle_since > kUnstarted) d.draining = true;
     if (d.draining && still) close(j, d);
     d.ended = still && (d.state.closed() || n.done == n.spec.tasks);
@@ -913,7 +931,8 @@
              .taken = true,
              .progressed = true,
              .terms = terms(r.lease_s)};
-      if (n.cancelled || cell < 0) l.state.close();
+      // Guards against work that runs in two cells: what has lapsed may have been started here, and is never confirmed.
+      if (n.cancelled || cell < 0 || r.lapsed) l.state.close();
       grown(loans_, j).push_back(std::move(l));
       loan_jobs_[r.generation] = j;
     }
--- a/src/core/fleet.cpp
+++ b/src/core/fleet.cpp
@@ -276,8 +276,8 @@
     if (slot.stop) {
       if (slot.seen && slot.phase != TaskPhase::Exited)
         orders.push_back({TaskOrder::Verb::Stop, slot.job_id, slot.index, slot.attempt, slot.grace_s});
-    } else if (may_start && !slot.seen && slot.job >= 0 && !jobs_[slot.job].paused && recorder_.recorded(slot.job, slot.index) && !n.returning &&
-               starts < kMostOrders) {
+    } else if (may_start && !slot.seen && slot.job >= 0 && !jobs_[slot.job].paused &&
+               recorder_.recorded(slot.job, slot.index) && !n.returning && starts < kMostOrders) {
       if (!std::exchange(slot.sent, true)) {
         slot.held_since = port_.now();
         events_.publish(TaskHeld{slot.job, slot.index, m, false, false});
--- a/src/core/placer.cpp
+++ b/src/core/placer.cpp
@@ -154,7 +154,7 @@
   p.barred = judge_.barred(j);
   p.ready = n.pending();
   bool held = n.cancelled || n.ending || n.paused || ledger_.spent(n.team); // of its team's budget, not an end
-  if (suspect) {                                                // one task, or one gang, at a time and seldom
+  if (suspect) { // one task, or one gang, at a time and seldom
     held |= port_.now() < judge_.retry_at(j) || n.placed > 0 || n.unaccounted > 0;
     if (n.spec.shape != Shape::Gang) p.ready = std::min(p.ready, 1U);
   }
@@ -225,7 +225,8 @@
     PlaceJob &p = line_[k];
     if (!has_room(p, machines[0])) continue;
     const Job *n = jobs_.find(p.self);
-    if (!n || n->serial != line_serials_[k] || n->cancelled || n->ending || n->paused || ledger_.spent(n->team)) continue;
+    if (!n || n->serial != line_serials_[k] || n->cancelled || n->ending || n->paused || ledger_.spent(n->team))
+      continue;
     if (p.gang || p.one_zone || p.zone_cap >= 0 || judge_.failed_lately(p.self)) {
       const bool guaranteed = p.guaranteed;
       p = place_job(p.self);
--- a/src/core/reach.cpp
+++ b/src/core/reach.cpp
@@ -175,8 +175,8 @@
   // That it hears nobody any more shows by the word's age.
   auto weighty = [&](const ReachWord &before) {
     return (own_.workers != before.workers && own_.workers != Hearing::Unknown) || own_.cloud != before.cloud ||
-           (heard(own_) && (!heard(before) || band(own_.machines) > band(before.machines) ||
-                            port_.now() - written_at_ > kAgain));
+           (heard(own_) &&
+            (!heard(before) || band(own_.machines) > band(before.machines) || port_.now() - written_at_ > kAgain));
   };
   const bool changed = !written_ || (some_link_down() && weighty(*written_));
   if (changed && writes_.take(port_.now())) write_word();
--- a/src/core/recorder.cpp
+++ b/src/core/recorder.cpp
@@ -44,6 +44,7 @@
     known.started.insert(known.started.end(), p.started.begin(), p.started.end());
     known.finished.insert(known.finished.end(), p.finished.begin(), p.finished.end());
     known.failed_on = std::max(known.failed_on, p.failed_on);
+    known.borrowed |= p.borrowed;
     known.loans.insert(known.loans.end(), p.loans.begin(), p.loans.end());
     if (p.at_ms > known.at_ms) {
       known.usage = p.usage;
@@ -105,7 +106,7 @@
 void Recorder::on(const TermBegun &) {
   if (ledger_.on())
     for (const auto &[id, p] : loaded_)
-      if (p.at_ms && jobs_.index(id) < 0) shards_[loaded_shard_[id]].ghosts.emplace_back(id, p);
+      if (p.at_ms && !p.borrowed && jobs_.index(id) < 0) shards_[loaded_shard_[id]].ghosts.emplace_back(id, p);
   loaded_.clear();
   loaded_shard_.clear();
   for (std::size_t s = 0; s < shards_.size(); ++s)
@@ -357,6 +358,7 @@
   }
   p.failed_on = judge_.suspect(j) ? judge_.failed_on(j) : 0;
   p.loans = n.loans;
+  p.borrowed = n.borrowed.has_value();
   e.loans_covered.clear();
   for (const auto &l : n.loans)
     e.loans_covered.push_back(l.generation);
--- a/src/net/peers.cpp
+++ b/src/net/peers.cpp
@@ -2,6 +2,7 @@
 
 #include <cerrno>
 
+#include <arpa/inet.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
@@ -22,6 +23,7 @@
   std::string in, out;
   std::unique_ptr<IoWatch> watch;
   double heard = 0;
+  std::uint32_t remote = 0;
 };
 
 PeerLinks::PeerLinks(Loop &loop, Fd listener, std::vector<Address> siblings, Reader reader)
@@ -48,11 +50,18 @@
 }
 
 void PeerLinks::accept_ready() {
-  Fd fd(::accept4(listener_.get(), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC));
+  sockaddr_in from{};
+  socklen_t length = sizeof from;
+  Fd fd(::accept4(listener_.get(), reinterpret_cast<sockaddr *>(&from), &length, SOCK_NONBLOCK | SOCK_CLOEXEC));
   if (!fd || links_.size() >= kMaxIncoming + siblings_.size()) return;
   int one = 1;
   ::setsockopt(fd.get(), IPPROTO_TCP, TCP_NODELAY, &one, sizeof one);
-  open(std::move(fd), -1);
+  open(std::move(fd), -1)->remote = ntohl(from.sin_addr.s_addr);
+}
+
+std::uint32_t PeerLinks::remote_ip(LinkId link) const {
+  const auto it = links_.find(link);
+  return it == links_.end() ? 0 : it->second->remote;
 }
 
 void PeerLinks::send_to_sibling(int sibling, std::string_view bytes) {
@@ -60,7 +69,9 @@
   if (!links_.contains(id)) {
     Fd fd = connect_to(siblings_[static_cast<std::size_t>(sibling)]);
     if (!fd) return;
-    id = open(std::move(fd), sibling)->id;
+    Link *link = open(std::move(fd), sibling);
+    link->remote = siblings_[static_cast<std::size_t>(sibling)].ip;
+    id = link->id;
   }
   send_on(id, bytes);
 }
--- a/src/wire/messages.cpp
+++ b/src/wire/messages.cpp
@@ -580,6 +580,7 @@
     j["h"] = r.running_ms;
     j["t"] = r.at_ms;
   }
+  if (r.borrowed) j["b"] = true;
   for (const auto &l : r.loans) {
     Json e = {{"g", l.generation},
               {"c", l.cell},
@@ -654,12 +655,14 @@
       r.running_ms = static_cast<std::int64_t>(std::min<std::uint64_t>(count(at(e, "h")).value_or(0), 1ULL << 53));
       r.at_ms = static_cast<std::int64_t>(std::min<std::uint64_t>(count(at(e, "t")).value_or(0), 1ULL << 53));
     }
+    r.borrowed = at(e, "b").is_boolean();
     for (const Json &loans = at(e, "l"); const auto &l : loans.is_array() ? loans : Json::array()) {
       const auto generation = count(at(l, "g"));
       const auto cell = text(at(l, "c"));
       const auto lease = amount(at(l, "l"));
-      const auto used = at(l, "u").is_string() ? accounts::unpack<accounts::kUsageColumns>(at(l, "u").get<std::string>())
-                                               : std::nullopt;
+      const auto used = at(l, "u").is_string()
+                            ? accounts::unpack<accounts::kUsageColumns>(at(l, "u").get<std::string>())
+                            : std::nullopt;
       auto tasks = set_from(at(l, "r"));
       if (!generation || !cell || !lease || !used || !tasks) return false;
       r.loans.push_back({*generation, *cell, std::move(*tasks), *lease, at(l, "x").is_boolean(), *used});
--- a/tests/cells_test.cpp
+++ b/tests/cells_test.cpp
@@ -73,6 +73,26 @@
     }
 }
 
+// A loan that has lapsed may have been started at home; a next leader there that reads of it must not confirm it to the
+// borrower, which is back by then with what it still holds. (It did: docs/incidents/lapsed-loan-confirmed.md.)
+TEST(Cells, LapsedLoansAreNotConfirmedByTheNextLeader) {
+  for (std::uint64_t seed = 1; seed <= 8; ++seed) {
+    Federation f(seed, one_small(2, 6));
+    for (int i = 0; i < 6; ++i)
+      f[0].at(5 + i, [&f] { f[0].submit(batch(f[0], 30, 25)); });
+    f.run(45);
+    f.cut(0, 1, 28);
+    for (int k = 0; k < 3; ++k)
+      f[1].cut_state(k, 28, World::Cut::Drop); // so that it cannot forget what it has closed
+    f.run(72);
+    f[0].crash(std::max(0, f[0].leader()), 3);
+    f[1].crash(std::max(0, f[1].leader()), 3);
+    f.run(900);
+    EXPECT_TRUE(f.broken().empty()) << seed << "\n" << all(f);
+    EXPECT_TRUE(f.all_over());
+  }
+}
+
 // A cancellation at home, at each step of a loan, also when the borrower cannot be told.
 TEST(Cells, CancelledWorkIsOverEverywhereInTime) {
   for (bool cut : {false, true})
@@ -189,7 +209,8 @@
   std::vector<Break> breaks;
   for (int i = 0; i < 6; ++i) {
     const int from = pick(cells), to = (from + 1 + pick(cells - 1)) % cells;
-    breaks.push_back({30.0 + pick(130), from, pick(2) ? -1 : pick(3), to, pick(2) ? -1 : pick(3), 3.0 + pick(50), pick(2) == 1});
+    breaks.push_back(
+        {30.0 + pick(130), from, pick(2) ? -1 : pick(3), to, pick(2) ? -1 : pick(3), 3.0 + pick(50), pick(2) == 1});
   }
   std::sort(breaks.begin(), breaks.end(), [](const Break &a, const Break &b) { return a.at < b.at; });
   for (const auto &b : breaks) {
--- a/tests/client_test.cpp
+++ b/tests/client_test.cpp
@@ -81,6 +81,22 @@
   EXPECT_NE(problem("[accounts]\nenabeld = true").find("line 2, column 1: accounts.enabeld: no such key"),
             std::string::npos);
   EXPECT_EQ(problem("[accounts\n").substr(0, 7), "line 1,");
+  const std::string cells = "[cells]\nname = \"north\"\n[[cells.other]]\n";
+  EXPECT_EQ(problem(cells + "name = \"south\"\nnodes = [\"10.0.0.1:1\"]"), "");
+  EXPECT_EQ(problem(cells + "name = \"north\"\nnodes = [\"10.0.0.1:1\"]"),
+            "line 4, column 8: cells.other.name: is this cell itself");
+  EXPECT_NE(problem(cells + "name = \"south\"\nnodes = [\"a\"]").find("an IPv4 address and port"), std::string::npos);
+  const auto twice = cells + "name = \"south\"\nnodes = [\"10.0.0.1:1\"]\n[[cells.other]]\n";
+  EXPECT_NE(problem(twice + "name = \"south\"\nnodes = [\"10.0.0.2:1\"]").find("is there twice"), std::string::npos);
+  EXPECT_NE(problem(twice + "name = \"west\"\nnodes = [\"10.0.0.1:1\"]").find("in two cells"), std::string::npos);
+  EXPECT_NE(problem("[cells]\n").find("the name of this cell is wanted"), std::string::npos);
+  auto example = app::load_features(CELLS);
+  Settings own;
+  own.peer_listen = "10.9.0.1:8081"; // an address of the example's other cell
+  EXPECT_NE(app::apply_features(std::get<app::Features>(example), own), "");
+  own.peer_listen = "10.0.0.1:8081";
+  EXPECT_EQ(app::apply_features(std::get<app::Features>(example), own), "");
+  EXPECT_EQ(own.cells.others.size(), 1u);
   auto real = app::load_features(FEATURES);
   EXPECT_TRUE(std::get<app::Features>(real).accounts);
 }
--- a/tests/daemon_test.cpp
+++ b/tests/daemon_test.cpp
@@ -2,12 +2,14 @@
 // world leaves out. Waits are generous, so that a slow machine changes no verdict.
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <atomic>
 #include <csignal>
 #include <cstdio>
 #include <filesystem>
 #include <fstream>
 #include <map>
+#include <mutex>
 #include <thread>
 
 #include <arpa/inet.h>
@@ -243,10 +245,10 @@
 
 class Daemons {
 public:
-  explicit Daemons(const StandIns &outside)
-      : dir_(std::filesystem::temp_directory_path() / ("loft-" + std::to_string(::getpid()))) {
+  explicit Daemons(const StandIns &outside, const std::string &cell = "", double lease_s = 60)
+      : dir_(std::filesystem::temp_directory_path() / ("loft-" + std::to_string(::getpid()) + cell)),
+        features_(FEATURES) {
     std::filesystem::create_directories(dir_);
-    int peers[3];
     for (int i = 0; i < 3; ++i) {
       api[i] = free_port();
       peers[i] = free_port();
@@ -256,27 +258,50 @@
       for (int k = 0; k < 3; ++k)
         if (k != i) siblings.push_back({{"node_name", name(k)}, {"site", "a"}, {"address", local(peers[k])}});
       json team = {{"name", "red"}, {"cpus", 0.0}, {"cpus_max", 0.0}, {"gpus", 0.0}, {"gpus_max", 0.0}};
-      json s = {
-          {"node_name", name(i)},
-          {"site", "a"},
-          {"api_addr", local(api[i])},
-          {"peer_listen", local(peers[i])},
-          {"siblings", siblings},
-          {"outside", {{"cloud", local(outside.cloud_port)}, {"state", local(outside.state_port)}}},
-          {"settings",
-           {{"size", 3},
-            {"zones", {"a"}},
-            {"teams", {team}},
-            {"objectives", json::array()},
-            {"workers",
-             {{"report_s", 1.0}, {"lease_s", 60.0}, {"gang_wait_s", 30.0}, {"gang_peer_s", 4.0}, {"cancel_s", 90.0}}},
-            {"state", {{"rps", 250.0}, {"write_rps", 50.0}, {"value_kb", 8.0}, {"txn_ops", 8}}},
-            {"cloud", {{"rps", 5.0}, {"list_lag_s", 3.0}}},
-            {"limits", {{"cpu_share", 1.0}, {"memory_mb", 512.0}, {"fd_limit", 700}}},
-            {"time_bound_ms", 5.0}}}};
+      json s = {{"node_name", name(i)},
+                {"site", "a"},
+                {"api_addr", local(api[i])},
+                {"peer_listen", local(peers[i])},
+                {"siblings", siblings},
+                {"outside", {{"cloud", local(outside.cloud_port)}, {"state", local(outside.state_port)}}},
+                {"settings",
+                 {{"size", 3},
+                  {"zones", {"a"}},
+                  {"teams", {team}},
+                  {"objectives", json::array()},
+                  {"workers",
+                   {{"report_s", 1.0},
+                    {"lease_s", lease_s},
+                    {"gang_wait_s", 30.0},
+                    {"gang_peer_s", 4.0},
+                    {"cancel_s", lease_s + 30}}},
+                  {"state", {{"rps", 250.0}, {"write_rps", 50.0}, {"value_kb", 8.0}, {"txn_ops", 8}}},
+                  {"cloud", {{"rps", 5.0}, {"list_lag_s", 3.0}}},
+                  {"limits", {{"cpu_share", 1.0}, {"memory_mb", 512.0}, {"fd_limit", 700}}},
+                  {"time_bound_ms", 5.0}}}};
       std::ofstream(file(i)) << s;
-      start(i);
     }
+    if (cell.empty()) start_all();
+  }
+  // As one cell of two.
+  void start_as(const std::string &name, const std::string &other, const Daemons &there) {
+    features_ = (dir_ / "cells.toml").string();
+    std::ofstream out(features_);
+    out << "[accounts]\nenabled = true\n[cells]\nname = \"" << name << "\"\n[[cells.other]]\nname = \"" << other
+        << "\"\nnodes = [";
+    for (int port : there.peers)
+      out << '"' << local(port) << "\", ";
+    out << "]\n";
+    out.close();
+    start_all();
+  }
+  void start_all() {
+    for (int i = 0; i < 3; ++i)
+      start(i);
+  }
+  void stand_still(bool still) {
+    for (pid_t p : pid_)
+      if (p > 0) ::kill(p, still ? SIGSTOP : SIGCONT);
   }
   ~Daemons() {
     for (int i = 0; i < 3; ++i)
@@ -284,7 +309,7 @@
     std::filesystem::remove_all(dir_);
   }
   void start(int i) {
-    std::string program = LOFTROUTERD, option = "--config", path = file(i), features = "--features=" FEATURES;
+    std::string program = LOFTROUTERD, option = "--config", path = file(i), features = "--features=" + features_;
     char *argv[] = {program.data(), option.data(), path.data(), features.data(), nullptr};
     ASSERT_EQ(::posix_spawn(&pid_[i], program.c_str(), nullptr, nullptr, argv, environ), 0);
   }
@@ -300,11 +325,12 @@
     if (!s.is_object() || !s["leader"]["node"].is_string()) return -1;
     return s["leader"]["node"].get<std::string>().back() - '0';
   }
-  int api[3] = {};
+  int api[3] = {}, peers[3] = {};
 
 private:
   std::string file(int i) const { return (dir_ / (name(i) + ".json")).string(); }
   std::filesystem::path dir_;
+  std::string features_;
   pid_t pid_[3] = {};
 };
 
@@ -423,3 +449,143 @@
   EXPECT_EQ(run_client("jobs --timeout 0.3 --server " + local(free_port())).second, 3);
   EXPECT_EQ(run_client("budget set").second, 2);
 }
+
+namespace {
+// A worker in words of the protocol, in a thread of its own: it runs what it is given until it is told that it is done.
+class Worker {
+public:
+  Worker(std::string name, const int (&ports)[3], double lease_s)
+      : name_(std::move(name)), ports_(ports), lease_s_(lease_s), thread_([this] {
+          while (!stop_) {
+            turn();
+            std::this_thread::sleep_for(std::chrono::milliseconds(300));
+          }
+        }) {}
+  ~Worker() {
+    stop_ = true;
+    thread_.join();
+  }
+  void finish(bool yes) { finish_ = yes; } // tasks complete
+  int started(const std::string &piece) {
+    std::lock_guard lock(mutex_);
+    return started_[piece];
+  }
+  int completed(const std::string &piece) {
+    std::lock_guard lock(mutex_);
+    return completed_[piece];
+  }
+  bool runs_anything() {
+    std::lock_guard lock(mutex_);
+    return std::any_of(runs_.begin(), runs_.end(), [](const json &r) { return r["status"] == "running"; });
+  }
+
+private:
+  void turn() {
+    const double sent = net::mono_now();
+    json report;
+    {
+      std::lock_guard lock(mutex_);
+      if (answered_ > 0 && sent - answered_ > lease_s_) { // its lease is over: all is forgotten
+        runs_.clear();
+        ++shift_;
+        answered_ = sent;
+      }
+      for (auto &r : runs_)
+        if (finish_ && r["status"] == "running") {
+          r["status"] = "exited";
+          r["cause"] = "done";
+          ++completed_[r["piece"]];
+        }
+      report = {{"box", name_},         {"address", "127.0.0.1:9"}, {"hull", "big"},   {"yard", "a"},
+                {"standby", false},     {"shift", shift_},          {"tick", ++tick_}, {"baton", baton_},
+                {"warning_s", nullptr}, {"pieces", runs_}};
+    }
+    const auto a = call(ports_[at_], "POST", "/v1/report", wire::encode(report));
+    if (a.status != 200) {
+      const auto named = a.cbor().value("answer_to", "");
+      at_ = named.empty() ? (at_ + 1) % 3 : named.back() - '0';
+      return;
+    }
+    if (net::mono_now() - sent > 4) return; // it has given up by then
+    std::lock_guard lock(mutex_);
+    const auto answer = a.cbor();
+    if (answer.value("baton", 0ULL) < baton_) return;
+    baton_ = answer.value("baton", 0ULL);
+    answered_ = sent;
+    for (const auto &o : answer["orders"]) {
+      auto it = std::find_if(runs_.begin(), runs_.end(),
+                             [&](const json &r) { return r["piece"] == o["piece"] && r["try"] == o["try"]; });
+      if (o["verb"] == "start" && it == runs_.end()) {
+        runs_.push_back({{"piece", o["piece"]}, {"try", o["try"]}, {"status", "running"}});
+        ++started_[o["piece"]];
+      } else if (o["verb"] == "kill" && it != runs_.end() && (*it)["status"] == "running") {
+        (*it)["status"] = "exited";
+        (*it)["cause"] = "stopped";
+      } else if (o["verb"] == "reap" && it != runs_.end()) {
+        runs_.erase(it);
+      }
+    }
+  }
+
+  const std::string name_;
+  const int (&ports_)[3];
+  const double lease_s_;
+  std::mutex mutex_;
+  json runs_ = json::array();
+  std::map<std::string, int> started_, completed_;
+  std::uint64_t shift_ = 1, tick_ = 0, baton_ = 0;
+  double answered_ = 0;
+  int at_ = 0;
+  std::atomic<bool> finish_{false}, stop_{false};
+  std::thread thread_;
+};
+} // namespace
+
+// Two cells of three real processes each. The first has no machine; what it lends runs in the second, which stands
+// still in the middle and goes on later. Each job ends once.
+TEST(Daemon, TwoCellsOfRealProcessesLendEachOtherWork) {
+  ::signal(SIGPIPE, SIG_IGN);
+  constexpr double kLease = 3;
+  StandIns outside, there;
+  Daemons home(outside, "north", kLease), other(there, "south", kLease);
+  home.start_as("north", "south", other);
+  other.start_as("south", "north", home);
+  for (auto *d : {&home, &other})
+    for (int i = 0; i < 3; ++i)
+      ASSERT_TRUE(eventually([&] { return call(d->api[i], "GET", "/up").status == 200; })) << i;
+  Worker worker("n-000001", other.api, kLease);
+  auto status = [&](const std::string &id) {
+    for (int i = 0; i < 3; ++i)
+      if (const auto a = call(home.api[i], "GET", "/api/jobs/" + id); a.status == 200)
+        return a.cbor().value("status", "");
+    return std::string();
+  };
+  // One that the other cell runs to its end.
+  ASSERT_TRUE(eventually([&] { return call(home.api[0], "POST", "/api/jobs", job("j-000001")).status == 201; }));
+  ASSERT_TRUE(eventually([&] { return worker.started("j-000001/0") == 1; }));
+  EXPECT_TRUE(eventually([&] { return status("j-000001") == "running"; }));
+  EXPECT_EQ(call(other.api[1], "GET", "/api/jobs/j-000001").status, 404) << "nobody has submitted it there";
+  worker.finish(true);
+  EXPECT_TRUE(eventually([&] { return status("j-000001") == "done"; }));
+  worker.finish(false);
+  // One in the middle of which that cell vanishes: it comes home by the bound, and ends there.
+  ASSERT_TRUE(eventually([&] { return call(home.api[1], "POST", "/api/jobs", job("j-000002")).status == 201; }));
+  ASSERT_TRUE(eventually([&] { return worker.started("j-000002/0") == 1; }));
+  other.stand_still(true);
+  {
+    Worker here("n-000002", home.api, kLease);
+    ASSERT_TRUE(eventually([&] { return here.started("j-000002/0") == 1; }));
+    EXPECT_FALSE(worker.runs_anything()) << "its lease has long run out";
+    other.stand_still(false); // with an old loan
+    here.finish(true);
+    EXPECT_TRUE(eventually([&] { return status("j-000002") == "done"; }));
+    EXPECT_TRUE(eventually([&] { return call(other.api[0], "GET", "/up").status == 200; }));
+    EXPECT_EQ(here.completed("j-000002/0") + worker.completed("j-000002/0"), 1);
+  }
+  // And one that is cancelled while it runs there.
+  ASSERT_TRUE(eventually([&] { return call(home.api[2], "POST", "/api/jobs", job("j-000003")).status == 201; }));
+  ASSERT_TRUE(eventually([&] { return worker.started("j-000003/0") == 1; }));
+  ASSERT_TRUE(eventually([&] { return call(home.api[0], "POST", "/api/jobs/j-000003/abort").status == 200; }));
+  EXPECT_TRUE(eventually([&] { return !worker.runs_anything(); }));
+  EXPECT_EQ(status("j-000003"), "aborted");
+}
--- a/tests/fuzz/targets.cpp
+++ b/tests/fuzz/targets.cpp
@@ -8,6 +8,7 @@
 #include "../../bench/load.hpp"
 #include "loftrouter/net/http.hpp"
 #include "loftrouter/wire/admin.hpp"
+#include "loftrouter/wire/cell.hpp"
 
 namespace loft::fuzz {
 
@@ -76,6 +77,18 @@
   }
 }
 
+void cell(std::string_view in) {
+  using namespace loft::wire;
+  std::string_view rest = in;
+  for (CellMessage m; read_cell(rest, m) == PeerRead::Frame;) {
+    const auto bytes = encode_cell(m);
+    std::string_view one = bytes;
+    CellMessage again;
+    must(read_cell(one, again) == PeerRead::Frame && one.empty() && encode_cell(again) == bytes,
+         "a frame between cells goes there and back");
+  }
+}
+
 // Sequences of reports into a leading core: a task is started only when every earlier start of it is known to be over.
 // The input picks machines, what they show of what they were told, and how time passes.
 void reports(std::string_view in) {
@@ -91,7 +104,7 @@
     WorkerReport report;
     std::vector<Run> runs;
     std::vector<WorkerReport> old; // that may arrive once more
-    double answered = -1e9; // sent when, by its own lease
+    double answered = -1e9;        // sent when, by its own lease
   };
   bench::Load load(0);
   for (int i = 0; i < 3; ++i)
@@ -163,7 +176,8 @@
   }
 }
 
-const std::map<std::string_view, Target> kTargets{{"http", http}, {"wire", wire}, {"peer", peer}, {"reports", reports}};
+const std::map<std::string_view, Target> kTargets{
+    {"http", http}, {"wire", wire}, {"peer", peer}, {"cell", cell}, {"reports", reports}};
 
 } // namespace
 
@@ -200,6 +214,23 @@
     m.status = 200;
     return {bytes, digest, asked + encode_peer(m)};
   }
+  if (name == "cell") {
+    std::vector<std::string> all;
+    for (int kind = 1; kind <= static_cast<int>(CellMessage::Kind::Recall); ++kind) {
+      CellMessage m;
+      m.kind = static_cast<CellMessage::Kind>(kind);
+      m.from = "north";
+      m.to = "south";
+      m.wait_s = {1, 2, 3, 4};
+      m.kinds = {{"big", "a", true, false, 3, {4, 0, 16}, {9, 0, 30}, 40, 1}};
+      m.types = {"big"};
+      m.ranges = {{1, 5}, {7, 9}};
+      m.body = "body";
+      m.generations = {1, 2};
+      all.push_back(encode_cell(m));
+    }
+    return all;
+  }
   std::mt19937 rng(1); // long ones: what can go wrong takes many turns
   std::vector<std::string> all(24, std::string(600, 0));
   for (auto &turns : all)
--- a/tests/fuzz_test.cpp
+++ b/tests/fuzz_test.cpp
@@ -8,7 +8,7 @@
 #include "fuzz/targets.hpp"
 
 TEST(Fuzz, KeptInputsAreTakenWell) {
-  for (const char *name : {"http", "wire", "peer", "reports"}) {
+  for (const char *name : {"http", "wire", "peer", "cell", "reports"}) {
     const auto run = loft::fuzz::target(name);
     ASSERT_TRUE(run);
     for (const auto &input : loft::fuzz::seeds(name)) {
--- a/tests/handover_test.cpp
+++ b/tests/handover_test.cpp
@@ -137,7 +137,7 @@
       out.push_back(std::move(n));
     };
     for (char k = 0; k < size_.jobs; ++k) {
-      const Job &j = s.jobs[k];
+      const Job &j = s.jobs[static_cast<std::size_t>(k)];
       const auto at = static_cast<std::size_t>(k);
       // Home.
       const bool free = !j.loan && !j.runs_here && !j.done;
--- a/tests/links_test.cpp
+++ b/tests/links_test.cpp
@@ -236,6 +236,7 @@
 
 // Both errors of the brake: a fleet that nobody hears is neither given back nor replaced; machines that died are.
 TEST(Links, SilentFleetIsWaitedForAndDeadMachinesAreReplaced) {
+  int died = 0, replaced = 0;
   for (std::uint64_t seed = 1; seed <= 3; ++seed) {
     World w(seed, {});
     steady_work(w, 300);
@@ -253,16 +254,19 @@
     EXPECT_TRUE(w.broken.empty()) << all(w);
     EXPECT_TRUE(w.all_over());
     World v(seed, {});
-    steady_work(v, 160);
+    for (int k = 0; k < 4; ++k)
+      steady_work(v, 160);
     v.run(80);
     rented = v.rented;
-    const int died = v.kill_machines(0.6);
-    EXPECT_GE(died, 3);
+    died += v.kill_machines(0.6);
     v.run(100);
-    EXPECT_GE(v.rented - rented, died / 2) << seed;
-    v.run(300);
+    replaced += v.rented - rented;
+    v.run(400);
     EXPECT_TRUE(v.all_over());
+    EXPECT_TRUE(v.broken.empty()) << all(v);
   }
+  EXPECT_GE(died, 10);
+  EXPECT_GE(replaced, died / 2);
 }
 
 // The cloud answers one node only: the leader makes room for it, later.
--- a/tests/world_workers.cpp
+++ b/tests/world_workers.cpp
@@ -221,7 +221,8 @@
 }
 
 void World::freed(const Run &r) {
-  if (r.phase != TaskPhase::Exited) if (Told *t = known(r.job)) t->held_s += t_ - r.from;
+  if (r.phase != TaskPhase::Exited)
+    if (Told *t = known(r.job)) t->held_s += t_ - r.from;
 }
 
 void World::free_all(Box &b) {
