What an earlier loan of a job did is not taken for the next one's; long waits count when lending

Change: entries of borrowed jobs name their generation; others are left alone. What has waited for long without a start is expected to wait on.

--- a/include/loftrouter/core/recorder.hpp
+++ b/include/loftrouter/core/recorder.hpp
@@ -7,6 +7,7 @@
 #pragma once
 
 #include <deque>
+#include <map>
 #include <set>
 #include <string>
 #include <unordered_map>
@@ -133,8 +134,8 @@
   double next_settle_ = 0;
   std::vector<Entry> entries_; // by job
   std::vector<Shard> shards_;
-  std::unordered_map<std::string, ProgressRecord> loaded_;
-  std::unordered_map<std::string, std::size_t> loaded_shard_;
+  std::map<std::pair<std::string, std::uint64_t>, ProgressRecord> loaded_; // by job and, if borrowed, generation
+  std::map<std::pair<std::string, std::uint64_t>, std::size_t> loaded_shard_;
   std::deque<int> ending_; // jobs whose final record is to be written
   std::deque<Move> moves_;
   bool ends_first_ = false, flushing_ = false;
--- a/include/loftrouter/core/types.hpp
+++ b/include/loftrouter/core/types.hpp
@@ -87,7 +87,7 @@
   accounts::Usage usage;
   std::int64_t running_ms = 0, at_ms = 0;
   std::vector<LoanRecord> loans;
-  bool borrowed = false; // of another cell's job: its end is kept there
+  std::uint64_t borrowed = 0; // of another cell's job: the generation of the loan; its end is kept there
 };
 using SumsByTeam = std::map<std::pair<std::string, std::string>, accounts::Sums>; // period, team
 struct ProgressShard {
--- a/src/core/cells.cpp
+++ b/src/core/cells.cpp
@@ -18,6 +18,7 @@
 constexpr double kFirstGrant = 10.0;                   // s, for a new debt to be confirmed
 constexpr double kUnstarted = 20.0;                    // s, after which borrowed work that has not begun goes back
 constexpr double kNotAgain = 60.0, kNoRoomPause = 5.0; // s, between two hand-overs of a job to the same cell
+constexpr double kLongWait = 20.0;     // s
 constexpr double kHomeHasRoom = 10.0;                  // s
 constexpr std::size_t kMostWanted = 16, kMostDebts = 4000, kMostLoans = 10'000;
 constexpr std::uint32_t kLeastLent = 1;
@@ -324,6 +325,9 @@
     if (n.spec.shape == Shape::Gang && places < n.pending()) wait = std::max(wait, 0.5 * est);
     if (places >= n.pending()) wait = 0.25;
     wait = std::min(wait, soon);
+    // Whatever the figures say: what has waited for so long without a start will wait on.
+    const double age = port_.wall() - n.submit_wall;
+    if (n.placed + n.done + n.unaccounted == 0 && age > kLongWait) wait = std::max(wait, 0.5 * age);
     waits_[static_cast<std::size_t>(j)] = std::isfinite(wait) ? wait : 1e6;
     auto &of_class = wait_by_urgency_[static_cast<std::size_t>(n.spec.urgency)];
     of_class = std::max(of_class, std::min(wait, 3600.0));
--- a/src/core/recorder.cpp
+++ b/src/core/recorder.cpp
@@ -39,12 +39,13 @@
   s.stamp = e.stamp;
   ledger_.load_sums(shards_.size(), std::move(shard->sums));
   for (auto &[id, p] : shard->jobs) {
-    loaded_shard_[id] = shards_.size();
-    auto &known = loaded_[id];
+    // Guards against what an earlier loan of the same job has done here being taken for this one's: its entry goes lazily.
+    const std::pair key(id, p.borrowed);
+    loaded_shard_[key] = shards_.size();
+    auto &known = loaded_[key];
     known.started.insert(known.started.end(), p.started.begin(), p.started.end());
     known.finished.insert(known.finished.end(), p.finished.begin(), p.finished.end());
     known.failed_on = std::max(known.failed_on, p.failed_on);
-    known.borrowed |= p.borrowed;
     known.loans.insert(known.loans.end(), p.loans.begin(), p.loans.end());
     if (p.at_ms > known.at_ms) {
       known.usage = p.usage;
@@ -77,6 +78,10 @@
   if (jobs_.restamp(j, stamp) && record->cancelled) jobs_.cancel(j);
 }
 
+static std::pair<std::string, std::uint64_t> loaded_key(const Job &n) {
+  return {n.spec.id, n.borrowed ? n.borrowed->generation : 0};
+}
+
 void Recorder::accept(OpenRecord record, std::uint64_t stamp) {
   const int j = jobs_.add(std::move(record), stamp);
   const Job &n = jobs_[j];
@@ -84,7 +89,7 @@
   marks(j).assign(n.spec.tasks, 0);
   assign_shard(j);
   ledger_.open(j, entry(j).shard);
-  if (auto it = loaded_.find(n.spec.id); it != loaded_.end()) {
+  if (auto it = loaded_.find(loaded_key(n)); it != loaded_.end()) {
     for (auto [a, b] : it->second.started)
       for (auto i = a; i < b && i < n.spec.tasks; ++i)
         marks(j)[i] = kStarted | kRecorded;
@@ -105,8 +110,9 @@
 
 void Recorder::on(const TermBegun &) {
   if (ledger_.on())
-    for (const auto &[id, p] : loaded_)
-      if (p.at_ms && !p.borrowed && jobs_.index(id) < 0) shards_[loaded_shard_[id]].ghosts.emplace_back(id, p);
+    for (const auto &[key, p] : loaded_)
+      if (p.at_ms && key.second == 0 && jobs_.index(key.first) < 0)
+        shards_[loaded_shard_[key]].ghosts.emplace_back(key.first, p);
   loaded_.clear();
   loaded_shard_.clear();
   for (std::size_t s = 0; s < shards_.size(); ++s)
@@ -174,7 +180,7 @@
   const std::size_t chars = entry_chars(n);
   const std::size_t limit = room_for_entries();
   std::size_t s = shards_.size();
-  if (auto it = loaded_shard_.find(n.spec.id); it != loaded_shard_.end()) s = it->second;
+  if (auto it = loaded_shard_.find(loaded_key(n)); it != loaded_shard_.end()) s = it->second;
   for (std::size_t k = 0; k < shards_.size() && s == shards_.size(); ++k)
     if (shards_[k].reserved + chars <= limit) s = k;
   if (s == shards_.size()) {
@@ -358,7 +364,7 @@
   }
   p.failed_on = judge_.suspect(j) ? judge_.failed_on(j) : 0;
   p.loans = n.loans;
-  p.borrowed = n.borrowed.has_value();
+  p.borrowed = n.borrowed ? n.borrowed->generation : 0;
   e.loans_covered.clear();
   for (const auto &l : n.loans)
     e.loans_covered.push_back(l.generation);
--- a/src/wire/messages.cpp
+++ b/src/wire/messages.cpp
@@ -580,7 +580,7 @@
     j["h"] = r.running_ms;
     j["t"] = r.at_ms;
   }
-  if (r.borrowed) j["b"] = true;
+  if (r.borrowed) j["b"] = r.borrowed;
   for (const auto &l : r.loans) {
     Json e = {{"g", l.generation},
               {"c", l.cell},
@@ -655,7 +655,7 @@
       r.running_ms = static_cast<std::int64_t>(std::min<std::uint64_t>(count(at(e, "h")).value_or(0), 1ULL << 53));
       r.at_ms = static_cast<std::int64_t>(std::min<std::uint64_t>(count(at(e, "t")).value_or(0), 1ULL << 53));
     }
-    r.borrowed = at(e, "b").is_boolean();
+    r.borrowed = count(at(e, "b")).value_or(0);
     for (const Json &loans = at(e, "l"); const auto &l : loans.is_array() ? loans : Json::array()) {
       const auto generation = count(at(l, "g"));
       const auto cell = text(at(l, "c"));
--- a/tests/cells_test.cpp
+++ b/tests/cells_test.cpp
@@ -178,6 +178,32 @@
   EXPECT_EQ(f[1].finished_jobs, 8);
 }
 
+// What an earlier loan of a job has done here stays in the progress record for a while; the next loan of the same job
+// must not be told as done by it. (It was, once in 2,000 seeded worlds: not_done.)
+TEST(Cells, WhatAnEarlierLoanDidIsNotTakenForThisOnes) {
+  for (std::uint64_t written_by : {5, 7}) {
+    WorldOptions o;
+    o.cells = {"q", {{"p", {"p:0"}}}};
+    World w(1, o);
+    auto spec = w.job(Shape::Array, 24, 1, 10);
+    ProgressRecord progress;
+    progress.finished = {{0, 22}};
+    progress.borrowed = written_by;
+    w.put_record("open/" + spec.id, wire::to_json(OpenRecord{spec, 1.7e9, false, Lent{"p", 7, {{8, 24}}}}));
+    w.put_record("progress/s0", wire::progress_shard({{spec.id, wire::to_json(progress)}}));
+    Ranges told;
+    bool ended = false;
+    w.send_cell = [&](int, const core::CellSend &s) {
+      if (s.message.kind != wire::CellMessage::Kind::Told) return;
+      told = s.message.ranges;
+      ended |= s.message.yes;
+    };
+    w.run(20); // nobody confirms it: it ends
+    EXPECT_TRUE(ended);
+    EXPECT_EQ(told, written_by == 7 ? Ranges({{8, 22}}) : Ranges()) << written_by;
+  }
+}
+
 class CellSeeds : public ::testing::TestWithParam<int> {};
 
 // Everything at once, in both cells and between them.
