--- a/include/loftrouter/core/cells.hpp
+++ b/include/loftrouter/core/cells.hpp
@@ -40,7 +40,7 @@
 
   Cells(Port &port, Events &events, const Settings &settings, const Catalogue &catalogue, const Operators &operators,
         const Leadership &lead, const RecordWatch &watch, StoreBudget &budget, JobTable &jobs,
-        const FailureJudge &judge, Ledger &ledger, Recorder &recorder, const Fleet &fleet, Siblings &siblings,
+        const FailureJudge &judge, Ledger &ledger, Recorder &recorder, Fleet &fleet, Siblings &siblings,
         const Placer &placer, const Scaler &scaler, const Wishes &wishes);
 
   bool on() const { return !settings_.cells.name.empty(); }
@@ -104,7 +104,7 @@
   };
   struct Lot { // machines of one kind, for expected waits
     MachineKind kind;
-    int machines = 0, starting = 0;
+    int machines = 0, starting = 0, idle = 0;
     Resources size, free;
     double cpus = 0, busy = 0, ahead = 0; // CPU seconds
     bool refused = false;
@@ -133,6 +133,7 @@
   // As borrower.
   void offered(const Route &from, int cell, wire::CellMessage &&m);
   double spare_cpus(const cells::Work &work) const;
+  bool may_use(const cells::Work &work, const Lot &l) const;
   void tend_debts();
   void renew(int home);
   void close(int j, Debt &d);
@@ -151,7 +152,7 @@
   const FailureJudge &judge_;
   Ledger &ledger_;
   Recorder &recorder_;
-  const Fleet &fleet_;
+  Fleet &fleet_;
   Siblings &siblings_;
   const Placer &placer_;
   const Scaler &scaler_;
--- a/include/loftrouter/core/fleet.hpp
+++ b/include/loftrouter/core/fleet.hpp
@@ -106,6 +106,7 @@
   // The task goes: at once if its start was never sent, otherwise when the worker shows it gone.
   void stop(int m, std::size_t slot, double grace_s);
   bool stop_all(int j, double grace_s); // of a job; false: all were told already
+  void withdraw(int j);                 // its tasks whose start was never sent
   // A gang that can no longer complete its attempt is stopped whole; the next attempt starts when every task of this
   // one is gone.
   void tend_gang(int j);
--- a/include/loftrouter/core/settings.hpp
+++ b/include/loftrouter/core/settings.hpp
@@ -25,6 +25,7 @@
 struct CellSettings {
   std::string name;
   std::vector<OtherCell> others;
+  bool at_random = false; // a baseline of the lab's: work goes to any cell that promises room
 };
 struct Settings {
   std::string node, zone, listen, peer_listen;
--- a/include/loftrouter/wire/cell.hpp
+++ b/include/loftrouter/wire/cell.hpp
@@ -16,9 +16,9 @@
 // Machines of one kind in a cell, as it tells others.
 struct CellKind {
   std::string type, zone;
-  bool spot = false, refused = false; // the latter: its cloud had none to give, lately
-  std::uint32_t machines = 0;         // up
-  Resources size, free;               // of one; of all together, beyond what its own work waits for
+  bool spot = false, refused = false;   // the latter: its cloud had none to give, lately
+  std::uint32_t machines = 0, idle = 0; // up; and of those with nothing on them
+  Resources size, free;                 // of one; of all together, beyond what its own work waits for
   double boot_s = 0, fetch_gb_per_s = 1;
 };
 
--- a/src/cells/plan.cpp
+++ b/src/cells/plan.cpp
@@ -19,10 +19,18 @@
   return static_cast<std::uint32_t>(std::max(0.0, n));
 }
 
+// What is free on machines that something else is on lies in pieces: only small tasks find a place there.
 std::uint32_t room(const Work &work, const View &cell) {
+  constexpr double kSmall = 0.25; // of a machine
   std::uint32_t n = 0;
-  for (const auto &k : cell.kinds)
-    if (allowed(work, k)) n += places(k.free, work.need);
+  for (const auto &k : cell.kinds) {
+    if (!allowed(work, k)) continue;
+    n += k.idle * places(k.size, work.need);
+    Resources rest = k.free, least = k.size;
+    rest.add(k.size, -static_cast<double>(k.idle));
+    least.add(k.size, kSmall - 1);
+    if (work.need.fits(least)) n += places(rest, work.need);
+  }
   return n;
 }
 
--- a/src/core/cells.cpp
+++ b/src/core/cells.cpp
@@ -18,7 +18,7 @@
 constexpr double kFirstGrant = 10.0;                   // s, for a new debt to be confirmed
 constexpr double kUnstarted = 20.0;                    // s, after which borrowed work that has not begun goes back
 constexpr double kNotAgain = 60.0, kNoRoomPause = 5.0; // s, between two hand-overs of a job to the same cell
-constexpr double kLongWait = 20.0;     // s
+constexpr double kLongWait = 20.0;                     // s
 constexpr double kHomeHasRoom = 10.0;                  // s
 constexpr std::size_t kMostWanted = 16, kMostDebts = 4000, kMostLoans = 10'000;
 constexpr std::uint32_t kLeastLent = 1;
@@ -36,7 +36,7 @@
 
 Cells::Cells(Port &port, Events &events, const Settings &settings, const Catalogue &catalogue,
              const Operators &operators, const Leadership &lead, const RecordWatch &watch, StoreBudget &budget,
-             JobTable &jobs, const FailureJudge &judge, Ledger &ledger, Recorder &recorder, const Fleet &fleet,
+             JobTable &jobs, const FailureJudge &judge, Ledger &ledger, Recorder &recorder, Fleet &fleet,
              Siblings &siblings, const Placer &placer, const Scaler &scaler, const Wishes &wishes)
     : port_(port), events_(events), settings_(settings), catalogue_(catalogue), operators_(operators), lead_(lead),
       watch_(watch), budget_(budget), jobs_(jobs), judge_(judge), ledger_(ledger), recorder_(recorder), fleet_(fleet),
@@ -261,6 +261,7 @@
     }
     if (m.silent(port_.now(), settings_.report_s)) return;
     ++l.machines;
+    l.idle += m.slots.empty();
     l.cpus += m.size.cpus;
     l.free.add(m.size);
     l.free.add(m.used, -1);
@@ -301,20 +302,20 @@
     const auto work = work_of(j);
     const double est = std::max(3.0, n.spec.estimate_s), own = n.pending() * n.spec.need.cpus * est;
     double cpus = 0, load = 0, places = 0, soon = std::numeric_limits<double>::infinity();
-    auto may_use = [&](const Lot &l) {
-      wire::CellKind k;
-      k.type = catalogue_.type_name(std::get<0>(l.kind));
-      k.spot = std::get<2>(l.kind);
-      k.size = l.size;
-      return cells::allowed(work, k);
-    };
     std::vector<Lot *> mine;
     for (auto &l : lots_) {
-      if (!may_use(l)) continue;
+      if (!may_use(work, l)) continue;
       mine.push_back(&l);
       cpus += l.cpus;
       load += l.busy + l.ahead;
-      if (l.ahead <= 0) places += std::floor(l.free.cpus / std::max(0.01, n.spec.need.cpus) + 1e-6);
+      if (l.ahead <= 0) {
+        cells::View one;
+        one.kinds.push_back({"", "", std::get<2>(l.kind), false, static_cast<std::uint32_t>(l.machines),
+                             static_cast<std::uint32_t>(l.idle), l.size, l.free, 0, 1});
+        auto any = work;
+        any.types.clear();
+        places += cells::room(any, one);
+      }
       const auto &type = catalogue_.type(std::get<0>(l.kind));
       const bool dear = Catalogue::cpu_price(type, std::get<2>(l.kind)) > kDear * cheapest;
       if (l.starting > 0 || (!l.refused && !(dear && n.spec.urgency == Urgency::Low)))
@@ -350,7 +351,10 @@
     k.refused = l.refused;
     k.machines = static_cast<std::uint32_t>(l.machines);
     k.size = l.size;
-    if (l.ahead <= 0) k.free = l.free; // otherwise its own work waits for it
+    if (l.ahead <= 0) { // otherwise its own work waits for it
+      k.free = l.free;
+      k.idle = static_cast<std::uint32_t>(l.idle);
+    }
     k.boot_s = catalogue_.type(type).boot_s;
     k.fetch_gb_per_s = catalogue_.type(type).fetch_gb_per_s;
     if (m.kinds.size() < wire::kCellMaxKinds) m.kinds.push_back(std::move(k));
@@ -454,7 +458,11 @@
         mine[c].open &= l.cell != cells_[c].name;
     }
     const auto work = work_of(j);
-    const auto choice = cells::choose(work, mine, kRules);
+    auto choice = cells::choose(work, mine, kRules);
+    if (settings_.cells.at_random && work.wait_here_s > 1) {
+      const auto any = static_cast<std::size_t>(port_.random() * static_cast<double>(mine.size()));
+      if (mine[any].open) choice = cells::Choice{static_cast<int>(any), 0, 0};
+    }
     int &eager = grown(eager_, j);
     eager = choice ? eager + 1 : 0;
     if (eager < kEager) continue; // not on one look alone
@@ -668,28 +676,42 @@
 
 // ---- as borrower ----
 
-// CPUs that own work does not need: free ones, and as many as may be rented for others' work.
+bool Cells::may_use(const cells::Work &work, const Lot &l) const {
+  wire::CellKind k;
+  k.type = catalogue_.type_name(std::get<0>(l.kind));
+  k.spot = std::get<2>(l.kind);
+  k.size = l.size;
+  return cells::allowed(work, k);
+}
+
+// CPUs for such work that own work does not need: places that are free, machine by machine, and what may be rented for
+// others.
 double Cells::spare_cpus(const cells::Work &work) const {
   double free = 0, up = 0, borrowed = 0;
   bool rentable = false;
+  std::set<MachineKind> open;
   for (const auto &l : lots_) {
     up += l.cpus;
-    wire::CellKind k;
-    k.type = catalogue_.type_name(std::get<0>(l.kind));
-    k.spot = std::get<2>(l.kind);
-    k.size = l.size;
-    if (!cells::allowed(work, k)) continue;
-    if (l.ahead <= 0) free += l.free.cpus;
-    rentable |= !l.refused && l.ahead <= 0;
+    if (!may_use(work, l) || l.ahead > 0) continue;
+    open.insert(l.kind);
+    rentable |= !l.refused;
   }
+  fleet_.each([&](int, const Machine &m) {
+    if (!m.heard || m.lost || m.returning || m.order || m.taken_at || m.draining ||
+        m.silent(port_.now(), settings_.report_s) || !open.contains({m.type, m.zone, m.spot}))
+      return;
+    Resources room = m.size;
+    room.add(m.used, -1);
+    for (; work.need.fits(room); free += work.need.cpus)
+      room.add(work.need, -1);
+  });
   for (int j : indebted_) {
     const Job &n = jobs_[j];
     borrowed += (n.pending() + n.placed) * n.spec.need.cpus;
     free -= n.pending() * n.spec.need.cpus;
   }
-  const double most =
-      std::min(operators_.cell_rules().most_borrowed_cpus, std::max(kBorrowLeast, kBorrowShare * up) + free);
-  return std::max(0.0, std::min(most - borrowed, free + (rentable ? std::max(kBorrowLeast, kBorrowShare * up) : 0)));
+  const double rent = rentable ? std::max(kBorrowLeast, kBorrowShare * up) : 0;
+  return std::max(0.0, std::min(operators_.cell_rules().most_borrowed_cpus - borrowed, std::max(0.0, free) + rent));
 }
 
 void Cells::offered(const Route &from, int cell, wire::CellMessage &&m) {
@@ -778,14 +800,17 @@
     const int j = indebted_[k];
     auto &d = *debts_[static_cast<std::size_t>(j)];
     const Job &n = jobs_[j];
-    const bool still = n.placed == 0 && n.unaccounted == 0;
     // Not begun for long, or own work waits: what has not begun goes back, what runs may end.
     const bool waits = n.pending() > 0 && !d.state.closed() && (n.placed == 0 || own_waiting_cpus_ > 0);
     if (!waits)
       d.idle_since = -1;
     else if (d.idle_since < 0)
       d.idle_since = now;
-    if (waits && now - d.idle_since > kUnstarted) d.draining = true;
+    if (waits && now - d.idle_since > kUnstarted && !std::exchange(d.draining, true)) {
+      jobs_.pause(j, true);
+      fleet_.withdraw(j); // or it would keep a place for a start that is never sent
+    }
+    const bool still = n.placed == 0 && n.unaccounted == 0;
     if (d.draining && still) close(j, d);
     d.ended = still && (d.state.closed() || n.done == n.spec.tasks);
     // An id that an own user wants is not kept waiting for another cell's answer.
--- a/src/core/fleet.cpp
+++ b/src/core/fleet.cpp
@@ -351,6 +351,13 @@
   return news;
 }
 
+void Fleet::withdraw(int j) {
+  for (int m = 0; m < static_cast<int>(machines_.size()); ++m)
+    if (machines_[static_cast<std::size_t>(m)])
+      for (std::size_t s = at(m).slots.size(); s-- > 0;)
+        if (const Slot &slot = at(m).slots[s]; slot.job == j && !slot.sent && !slot.seen) drop(m, s);
+}
+
 void Fleet::order_stop(int m, Slot &slot, double grace_s) {
   if (slot.finished) return;
   if (!slot.stop && !std::exchange(at(m).stops_news, true)) stops_news_.push_back(m);
--- a/src/core/recorder.cpp
+++ b/src/core/recorder.cpp
@@ -39,7 +39,8 @@
   s.stamp = e.stamp;
   ledger_.load_sums(shards_.size(), std::move(shard->sums));
   for (auto &[id, p] : shard->jobs) {
-    // Guards against what an earlier loan of the same job has done here being taken for this one's: its entry goes lazily.
+    // Guards against what an earlier loan of the same job has done here being taken for this one's: its entry goes
+    // lazily.
     const std::pair key(id, p.borrowed);
     loaded_shard_[key] = shards_.size();
     auto &known = loaded_[key];
--- a/src/wire/cell.cpp
+++ b/src/wire/cell.cpp
@@ -67,6 +67,7 @@
     put_text(out, k.zone);
     put(out, static_cast<std::uint8_t>(k.spot | k.refused << 1));
     put(out, k.machines);
+    put(out, k.idle);
     put_resources(out, k.size);
     put_resources(out, k.free);
     put_amount(out, k.boot_s);
@@ -84,6 +85,7 @@
     k.spot = flags & 1;
     k.refused = flags & 2;
     k.machines = r.get<std::uint32_t>();
+    k.idle = r.get<std::uint32_t>();
     k.size = get_resources(r);
     k.free = get_resources(r);
     k.boot_s = get_amount(r);
--- a/tests/cells_plan_test.cpp
+++ b/tests/cells_plan_test.cpp
@@ -33,13 +33,17 @@
         fits &= need[i] <= size[i] + 1e-6;
       if (!fits) continue;
       mine.push_back(k);
-      double here = 1e6;
+      double whole = 1e6, rest = 1e6;
+      bool small = true;
       for (int i = 0; i < 3; ++i) {
         all[i] += size[i] * k.machines;
         free[i] += room[i];
-        if (need[i] > 0) here = std::min(here, std::floor(room[i] / need[i] + 1e-9));
+        small &= need[i] <= 0.25 * size[i] + 1e-6;
+        if (need[i] <= 0) continue;
+        whole = std::min(whole, std::floor(size[i] / need[i] + 1e-9));
+        rest = std::min(rest, std::floor((room[i] - k.idle * size[i]) / need[i] + 1e-9));
       }
-      places += here;
+      places += k.idle * whole + (small ? std::max(0.0, rest) : 0);
     }
     for (const auto &k : mine) {
       const double fetch = w.image_gb / std::max(0.01, k.fetch_gb_per_s);
@@ -93,8 +97,10 @@
         k.refused = rng() % 2;
         k.machines = static_cast<std::uint32_t>(rng() % 20);
         k.size = {draw(2, 16), rng() % 2 ? 2.0 : 0.0, draw(8, 64)};
-        k.free = {k.size.cpus * k.machines * draw(0, 1), k.size.gpus * k.machines * draw(0, 1),
-                  k.size.memory * k.machines * draw(0, 1)};
+        k.idle = static_cast<std::uint32_t>(rng() % (k.machines + 1));
+        const double busy = k.machines - k.idle;
+        k.free = {k.size.cpus * (k.idle + busy * draw(0, 1)), k.size.gpus * (k.idle + busy * draw(0, 1)),
+                  k.size.memory * (k.idle + busy * draw(0, 1))};
         k.boot_s = draw(10, 60);
         k.fetch_gb_per_s = draw(0.2, 2);
       }
--- a/tests/federation.cpp
+++ b/tests/federation.cpp
@@ -9,15 +9,15 @@
 constexpr double kStep = 0.01;
 } // namespace
 
-Federation::Federation(std::uint64_t seed, std::vector<WorldOptions> cells, double loss)
+Federation::Federation(std::uint64_t seed, std::vector<WorldOptions> cells, double loss, bool joined)
     : rng_(seed), loss_(loss), options_(std::move(cells)) {
   const int n = static_cast<int>(options_.size());
   for (int c = 0; c < n; ++c) {
     auto &o = options_[static_cast<std::size_t>(c)];
-    o.cells.name = name(c);
+    o.cells.name = joined ? name(c) : "";
     o.cells.others.clear();
     for (int x = 0; x < n; ++x) {
-      if (x == c) continue;
+      if (x == c || !joined) continue;
       OtherCell other{name(x), {}};
       for (int k = 0; k < options_[static_cast<std::size_t>(x)].nodes; ++k)
         other.nodes.push_back(name(x) + ":" + std::to_string(k));
@@ -34,6 +34,7 @@
       return nullptr;
     };
     w.started = [this, c](const World::On &task) { started(c, task); };
+    w.stopped = [this, c](const World::On &task) { stopped(c, task); };
   }
 }
 
@@ -52,6 +53,7 @@
 // Node numbers are those of the sender's features file: the others' nodes in order.
 void Federation::send(int cell, int node, const core::CellSend &s) {
   ++frames;
+  loans += s.message.kind == wire::CellMessage::Kind::Taken && s.message.yes;
   auto numbered = [this](int of, int other, int k) { // how `of` dials node k of `other`
     int n = 0;
     for (int x = 0; x < other; ++x)
@@ -94,31 +96,42 @@
   }
 }
 
+int Federation::owner(int in, const std::string &job) {
+  if ((*this)[in].own(job)) return in;
+  for (int x = 0; x < size(); ++x)
+    if ((*this)[x].own(job)) return x;
+  return -1;
+}
+
+static std::string task_key(int home, const World::On &task) {
+  return std::to_string(home) + task.job + "/" + std::to_string(task.index);
+}
+
 void Federation::started(int cell, const World::On &task) {
-  // Whose job runs in a cell: its own users', if they have one of that id.
-  auto owner = [this](int in, const std::string &job) {
-    if ((*this)[in].own(job)) return in;
-    for (int x = 0; x < size(); ++x)
-      if ((*this)[x].own(job)) return x;
-    return -1;
-  };
   const int home = owner(cell, task.job);
   if (home != cell) ++started_elsewhere[task.job];
-  const auto *told = (*this)[home].own(task.job);
-  double used = told->spec.need.cpus;
-  for (int x = 0; x < size(); ++x)
-    for (const auto &on : (*this)[x].on_machines()) {
-      if (owner(x, on.job) != home) continue;
-      if (on.job == task.job && on.index == task.index && (x != cell || on.serial != task.serial))
-        broken_.push_back("t=" + std::to_string(t_) + " ran_twice over cells " + task.job + "/" +
-                          std::to_string(task.index) + " in " + name(cell) + " and " + name(x));
-      const auto *other = (*this)[home].own(on.job);
-      if (other && other->spec.team == told->spec.team && !(x == cell && on.serial == task.serial))
-        used += other->spec.need.cpus;
-    }
+  auto &there = on_[task_key(home, task)];
+  for (const auto &[x, serial] : there)
+    broken_.push_back("t=" + std::to_string(t_) + " ran_twice over cells " + task.job + "/" +
+                      std::to_string(task.index) + " in " + name(cell) + " and " + name(x));
+  there.emplace(cell, task.serial);
+  homes_[{cell, task.serial}] = home;
+  const auto &spec = (*this)[home].own(task.job)->spec;
+  const double used = used_[{home, spec.team}] += spec.need.cpus;
   for (const auto &team : options_[static_cast<std::size_t>(home)].teams)
-    if (team.name == told->spec.team && team.cpus_max > 0 && used > team.cpus_max + 1e-6)
+    if (team.name == spec.team && team.cpus_max > 0 && used > team.cpus_max + 1e-6)
       broken_.push_back("t=" + std::to_string(t_) + " quota over cells " + team.name);
+  if (on_start) on_start(home, cell, task);
+}
+
+void Federation::stopped(int cell, const World::On &task) {
+  const int home = homes_.at({cell, task.serial}); // another job may bear the id by now
+  homes_.erase({cell, task.serial});
+  const auto it = on_.find(task_key(home, task));
+  it->second.erase({cell, task.serial});
+  if (it->second.empty()) on_.erase(it);
+  const auto &spec = (*this)[home].own(task.job)->spec;
+  used_[{home, spec.team}] -= spec.need.cpus;
 }
 
 bool Federation::all_over() const {
--- a/tests/world.cpp
+++ b/tests/world.cpp
@@ -5,9 +5,6 @@
 namespace loft::test {
 
 World::World(std::uint64_t seed, WorldOptions o) : o_(std::move(o)), rng_(seed) {
-  MachineType small{"small", {4, 0, 16}, 50, 1, 0.2, 0.08, 8, {"a", "b"}};
-  MachineType big{"big", {16, 2, 64}, 50, 1, 0.8, 0.3, 8, {"a", "b"}};
-  types_ = {small, big};
   nodes_.resize(static_cast<std::size_t>(o_.nodes));
   next_job_ = o_.first_job;
   for (int i = 0; i < o_.nodes; ++i)
@@ -31,7 +28,8 @@
   s.cells = o_.cells;
   s.peer_listen = o_.cells.name + ":" + std::to_string(i);
   s.state_value_kb = o_.value_kb;
-  s.state_write_rps = 15;
+  s.state_rps = o_.state_rps;
+  s.state_write_rps = o_.state_write_rps;
   Node &n = nodes_[static_cast<std::size_t>(i)];
   ++n.life;
   n.queue.clear();
--- a/tests/world.hpp
+++ b/tests/world.hpp
@@ -11,6 +11,7 @@
 #include <random>
 #include <set>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 #include "loftrouter/core/core.hpp"
@@ -28,8 +29,16 @@
   double die_per_hour = 0; // machines
   double hang_per_hour = 0;
   bool accounts = false;
-  double value_kb = 8; // most that the state service takes as a value
-  long most_machines = 400;
+  double value_kb = 8;                  // most that the state service takes as a value
+  long most_machines = 400;             // up at a time
+  std::map<std::string, long> capacity; // the same by type, where it is said
+  std::vector<MachineType> types{{"small", {4, 0, 16}, 50, 1, 0.2, 0.08, 8, {"a", "b"}},
+                                 {"big", {16, 2, 64}, 50, 1, 0.8, 0.3, 8, {"a", "b"}}};
+  double boot_least = 1, boot_most = 12;            // s
+  double boot_share_least = 0, boot_share_most = 0; // of the type's boot time, instead
+  double state_rps = 100, state_write_rps = 15;
+  bool users_at_once = false; // a poll each second, so that ends are seen
+  int page = 20;              // records and machines that a list shows at a time
   CellSettings cells;
   int first_job = 1; // number of the first
   std::vector<Team> teams{{"red", 0, 0, 0, 0}, {"blue", 0, 12, 0, 0}};
@@ -85,7 +94,8 @@
     std::uint64_t serial;
   };
   std::vector<On> on_machines() const;
-  std::function<void(const On &)> started;
+  std::function<void(const On &)> started, stopped;
+  std::uint64_t revision() const { return epoch_; } // changes of the state service
 
   std::vector<std::string> broken; // rules broken, in words
   bool lose_watches = false;       // watches of the state service get no answer
@@ -207,6 +217,9 @@
   void kill_box(Box &b);
   void free_all(Box &b); // what ran on it is gone
   void freed(const Run &r);
+  void put_on(std::size_t b, Run &r);
+  void take_off(const Run &r);
+  const Resources &size_of(const Box &b) const;
   void worker_tick(std::size_t b);
   void report(std::size_t b);
   WorkerReport make_report(Box &b);
@@ -233,13 +246,14 @@
   std::deque<wire::Event> history_;
   std::vector<Follower> followers_;
   double outage_until_ = -1;
-  std::vector<MachineType> types_;
   std::deque<Box> boxes_;
   std::map<std::string, std::vector<std::string>> rents_;
   std::map<std::string, Told> told_;
   int next_job_ = 1;
   std::set<std::string> broken_jobs_;
   std::map<std::string, int> starts_by_job_;
+  std::unordered_map<std::string, std::map<std::uint64_t, std::size_t>>
+      on_; // tasks on machines, by job: serial, machine
 };
 
 } // namespace loft::test
--- a/tests/world_cloud.cpp
+++ b/tests/world_cloud.cpp
@@ -27,7 +27,7 @@
     wire::CloudReply r;
     r.status = 200;
     if (std::holds_alternative<core::CloudTypes>(op.what)) {
-      r.types = types_;
+      r.types = o_.types;
     } else if (auto *l = std::get_if<core::CloudList>(&op.what)) {
       for (auto &b : boxes_) {
         if (b.gone || b.name <= l->from || t_ - b.rented < 3) continue;
@@ -40,8 +40,12 @@
     } else if (auto *h = std::get_if<core::CloudRent>(&op.what)) {
       auto [it, fresh] = rents_.try_emplace(h->request);
       auto there = std::count_if(boxes_.begin(), boxes_.end(), [](const Box &b) { return !b.gone; });
+      const auto of_type = o_.capacity.find(h->type);
+      auto left = of_type == o_.capacity.end() ? 1'000'000L : of_type->second;
+      if (of_type != o_.capacity.end())
+        left -= std::count_if(boxes_.begin(), boxes_.end(), [&](const Box &b) { return !b.gone && b.type == h->type; });
       if (fresh)
-        for (int k = 0; k < h->count && there < o_.most_machines; ++k, ++there) {
+        for (int k = 0; k < h->count && there < o_.most_machines && left > 0; ++k, ++there, --left) {
           Box b;
           char name[16];
           std::snprintf(name, sizeof name, "n-%06zu", boxes_.size());
@@ -71,8 +75,10 @@
 void World::boot(Box &b) {
   std::size_t i = boxes_.size() - 1;
   if (chance(o_.boot_fail)) return;
-  (void)b;
-  schedule(t_ + uniform(1, 12), [this, i] {
+  double boots = uniform(o_.boot_least, o_.boot_most);
+  for (const auto &t : o_.types)
+    if (o_.boot_share_most > 0 && t.name == b.type) boots = t.boot_s * uniform(o_.boot_share_least, o_.boot_share_most);
+  schedule(t_ + boots, [this, i] {
     Box &x = boxes_[i];
     if (x.gone || x.failed) return; // a machine that stopped while it booted stays down
     x.up = true;
--- a/tests/world_users.cpp
+++ b/tests/world_users.cpp
@@ -64,7 +64,7 @@
 void World::poll(const std::string &id) {
   Told &x = told_[id];
   if (x.done) return;
-  schedule(t_ + 5, [this, id] { poll(id); });
+  schedule(t_ + (o_.users_at_once ? 1 : 5), [this, id] { poll(id); });
   bool was_cancelled = x.cancelled;
   ask(
       static_cast<int>(rng_() % nodes_.size()),
--- a/tests/world_workers.cpp
+++ b/tests/world_workers.cpp
@@ -127,8 +127,7 @@
   Box &b = boxes_[i];
   Run r{job, index, attempt, TaskPhase::Fetching, ExitCause::None, false, t_, ++serial_};
   const Told *told = known(job);
-  const auto &size = b.type == "big" ? types_[1].size : types_[0].size;
-  Resources free = size;
+  Resources free = size_of(b);
   for (auto &x : b.runs)
     if (x.phase != TaskPhase::Exited) free.add(known(x.job)->spec.need, -1);
   auto refuse = [&](ExitCause c) {
@@ -158,7 +157,7 @@
   if (r->phase == TaskPhase::Fetching) {
     b.images.insert(spec.image);
     placed_check(b, *r);
-    r->on = true;
+    put_on(i, *r);
     ++starts;
     started_at.push_back(t_);
     ++starts_by_job_[r->job];
@@ -220,14 +219,36 @@
   });
 }
 
+const Resources &World::size_of(const Box &b) const {
+  for (const auto &t : o_.types)
+    if (t.name == b.type) return t.size;
+  return o_.types.front().size;
+}
+
+void World::put_on(std::size_t b, Run &r) {
+  r.on = true;
+  on_[r.job][r.serial] = b;
+  if (started) started({r.job, r.index, r.serial});
+}
+
+void World::take_off(const Run &r) {
+  if (!r.on) return;
+  if (stopped) stopped({r.job, r.index, r.serial});
+  const auto it = on_.find(r.job);
+  it->second.erase(r.serial);
+  if (it->second.empty()) on_.erase(it);
+}
+
 void World::freed(const Run &r) {
   if (r.phase != TaskPhase::Exited)
     if (Told *t = known(r.job)) t->held_s += t_ - r.from;
 }
 
 void World::free_all(Box &b) {
-  for (const auto &r : b.runs)
+  for (const auto &r : b.runs) {
     freed(r);
+    take_off(r);
+  }
   b.runs.clear();
 }
 
@@ -237,6 +258,7 @@
       freed(r);
       r.phase = TaskPhase::Exited;
       r.cause = cause;
+      take_off(r);
       r.on = false;
       b.next_report = std::min(b.next_report, t_ + 0.5);
     }
@@ -245,13 +267,13 @@
 void World::placed_check(const Box &b, const Run &r) {
   const Told &told = *known(r.job);
   const JobSpec &spec = told.spec;
-  if (started) started({r.job, r.index, r.serial});
   std::map<std::string, int> zones;
   zones[b.zone] = 1;
-  for (const auto &x : boxes_)
-    for (const auto &y : x.runs) {
-      if (!y.on || y.job != r.job || y.serial == r.serial) continue;
-      if (y.index == r.index) break_rule("ran_twice " + r.job + "/" + std::to_string(r.index));
+  if (const auto others = on_.find(r.job); others != on_.end())
+    for (const auto &[serial, box] : others->second) {
+      const Box &x = boxes_[box];
+      for (const auto &y : x.runs)
+        if (y.serial == serial && y.index == r.index) break_rule("ran_twice " + r.job + "/" + std::to_string(r.index));
       ++zones[x.zone];
     }
   if (spec.one_zone && zones.size() > 1) break_rule("wrong_place (one zone) " + r.job);
@@ -266,9 +288,9 @@
     if (team.cpus_max <= 0 || spec.team != team.name) continue;
     if (!own(r.job)) continue; // with several cells: tests/federation.hpp
     double used = spec.need.cpus;
-    for (const auto &x : boxes_)
-      for (const auto &y : x.runs)
-        if (const Told *t = y.on ? own(y.job) : nullptr; t && t->spec.team == team.name) used += t->spec.need.cpus;
+    for (const auto &[job, runs] : on_)
+      if (const Told *t = own(job); t && t->spec.team == team.name)
+        used += t->spec.need.cpus * static_cast<double>(runs.size());
     if (used > team.cpus_max + 1e-6) break_rule("quota " + team.name);
   }
 }
