Renting counts work that waits on the machines that may take it, by their CPUs

Cause: seen in a simulated cell of 700 small and 60 large machines: a backlog of 20,000 tasks rented nothing for two minutes. Work counted for one job was spread for the next by number of machines, so on a fleet of uneven machines the large ones never filled up and seemed to get to everything in time.

Change: it is spread by CPUs, over the machines that the job may use.

--- a/src/core/scaler.cpp
+++ b/src/core/scaler.cpp
@@ -373,13 +373,16 @@
         }
       }
     }
-    // Work counted here is not counted again for later jobs.
+    // Work counted here is not counted again for later jobs: it lies on the machines that may take it, by their CPUs.
+    double on = 0;
+    for (const auto &[like, g] : groups)
+      if (allowed(p, g.one) && p.need.fits(g.one.size) && !(g.one.kept && p.small)) on += g.count * g.one.size.cpus;
+    const double each_cpu = on > 0 ? waiting * est * p.need.cpus / on : 0;
     for (auto &[like, g] : groups)
       if (allowed(p, g.one) && p.need.fits(g.one.size) && !(g.one.kept && p.small))
-        g.busy += waiting * est * p.need.cpus * g.count / std::max<double>(1, static_cast<double>(up.size()));
+        g.busy += each_cpu * g.count * g.one.size.cpus;
     for (std::size_t i = 0; i < up.size() && !low; ++i)
-      if (allowed(p, up[i]) && p.need.fits(up[i].size))
-        busy[i] += waiting * est * p.need.cpus / static_cast<double>(up.size());
+      if (allowed(p, up[i]) && p.need.fits(up[i].size)) busy[i] += each_cpu * up[i].size.cpus;
     if (best.type < 0) continue;
     const MachineKind kind(best.type, best.zone, best.spot);
     auto it = std::find_if(wanted.begin(), wanted.end(), [&](const Wanted &w) { return w.kind == kind; });
