--- a/tests/fuzz/targets.cpp
+++ b/tests/fuzz/targets.cpp
@@ -222,7 +222,7 @@
       m.from = "north";
       m.to = "south";
       m.wait_s = {1, 2, 3, 4};
-      m.kinds = {{"big", "a", true, false, 3, {4, 0, 16}, {9, 0, 30}, 40, 1}};
+      m.kinds = {{"big", "a", true, false, 3, 1, {4, 0, 16}, {9, 0, 30}, 40, 1}};
       m.types = {"big"};
       m.ranges = {{1, 5}, {7, 9}};
       m.body = "body";
