--- a/tests/world.hpp
+++ b/tests/world.hpp
@@ -177,6 +177,7 @@
     bool on = false; // counts as being on its machine
     double from = 0; // when its start came
     std::uint64_t serial;
+    Told *told = nullptr; // the job, as it was when this started: another may bear its id by now
   };
   struct Box {
     std::string name, type, zone;
--- a/tests/world_workers.cpp
+++ b/tests/world_workers.cpp
@@ -126,10 +126,11 @@
 void World::start_task(std::size_t i, const std::string &job, std::uint32_t index, std::uint64_t attempt) {
   Box &b = boxes_[i];
   Run r{job, index, attempt, TaskPhase::Fetching, ExitCause::None, false, t_, ++serial_};
-  const Told *told = known(job);
+  Told *told = known(job);
+  r.told = told;
   Resources free = size_of(b);
   for (auto &x : b.runs)
-    if (x.phase != TaskPhase::Exited) free.add(known(x.job)->spec.need, -1);
+    if (x.phase != TaskPhase::Exited) free.add(x.told->spec.need, -1);
   auto refuse = [&](ExitCause c) {
     r.phase = TaskPhase::Exited;
     r.cause = c;
@@ -152,7 +153,7 @@
     schedule(b.hang_until + 0.01, [this, i, serial] { progress(i, serial); });
     return;
   }
-  Told &told = *known(r->job);
+  Told &told = *r->told;
   const JobSpec &spec = told.spec;
   if (r->phase == TaskPhase::Fetching) {
     b.images.insert(spec.image);
@@ -191,19 +192,23 @@
 }
 
 void World::try_gang(const std::string &job, std::uint64_t attempt) {
-  const JobSpec &spec = known(job)->spec;
+  Told *told = nullptr;
   std::vector<std::pair<std::size_t, Run *>> members;
   for (std::size_t i = 0; i < boxes_.size(); ++i)
     for (auto &r : boxes_[i].runs)
-      if (r.job == job && r.attempt == attempt && r.phase == TaskPhase::Waiting) members.emplace_back(i, &r);
-  if (members.size() < spec.tasks) return;
+      if (r.job == job && r.attempt == attempt && r.phase == TaskPhase::Waiting) {
+        members.emplace_back(i, &r);
+        told = r.told;
+      }
+  if (members.empty() || members.size() < told->spec.tasks) return;
+  const JobSpec &spec = told->spec;
   double end = t_ + spec.estimate_s;
   std::vector<std::pair<std::size_t, std::uint64_t>> who;
   for (auto [i, r] : members) {
     r->phase = TaskPhase::Running;
     who.emplace_back(i, r->serial);
   }
-  schedule(end, [this, job, who] {
+  schedule(end, [this, told, who] {
     bool whole = true;
     for (auto [i, serial] : who) {
       auto &runs = boxes_[i].runs;
@@ -213,7 +218,7 @@
     for (auto [i, serial] : who) {
       if (whole)
         for (auto &r : boxes_[i].runs)
-          if (r.serial == serial) known(job)->finished[r.index] = 1;
+          if (r.serial == serial) told->finished[r.index] = 1;
       end_run(boxes_[i], serial, whole ? ExitCause::Done : ExitCause::Peers);
     }
   });
@@ -241,7 +246,7 @@
 
 void World::freed(const Run &r) {
   if (r.phase != TaskPhase::Exited)
-    if (Told *t = known(r.job)) t->held_s += t_ - r.from;
+    if (r.told) r.told->held_s += t_ - r.from;
 }
 
 void World::free_all(Box &b) {
@@ -265,7 +270,7 @@
 }
 
 void World::placed_check(const Box &b, const Run &r) {
-  const Told &told = *known(r.job);
+  const Told &told = *r.told;
   const JobSpec &spec = told.spec;
   std::map<std::string, int> zones;
   zones[b.zone] = 1;
@@ -298,8 +303,9 @@
 void World::periodic_check() {
   for (const auto &x : boxes_)
     for (const auto &y : x.runs) {
-      const Told &told = *known(y.job);
-      if (y.on && told.cancelled_at >= 0 && t_ > told.cancelled_at + o_.cancel_s) break_rule("ran_cancelled " + y.job);
+      if (!y.on) continue;
+      const Told &told = *y.told;
+      if (told.cancelled_at >= 0 && t_ > told.cancelled_at + o_.cancel_s) break_rule("ran_cancelled " + y.job);
     }
   schedule(t_ + 0.5, [this] { periodic_check(); });
 }
