--- a/include/loftrouter/core/budget.hpp
+++ b/include/loftrouter/core/budget.hpp
@@ -29,11 +29,17 @@
 
   // Own use for users, smoothed.
   const Use &use() const { return use_; }
+  // The state service has refused something by rate. Three times that within seconds, while nodes have kept to what is
+  // in force, says that its limits have fallen to those announced: from then on those are kept to. True: just now.
+  bool refused(double now);
+
   // Every `dt_s`: shares out anew. One entry a sibling; nothing for one that is not heard.
   void share(double now, double dt_s, const std::vector<std::optional<Use>> &siblings);
 
 private:
   const Settings &settings_;
+  double rps_, write_rps_; // in force, as far as known
+  std::vector<double> refused_at_;
   TokenBucket reads_, writes_, leader_writes_;
   Use use_, taken_; // the latter: in all, when last looked at
 };
--- a/include/loftrouter/core/core.hpp
+++ b/include/loftrouter/core/core.hpp
@@ -37,7 +37,7 @@
   void on(CmdLookup &&cmd) { users_.take(std::move(cmd)); }
   void on(CmdAbort &&cmd) { users_.take(std::move(cmd)); }
   void on(CmdAdmin &&cmd) { administration_.take(std::move(cmd)); }
-  void on(CmdStoreReply &&cmd) { port_.answered(cmd); }
+  void on(CmdStoreReply &&);
   void on(CmdCloudReply &&cmd) { port_.answered(cmd); }
   void answer(std::optional<ReportDesk::Pending> report);
   void deliver();
@@ -53,6 +53,7 @@
   Leadership lead_;
   JobTable jobs_;
   EndedJobs ended_;
+  Dependencies dependencies_;
   FailureJudge judge_;
   Reasons reasons_;
   Ledger ledger_;
--- /dev/null
+++ b/include/loftrouter/core/dependencies.hpp
@@ -0,0 +1,102 @@
+// Which jobs wait for which, while this node leads.
+//
+// Owns the graph of open jobs and of the names in it that are not open here. Promises that nobody else decides whether
+// a job may start: it is ready only when the state service has said of every job that it names that this one is done
+// (too_early). A job one of whose names was cancelled is cancelled with it, and so on along the graph (orphaned); it
+// never was ready, so none of its tasks has ever started. Names not open here are looked up one by one, bounded and
+// within the users' reads; nothing scans what has ended.
+//
+// What a job is wanted for follows from those that need it: their priority, and when it has to be done so that the end
+// of the path still meets its deadline.
+#pragma once
+
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "loftrouter/core/budget.hpp"
+#include "loftrouter/core/events.hpp"
+#include "loftrouter/core/jobs.hpp"
+#include "loftrouter/core/leadership.hpp"
+
+namespace loft::core {
+
+class Dependencies {
+public:
+  Dependencies(Port &port, const Settings &settings, StoreBudget &budget, const Leadership &lead, JobTable &jobs,
+               EndedJobs &ended)
+      : port_(port), settings_(settings), budget_(budget), lead_(lead), jobs_(jobs), ended_(ended) {}
+
+  bool ready(int j) const { return at(j).known && at(j).waits == 0 && at(j).stopped_with.empty(); }
+  // When it became so: its submission, or the end of the last job that it needs. Of a job that is not ready, so far.
+  double ready_wall(int j) const { return at(j).ready_wall; }
+  // The highest of its own and of those that need it, directly or through others.
+  Urgency urgency(int j) const;
+  // Seconds after `ready_wall`: by its own deadline, and so that every job that needs it can still meet its own.
+  std::optional<double> deadline(int j) const;
+  // By its own alone.
+  std::optional<double> own_deadline(int j) const;
+  // The jobs that it still waits for, those known to be open; and of the others how many are being looked up.
+  const std::vector<int> &waits_for(int j) const { return at(j).needs; }
+  std::size_t unknown(int j) const { return at(j).waits - at(j).needs.size(); }
+  const std::vector<int> &needed_by(int j) const { return at(j).dependants; }
+  // The job with which it was cancelled; empty: none.
+  const std::string &stopped_with(int j) const { return at(j).stopped_with; }
+  // Every open job once, each after all open ones that it needs.
+  const std::vector<int> &in_order() const;
+
+  void tick(); // looks names up
+  void on(const JobAccepted &e);
+  void on(const JobCancelled &e);
+  void on(const EndLearnt &e);
+  void on(const JobOver &e);
+  void on(const TermEnded &);
+
+private:
+  struct Node { // of an open job
+    bool known = false;
+    std::string id;
+    std::vector<int> needs, dependants; // open jobs, by index
+    std::size_t waits = 0;              // jobs that it needs and that are not known to be done
+    double ready_wall = 0;
+    std::string stopped_with;
+  };
+  struct Unknown { // a name that is not open here, and whose end is not known
+    std::vector<int> dependants;
+    bool reading = false;
+    double next_read = 0;
+  };
+  static constexpr std::size_t kMostReads = 8;
+  const Node &at(int j) const {
+    static const Node none;
+    return static_cast<std::size_t>(j) < nodes_.size() ? nodes_[static_cast<std::size_t>(j)] : none;
+  }
+  Node &at(int j) { return nodes_[static_cast<std::size_t>(j)]; }
+  void link(int j, int needed);
+  void done(int j, double end_wall);
+  void stop(int j, const std::string &with);
+  void settle(const std::vector<int> &dependants, const std::string &id, const EndRecord &end);
+  void read(const std::string &name);
+  double lead_time(int j) const;
+  void recompute() const;
+
+  Port &port_;
+  const Settings &settings_;
+  StoreBudget &budget_;
+  const Leadership &lead_;
+  JobTable &jobs_;
+  EndedJobs &ended_;
+  std::vector<Node> nodes_; // by job
+  std::unordered_map<std::string, int> index_;
+  std::map<std::string, Unknown> unknown_;
+  std::size_t reading_ = 0;
+  // What follows along the graph is worked out when it is asked for after a change.
+  mutable bool outdated_ = false;
+  mutable std::vector<int> order_;
+  mutable std::vector<std::pair<Urgency, std::optional<double>>> wanted_; // by job
+};
+
+} // namespace loft::core
--- a/include/loftrouter/core/insight.hpp
+++ b/include/loftrouter/core/insight.hpp
@@ -19,10 +19,10 @@
 public:
   Insight(Port &port, const Settings &settings, const Catalogue &catalogue, const Operators &operators,
           const Leadership &lead, const RecordWatch &watch, const JobTable &jobs, const EndedJobs &ended,
-          const FailureJudge &judge, const Reasons &reasons, const Fleet &fleet, const Placer &placer,
+          const Dependencies &dependencies, const FailureJudge &judge, const Reasons &reasons, const Fleet &fleet, const Placer &placer,
           const Scaler &scaler, const Wishes &wishes, const Ledger &ledger, Siblings &siblings)
       : port_(port), settings_(settings), catalogue_(catalogue), operators_(operators), lead_(lead), watch_(watch),
-        jobs_(jobs), ended_(ended), judge_(judge), reasons_(reasons), fleet_(fleet), placer_(placer), scaler_(scaler),
+        jobs_(jobs), ended_(ended), dependencies_(dependencies), judge_(judge), reasons_(reasons), fleet_(fleet), placer_(placer), scaler_(scaler),
         wishes_(wishes), ledger_(ledger), siblings_(siblings) {}
 
   // What a user is shown of a job that the state service has just said is open.
@@ -56,6 +56,7 @@
   std::string why(int j, const Supplies &supply) const;
   std::string why_waiting(int j, const Supplies &supply) const;
   std::string why_held(const Job &n) const;
+  std::string why_not_ready(int j) const;
   bool any_running(int j) const;
 
   Port &port_;
@@ -66,6 +67,7 @@
   const RecordWatch &watch_;
   const JobTable &jobs_;
   const EndedJobs &ended_;
+  const Dependencies &dependencies_;
   const FailureJudge &judge_;
   const Reasons &reasons_;
   const Fleet &fleet_;
--- a/include/loftrouter/core/jobs.hpp
+++ b/include/loftrouter/core/jobs.hpp
@@ -98,6 +98,7 @@
   void lapse_loan(int j, std::uint64_t generation);
   void drop_loan(int j, std::uint64_t generation);
   void pause(int j, bool paused);
+  void readied(int j); // what it waited for is done (Dependencies)
   void settle(int j); // borrowed: home knows how it ended
 
   // Mono, when every lease that an earlier leader may have kept alive has run out; 0: nothing is waited for.
--- a/include/loftrouter/core/leadership.hpp
+++ b/include/loftrouter/core/leadership.hpp
@@ -6,6 +6,7 @@
 // wrong, two leaders could start the same task (ran_twice). See docs/safety.md, "The leader and its term".
 #pragma once
 
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -50,6 +51,10 @@
 
   const std::string &leader_name() const { return leader_name_; } // empty: none known
   std::uint64_t leader_term() const { return leader_term_; }
+  // Whether the leader knows of jobs that wait for others; nothing if no other is known to lead.
+  std::optional<bool> leader_knows_waiting() const {
+    return role_ == Role::Follower && !leader_name_.empty() ? std::optional(leader_knows_waiting_) : std::nullopt;
+  }
   double leader_seen() const { return leader_seen_; }
   double leading_since() const { return leading_since_; }
   // Since this node took over from another that it had known to lead; mono, far back if it did not.
@@ -73,6 +78,7 @@
   double leaderless_since_ = -1; // mono; negative: there is a leader, as far as known
   bool renewing_ = false, polling_ = false;
   std::string leader_name_;
+  bool leader_knows_waiting_ = false;
   std::uint64_t leader_term_ = 0;
   double leader_seen_ = -1e9, leading_since_ = 0, leading_since_wall_ = 0, leaderless_since_wall_ = 0;
 };
--- a/include/loftrouter/core/placer.hpp
+++ b/include/loftrouter/core/placer.hpp
@@ -10,6 +10,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "loftrouter/core/dependencies.hpp"
 #include "loftrouter/core/fleet.hpp"
 #include "loftrouter/core/judge.hpp"
 #include "loftrouter/core/placement.hpp"
@@ -24,10 +25,11 @@
     Resources need;  // the largest such job's
   };
   Placer(Port &port, Events &events, const Settings &settings, const Catalogue &catalogue, const Operators &operators,
-         const Leadership &lead, JobTable &jobs, const FailureJudge &judge, Recorder &recorder, Fleet &fleet,
-         const Wishes &wishes, const Ledger &ledger)
+         const Leadership &lead, JobTable &jobs, const Dependencies &dependencies, const FailureJudge &judge,
+         Recorder &recorder, Fleet &fleet, const Wishes &wishes, const Ledger &ledger)
       : port_(port), events_(events), settings_(settings), catalogue_(catalogue), operators_(operators), lead_(lead),
-        jobs_(jobs), judge_(judge), recorder_(recorder), fleet_(fleet), wishes_(wishes), ledger_(ledger) {}
+        jobs_(jobs), dependencies_(dependencies), judge_(judge), recorder_(recorder), fleet_(fleet), wishes_(wishes),
+        ledger_(ledger) {}
 
   void tick();   // a round if one is due
   void settle(); // a round if something has come up, at the end of each batch
@@ -45,7 +47,7 @@
   // included.
   std::vector<Resources> team_room() const;
   bool patient(int j) const;
-  double age(const Job &n) const { return port_.wall() - n.submit_wall; }
+  double age(int j) const { return port_.wall() - dependencies_.ready_wall(j); } // since it could start
   double up_cpus() const { return up_cpus_; }        // at the last round
   const Kept *kept(int type, double within_s) const; // wanted within so many seconds
 
@@ -87,6 +89,7 @@
   const Operators &operators_;
   const Leadership &lead_;
   JobTable &jobs_;
+  const Dependencies &dependencies_;
   const FailureJudge &judge_;
   Recorder &recorder_;
   Fleet &fleet_;
--- a/include/loftrouter/core/reasons.hpp
+++ b/include/loftrouter/core/reasons.hpp
@@ -6,16 +6,20 @@
 #include <string_view>
 #include <vector>
 
+#include "loftrouter/core/dependencies.hpp"
 #include "loftrouter/core/events.hpp"
 #include "loftrouter/core/judge.hpp"
 #include "loftrouter/core/wishes.hpp"
 
 namespace loft::core {
 
+std::string stopped_with(std::string_view id); // in words: why a job is cancelled that needs this one
+
 class Reasons {
 public:
-  Reasons(Port &port, const JobTable &jobs, const FailureJudge &judge, const Wishes &wishes)
-      : port_(port), jobs_(jobs), judge_(judge), wishes_(wishes) {}
+  Reasons(Port &port, const JobTable &jobs, const Dependencies &dependencies, const FailureJudge &judge,
+          const Wishes &wishes)
+      : port_(port), jobs_(jobs), dependencies_(dependencies), judge_(judge), wishes_(wishes) {}
 
   const std::string &of(int j) const; // empty: nothing
   EndRecord end_record(int j) const;
@@ -31,6 +35,7 @@
 
   Port &port_;
   const JobTable &jobs_;
+  const Dependencies &dependencies_;
   const FailureJudge &judge_;
   const Wishes &wishes_;
   std::vector<std::string> last_;
--- a/include/loftrouter/core/recorder.hpp
+++ b/include/loftrouter/core/recorder.hpp
@@ -14,6 +14,7 @@
 #include <vector>
 
 #include "loftrouter/core/budget.hpp"
+#include "loftrouter/core/dependencies.hpp"
 #include "loftrouter/core/events.hpp"
 #include "loftrouter/core/judge.hpp"
 #include "loftrouter/core/leadership.hpp"
@@ -25,9 +26,10 @@
 class Recorder {
 public:
   Recorder(Port &port, Events &events, const Settings &settings, Leadership &lead, StoreBudget &budget, JobTable &jobs,
-           EndedJobs &ended, FailureJudge &judge, const Reasons &reasons, const Wishes &wishes, Ledger &ledger)
+           EndedJobs &ended, const Dependencies &dependencies, FailureJudge &judge, const Reasons &reasons,
+           const Wishes &wishes, Ledger &ledger)
       : port_(port), events_(events), settings_(settings), lead_(lead), budget_(budget), jobs_(jobs), ended_(ended),
-        judge_(judge), reasons_(reasons), wishes_(wishes), ledger_(ledger) {}
+        dependencies_(dependencies), judge_(judge), reasons_(reasons), wishes_(wishes), ledger_(ledger) {}
 
   // A task may be on a machine from now on, or may have been. Never taken back.
   void start(int j, std::uint32_t i) { marks(j)[i] |= kStarted; }
@@ -65,12 +67,18 @@
     // Jobs that ended under an earlier leader after it had last written this record: they stay in it until what their
     // ends say has been added to the sums.
     std::vector<std::pair<std::string, ProgressRecord>> ghosts;
+    // Jobs that move from it to another record, as it is larger than may be written by now: until that one is known to
+    // hold them this one is not written; then it is, without them; and only after that may they go from the other.
+    std::vector<int> leaving;
+    bool oversize = false; // as it was read
     std::string folding; // a period whose sums may have been moved from here, by a write without an answer
   };
   static constexpr std::uint8_t kStarted = 1, kCovered = 2, kRecorded = 4, kDoneCovered = 8, kDoneRecorded = 16;
   struct Entry {                     // of a job
     std::vector<std::uint8_t> marks; // by task; `covered`: by the transaction that last wrote its progress
-    int shard = -1;
+    int shard = -1, from = -1; // the latter: the record that it moves from, until that was written without it
+    bool copied = false;       // the new one is known to hold it
+    int coarser = 0;           // its sets take half the room, so many times: the state service has refused them
     bool dirty = false;        // its progress differs from what was last written
     bool to_end = false;       // in the queue for that
     bool needs_resync = false; // stamp unknown after an unanswered or refused write
@@ -96,8 +104,14 @@
   void mark_shard(std::size_t s, bool urgent);
   std::size_t set_chars() const;
   std::size_t most_chars() const;
-  std::size_t room_for_entries() const;
+  std::size_t room_for_entries(std::size_t s, const std::string &team) const;
   std::size_t entry_chars(const Job &n) const;
+  std::size_t fresh_shard(char series);
+  void put_in(int j, std::size_t s);
+  void move(int j, std::size_t from);
+  void move_on(const Transaction &t);
+  bool blocked(const Shard &s) const;
+  void refused(const Transaction &t);
   void accept(OpenRecord record, std::uint64_t stamp);
   void assign_shard(int j);
   void remove(int j);
@@ -125,6 +139,7 @@
   StoreBudget &budget_;
   JobTable &jobs_;
   EndedJobs &ended_;
+  const Dependencies &dependencies_;
   FailureJudge &judge_;
   const Reasons &reasons_;
   const Wishes &wishes_;
@@ -139,7 +154,7 @@
   std::deque<int> ending_; // jobs whose final record is to be written
   std::deque<Move> moves_;
   bool ends_first_ = false, flushing_ = false;
-  double flush_after_ = 0;
+  double flush_after_ = 0, alone_until_ = -1e9; // the latter: one record a transaction, to find which is refused
 };
 
 } // namespace loft::core
--- a/include/loftrouter/core/scaler.hpp
+++ b/include/loftrouter/core/scaler.hpp
@@ -16,7 +16,7 @@
 class Scaler {
 public:
   Scaler(Port &port, const Settings &settings, Catalogue &catalogue, const Operators &operators, const Leadership &lead,
-         const JobTable &jobs, const FailureJudge &judge, Fleet &fleet, const Silence &silence, const Placer &placer,
+         const JobTable &jobs, const Dependencies &dependencies, const FailureJudge &judge, Fleet &fleet, const Silence &silence, const Placer &placer,
          const Wishes &wishes);
 
   void tick();
@@ -49,6 +49,7 @@
   const Operators &operators_;
   const Leadership &lead_;
   const JobTable &jobs_;
+  const Dependencies &dependencies_;
   const FailureJudge &judge_;
   Fleet &fleet_;
   const Silence &silence_;
--- a/include/loftrouter/core/settings.hpp
+++ b/include/loftrouter/core/settings.hpp
@@ -1,6 +1,7 @@
 // What the platform's settings file says, as the core needs it.
 #pragma once
 
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -35,8 +36,11 @@
   std::vector<Team> teams;
   std::vector<Objective> objectives;
   double report_s = 1, lease_s = 10, gang_wait_s = 30, gang_peer_s = 4, cancel_s = 40;
+  // Limits of the state service. They may fall without notice: what is written obeys the smaller of the sizes from the
+  // first write; the rates are those in force until the fall has shown (StoreBudget).
   double state_rps = 100, state_write_rps = 10, state_value_kb = 8;
   int state_txn_ops = 8;
+  std::optional<double> state_next_rps, state_next_write_rps;
   double cloud_rps = 5, cloud_list_lag_s = 3;
   double cpu_share = 1, memory_mb = 256;
   int fd_limit = 1024;
--- a/include/loftrouter/core/siblings.hpp
+++ b/include/loftrouter/core/siblings.hpp
@@ -30,6 +30,7 @@
     // Of its last question here, by its own dialling: it could pass reports on to this node.
     double asked_at = -1e9;
     ReachWord asks_with;
+    bool knows_waiting = false; // by the same: its version knows of jobs that wait for others
     std::uint64_t term = 0; // that it knows of, or leads
     StoreBudget::Use use;
   };
@@ -55,6 +56,10 @@
 
   void say(const ReachWord &own) { own_ = own; } // with every answer from now on
 
+  // A sibling of a version that knows nothing of jobs that wait for others, by its own questions of late or as the
+  // leader: such jobs are not accepted until it is gone or silent.
+  bool earlier_version() const;
+
   bool cut_off() const; // this node, from the state service
   // Everybody's outage: nobody can be elected, so the leader may go on answering reports for as long as every sibling
   // keeps saying so. It starts nothing.
--- a/include/loftrouter/core/types.hpp
+++ b/include/loftrouter/core/types.hpp
@@ -44,7 +44,9 @@
   bool one_zone = false, spread = false, spot = false;
   double estimate_s = 0, checkpoint_s = 0, save_s = 0;
   std::optional<double> deadline_s;
+  std::vector<std::string> waits_for; // jobs that have to be done before any of its tasks starts, each once
 };
+constexpr std::size_t kMostWaitsFor = 100; // names; a record has room for about so many where values are small
 
 // Half-open index ranges, sorted and apart.
 using Ranges = std::vector<std::pair<std::uint32_t, std::uint32_t>>;
--- a/include/loftrouter/core/users.hpp
+++ b/include/loftrouter/core/users.hpp
@@ -8,6 +8,8 @@
 #pragma once
 
 #include <deque>
+#include <functional>
+#include <memory>
 #include <string>
 #include <unordered_map>
 
@@ -35,6 +37,8 @@
 
 private:
   static constexpr std::size_t kMostPassed = 512;
+  static constexpr double kQuestionPatience = 0.25; // s, that a question waits for a comparison
+  static constexpr double kNamesPatience = 1.0;     // the same where others have to be read first
   using Verb = wire::PeerMessage::Verb;
   // Those about jobs known to be open wait for the next comparison of their records' revisions.
   struct Question {
@@ -42,31 +46,51 @@
     std::string id;
     bool as_submit;
     double asked;
+    double patience = kQuestionPatience;
+    std::vector<std::string> unchanged = {}; // records that a comparison since has found so
+  };
+  struct Compared {
+    Question question;
+    std::vector<std::string> keys;
+    bool whole = true; // all that it has to find unchanged is in the comparison
   };
   struct Passed {
     Verb verb;
     std::string id, body; // the latter only if it is short
     double asked;
     std::uint64_t tried; // siblings, by bit
+    bool waits;          // a submission that names others
   };
   struct KnownOpen {
     std::uint64_t stamp;
-    bool cancelled;
+    bool cancelled, service;
+    std::vector<std::string> waits_for; // without those known to be done
   };
+  // What is known of a job that another names; Never: nobody has accepted it.
+  enum class Named : std::uint8_t { Open, Service, Done, Cancelled, Never, Unknown };
+  struct Submission; // one that names others, while they are looked up
   enum class Verdict : std::uint8_t { Ok, Never, Unknown };
   Verdict judge(const JobSpec &spec, std::string &why) const;
   void answer_state(const Question &q);
   void answer_end(RequestId req, const std::string &id, const EndRecord &end, bool brief);
   void tell_open(const Question &q, bool cancelled);
-  void note_open(const std::string &id, std::uint64_t stamp, bool cancelled);
+  void note_open(const OpenRecord &record, std::uint64_t stamp, bool cancelled);
+  const KnownOpen *known_open(const std::string &id);
+  Named known(const std::string &id);
+  void learn(const std::string &id, std::function<void(Named)> then);
+  void check_names(std::shared_ptr<Submission> s);
+  void names_checked(const std::shared_ptr<Submission> &s);
+  void accept(const Question &q, OpenRecord record);
+  std::optional<Compared> compare(Question q, StoreCommit &commit);
+  std::string cancelled_name(const std::string &id);
   void read_open(const Question &q);
   void want_id(const Question &q, std::uint64_t stamp, OpenRecord record);
   void read_end(const Question &q, bool as_abort);
-  int helper(std::uint64_t tried = 0) const; // the sibling to pass on to, or -1
+  int helper(std::uint64_t tried = 0, bool knows_waiting = false) const; // the sibling to pass on to, or -1
   bool pass_on(RequestId req, Verb verb, const std::string &id, double asked, std::string body = {},
-               std::uint64_t tried = 0);
+               std::uint64_t tried = 0, bool waits = false);
   // The state service has not answered: somebody else may.
-  void no_answer(const Question &q, Verb verb, std::string_view why, std::string body = {});
+  void no_answer(const Question &q, Verb verb, std::string_view why, std::string body = {}, bool waits = false);
 
   Port &port_;
   const Settings &settings_;
@@ -80,7 +104,7 @@
   int under_way_ = 0; // operations for users
   std::deque<Question> questions_;
   bool confirming_ = false;
-  double next_confirm_ = 0;
+  double next_confirm_ = 0, next_sweep_ = 0;
   std::unordered_map<std::string, KnownOpen> known_open_;
   std::deque<std::string> known_order_;
   PassedOn<Passed> passed_;
--- a/include/loftrouter/core/wishes.hpp
+++ b/include/loftrouter/core/wishes.hpp
@@ -12,20 +12,20 @@
 public:
   explicit Wishes(const Settings &settings) : settings_(settings) {}
 
-  // Seconds after its submission: nothing if nobody has said.
-  std::optional<double> wanted_after(const JobSpec &spec) const;
+  // Seconds after it could start, as its age: nothing if nobody has said. `deadline`: its own or what its path leaves it.
+  std::optional<double> wanted_after(const JobSpec &spec, std::optional<double> deadline) const;
   // What to work for: of several objectives the first that a job of this age can still meet.
-  double due_after(const JobSpec &spec, double age_s) const;
+  double due_after(const JobSpec &spec, std::optional<double> deadline, double age_s) const;
   // Small work that nobody wants at a certain time.
-  bool patient(const JobSpec &spec, double age_s) const;
+  bool patient(const JobSpec &spec, Urgency urgency, std::optional<double> deadline, double age_s) const;
 
 private:
   const Settings &settings_;
 };
 
 // Leaves machines alone that others need whole.
-inline bool is_small(const JobSpec &spec) {
-  return spec.urgency == Urgency::Low && spec.spot;
+inline bool is_small(const JobSpec &spec, Urgency urgency) {
+  return urgency == Urgency::Low && spec.spot;
 }
 
 } // namespace loft::core
--- a/include/loftrouter/wire/peer.hpp
+++ b/include/loftrouter/wire/peer.hpp
@@ -12,6 +12,10 @@
 
 namespace loft::wire {
 
+// Set in the number of a ping, and in the one of the leader's record, by nodes that know of jobs that wait for others.
+// Earlier versions use lower numbers and repeat any, so neither frame nor record is another one for it.
+constexpr std::uint64_t kKnowsWaiting = std::uint64_t(1) << 63;
+
 struct PeerMessage {
   // Digest: the leader tells how its jobs are getting on; not answered. Report: one that a worker has sent to a node
   // that does not lead; Orders: the leader's answer to it, for that worker. Ask: what a user wants of a node that the
--- a/src/app/settings.cpp
+++ b/src/app/settings.cpp
@@ -1,5 +1,6 @@
 #include "loftrouter/app/settings.hpp"
 
+#include <algorithm>
 #include <cmath>
 #include <fstream>
 #include <sstream>
@@ -96,7 +97,16 @@
   s.state_rps = st["rps"].number(1, 1e7);
   s.state_write_rps = st["write_rps"].number(0.5, 1e7);
   s.state_value_kb = st["value_kb"].number(1, 1e6);
-  s.state_txn_ops = static_cast<int>(st["txn_ops"].number(3, 10000));
+  s.state_txn_ops = static_cast<int>(st["txn_ops"].number(2, 10000));
+  if (st.has("next")) {
+    auto next = st["next"];
+    if (!next.j.is_object()) throw Bad("settings.state.next: must be a map");
+    if (next.has("value_kb")) s.state_value_kb = std::min(s.state_value_kb, next["value_kb"].number(1, 1e6));
+    if (next.has("txn_ops"))
+      s.state_txn_ops = std::min(s.state_txn_ops, static_cast<int>(next["txn_ops"].number(2, 10000)));
+    if (next.has("rps")) s.state_next_rps = next["rps"].number(1, 1e7);
+    if (next.has("write_rps")) s.state_next_write_rps = next["write_rps"].number(0.5, 1e7);
+  }
   auto c = set["cloud"];
   s.cloud_rps = c["rps"].number(0.1, 1e6);
   s.cloud_list_lag_s = c["list_lag_s"].number(0, 3600);
--- a/src/core/budget.cpp
+++ b/src/core/budget.cpp
@@ -1,22 +1,38 @@
 #include "loftrouter/core/budget.hpp"
 
+#include <algorithm>
+
 namespace loft::core {
 
 namespace {
 // Of what the state service allows: for users' reads, users' writes, and all writes.
+constexpr double kFallWithin = 15, kFallApart = 0.5; // s
+constexpr std::size_t kFallAfter = 3;
 constexpr double kUserReads = 0.75, kUserWrites = 0.6, kAllWrites = 0.95;
 } // namespace
 
-StoreBudget::StoreBudget(const Settings &s) : settings_(s) {
+StoreBudget::StoreBudget(const Settings &s) : settings_(s), rps_(s.state_rps), write_rps_(s.state_write_rps) {
   const double nodes = static_cast<double>(s.siblings.size() + 1), w = s.state_write_rps, r = s.state_rps;
   writes_ = TokenBucket(kUserWrites * w / nodes, std::max(1.0, 0.25 * w));
   leader_writes_ = TokenBucket((1 - kUserWrites) * w, std::max<double>(0.5 * w, 3));
   reads_ = TokenBucket(kUserReads * r / nodes, std::max(2.0, 0.7 * r / nodes));
 }
 
+bool StoreBudget::refused(double now) {
+  const double rps = std::min(rps_, settings_.state_next_rps.value_or(rps_));
+  const double write_rps = std::min(write_rps_, settings_.state_next_write_rps.value_or(write_rps_));
+  if (rps >= rps_ && write_rps >= write_rps_) return false;
+  std::erase_if(refused_at_, [now](double at) { return now - at > kFallWithin; });
+  if (refused_at_.empty() || now - refused_at_.back() > kFallApart) refused_at_.push_back(now);
+  if (refused_at_.size() < kFallAfter) return false;
+  rps_ = rps;
+  write_rps_ = write_rps;
+  return true;
+}
+
 void StoreBudget::share(double now, double dt_s, const std::vector<std::optional<Use>> &siblings) {
   const double nodes = static_cast<double>(siblings.size() + 1);
-  const double reads = kUserReads * settings_.state_rps, writes = kUserWrites * settings_.state_write_rps;
+  const double reads = kUserReads * rps_, writes = kUserWrites * write_rps_;
   auto smooth = [dt_s](double &rate, double &before, double taken) {
     rate += 0.5 * ((taken - before) / dt_s - rate);
     before = taken;
@@ -30,8 +46,8 @@
   }
   reads_.set_rate(now, std::max(reads / nodes, reads - others.reads));
   writes_.set_rate(now, std::max(writes / nodes, writes - others.writes));
-  leader_writes_.set_rate(now, std::max((1 - kUserWrites) * settings_.state_write_rps,
-                                        kAllWrites * settings_.state_write_rps - use_.writes - others.writes));
+  leader_writes_.set_rate(now, std::max((1 - kUserWrites) * write_rps_,
+                                        kAllWrites * write_rps_ - use_.writes - others.writes));
 }
 
 } // namespace loft::core
--- a/src/core/cells.cpp
+++ b/src/core/cells.cpp
@@ -287,7 +287,7 @@
   }
   std::vector<int> order;
   jobs_.each([&](int j, const Job &n) {
-    if (!n.borrowed && !n.cancelled && n.pending() > 0) order.push_back(j);
+    if (!n.borrowed && !n.cancelled && n.pending() > 0 && n.spec.waits_for.empty()) order.push_back(j);
   });
   std::sort(order.begin(), order.end(), [this](int a, int b) {
     return std::pair(-static_cast<int>(jobs_[a].spec.urgency), jobs_[a].submit_wall) <
@@ -389,7 +389,8 @@
   auto among = [](const std::vector<std::string> &all, const std::string &x) {
     return std::find(all.begin(), all.end(), x) != all.end();
   };
-  if (!rules.lend || spec.shape == Shape::Service || spec.team.starts_with('@')) return false;
+  if (!rules.lend || spec.shape == Shape::Service || spec.team.starts_with('@') || !spec.waits_for.empty())
+    return false;
   if (among(rules.stay_teams, spec.team) || among(rules.stay_classes, spec.job_class)) return false;
   return !spec.zone; // its zone is here
 }
@@ -445,7 +446,7 @@
       return;
     }
     const double age = std::max(0.0, port_.wall() - n.submit_wall);
-    order.emplace_back(wishes_.due_after(n.spec, age) - age - n.spec.estimate_s, j);
+    order.emplace_back(wishes_.due_after(n.spec, n.spec.deadline_s, age) - age - n.spec.estimate_s, j);
   });
   std::sort(order.begin(), order.end());
   for (auto [left, j] : order) {
@@ -559,7 +560,9 @@
   JobSpec spec = n.spec;
   const double age = std::max(0.0, port_.wall() - n.submit_wall);
   spec.deadline_s =
-      wishes_.wanted_after(n.spec) ? std::optional(std::max(1.0, wishes_.due_after(n.spec, age) - age)) : std::nullopt;
+      wishes_.wanted_after(n.spec, n.spec.deadline_s)
+          ? std::optional(std::max(1.0, wishes_.due_after(n.spec, n.spec.deadline_s, age) - age))
+          : std::nullopt;
   m.body = wire::encode(wire::to_json(spec));
   for (const auto &x : n.loans)
     if (x.generation == m.generation) m.ranges = x.tasks;
--- a/src/core/core.cpp
+++ b/src/core/core.cpp
@@ -7,20 +7,20 @@
 Core::Core(Settings settings, std::uint64_t seed)
     : settings_(with_cell_teams(std::move(settings))), port_(seed), wishes_(settings_), catalogue_(settings_.zones),
       operators_(port_, events_), budget_(settings_), lead_(port_, events_, settings_, catalogue_),
-      jobs_(port_, events_, settings_), ended_(events_), judge_(port_, events_, jobs_, operators_),
-      reasons_(port_, jobs_, judge_, wishes_), ledger_(port_, settings_, catalogue_, jobs_, operators_),
-      recorder_(port_, events_, settings_, lead_, budget_, jobs_, ended_, judge_, reasons_, wishes_, ledger_),
+      jobs_(port_, events_, settings_), ended_(events_), dependencies_(port_, settings_, budget_, lead_, jobs_, ended_), judge_(port_, events_, jobs_, operators_),
+      reasons_(port_, jobs_, dependencies_, judge_, wishes_), ledger_(port_, settings_, catalogue_, jobs_, operators_),
+      recorder_(port_, events_, settings_, lead_, budget_, jobs_, ended_, dependencies_, judge_, reasons_, wishes_, ledger_),
       watch_(port_, settings_, lead_, recorder_),
       fleet_(port_, events_, settings_, catalogue_, operators_, lead_, jobs_, recorder_),
       silence_(port_, settings_, catalogue_, lead_, fleet_), siblings_(port_, settings_, lead_, budget_, jobs_, watch_),
       reach_(port_, settings_, catalogue_, lead_, siblings_, fleet_, silence_),
       reports_(port_, settings_, lead_, siblings_, reach_, silence_, watch_, fleet_),
-      placer_(port_, events_, settings_, catalogue_, operators_, lead_, jobs_, judge_, recorder_, fleet_, wishes_,
-              ledger_),
-      scaler_(port_, settings_, catalogue_, operators_, lead_, jobs_, judge_, fleet_, silence_, placer_, wishes_),
+      placer_(port_, events_, settings_, catalogue_, operators_, lead_, jobs_, dependencies_, judge_, recorder_, fleet_,
+              wishes_, ledger_),
+      scaler_(port_, settings_, catalogue_, operators_, lead_, jobs_, dependencies_, judge_, fleet_, silence_, placer_, wishes_),
       cells_(port_, events_, settings_, catalogue_, operators_, lead_, watch_, budget_, jobs_, judge_, ledger_,
              recorder_, fleet_, siblings_, placer_, scaler_, wishes_),
-      insight_(port_, settings_, catalogue_, operators_, lead_, watch_, jobs_, ended_, judge_, reasons_, fleet_,
+      insight_(port_, settings_, catalogue_, operators_, lead_, watch_, jobs_, ended_, dependencies_, judge_, reasons_, fleet_,
                placer_, scaler_, wishes_, ledger_, siblings_),
       users_(port_, settings_, catalogue_, budget_, lead_, jobs_, ended_, siblings_, insight_),
       administration_(port_, settings_, catalogue_, operators_, budget_, lead_, watch_, jobs_, judge_, fleet_, scaler_,
@@ -58,7 +58,7 @@
       };
       (one(parts), ...);
     };
-    hand(chronicle_, judge_, fleet_, silence_, ledger_, recorder_, watch_, reports_, placer_, scaler_, cells_, reasons_,
+    hand(chronicle_, dependencies_, judge_, fleet_, silence_, ledger_, recorder_, watch_, reports_, placer_, scaler_, cells_, reasons_,
          insight_, users_, jobs_);
   });
 }
@@ -88,6 +88,7 @@
     for (int j : jobs_.age())
       fleet_.tend_gang(j);
   });
+  step([this] { dependencies_.tick(); });
   insight_.log_summary();
   step([this] { fleet_.tick(); });
   ledger_.tick();
@@ -118,6 +119,12 @@
     port_.refuse(cmd.req, catalogue_.known() ? "state service out of reach" : "starting up");
 }
 
+void Core::on(CmdStoreReply &&cmd) {
+  if (cmd.reply.status == 429 && budget_.refused(port_.now()))
+    port_.log(LogLevel::Info, "state_limits_have_fallen", {{"then", "the announced rates are kept to"}});
+  port_.answered(cmd);
+}
+
 void Core::on(CmdReport &&cmd) {
   answer(reports_.take(std::move(cmd)));
 }
--- a/src/core/insight.cpp
+++ b/src/core/insight.cpp
@@ -38,7 +38,9 @@
 // Why the job's tasks wait, or what last happened to them, in words for its owner.
 std::string Insight::why(int j, const Supplies &supply) const {
   const Job &n = jobs_[j];
+  if (const auto &with = dependencies_.stopped_with(j); !with.empty()) return stopped_with(with);
   if (n.cancelled) return "stopped: cancelled by its user";
+  if (!dependencies_.ready(j)) return why_not_ready(j);
   if (n.done == n.spec.tasks) return "all tasks have completed; this is being recorded";
   if (judge_.suspect(j)) {
     if (n.placed)
@@ -77,6 +79,16 @@
   return last.empty() ? wait : wait + "; " + last;
 }
 
+std::string Insight::why_not_ready(int j) const {
+  const auto &open = dependencies_.waits_for(j);
+  const std::size_t others = open.size() + dependencies_.unknown(j) - !open.empty();
+  if (open.empty()) return fmt::format("waits for {} that this leader is still looking up", plural(others, "job"));
+  const Job &first = jobs_[open.front()];
+  return fmt::format("waits for job {}, of which {} of {} tasks {} done{}", first.spec.id, first.done, first.spec.tasks,
+                     first.spec.tasks == 1 ? "is" : "are",
+                     others ? fmt::format(", and for {}", plural(others, "other job")) : "");
+}
+
 std::string Insight::why_held(const Job &n) const {
   const auto &clock = operators_.budgets().clock;
   return fmt::format("held: team {} has used its {:g} CPU hours of this {}, since {}; {} {} for {} or a larger budget",
@@ -130,9 +142,9 @@
 
 bool Insight::foreseen_late(int j) const {
   const Job &n = jobs_[j];
-  const auto wanted = wishes_.wanted_after(n.spec);
+  const auto wanted = wishes_.wanted_after(n.spec, dependencies_.deadline(j));
   if (!wanted || n.cancelled || n.done == n.spec.tasks) return false;
-  const double age = std::max(0.0, placer_.age(n));
+  const double age = std::max(0.0, placer_.age(j));
   const double queue = n.pending() * n.spec.need.cpus / std::max(1.0, placer_.up_cpus());
   return age + (n.pending() ? n.spec.estimate_s * (1 + queue) : 0.0) >
          operators_.tunables().late_notice_share * *wanted;
--- a/src/core/jobs.cpp
+++ b/src/core/jobs.cpp
@@ -114,6 +114,11 @@
   if (std::exchange(at(j).paused, paused) && !paused) ++arrivals_;
 }
 
+void JobTable::readied(int j) {
+  ++arrivals_;
+  changed(j, true);
+}
+
 void JobTable::settle(int j) {
   at(j).settled = true;
   changed(j, true);
--- a/src/core/leadership.cpp
+++ b/src/core/leadership.cpp
@@ -32,6 +32,7 @@
       if (auto rec = wire::leader_from_json(r.entries[0].value)) {
         leader_name_ = rec->node == settings_.node ? "" : rec->node;
         leader_term_ = r.entries[0].stamp;
+        leader_knows_waiting_ = rec->nonce & wire::kKnowsWaiting;
         highest_term_ = std::max(highest_term_, leader_term_);
         leader_seen_ = port_.now();
         leaderless_since_ = -1;
@@ -63,7 +64,7 @@
     if (epoch != epoch_) return;
     if (r.status != 200 || !r.lease) return back(0);
     const auto lease = r.lease;
-    const LeaderRecord record{settings_.node, port_.nonce()};
+    const LeaderRecord record{settings_.node, port_.nonce() | wire::kKnowsWaiting};
     port_.store(StoreCommit{{{kLeaderKey, 0}}, {{kLeaderKey, wire::to_json(record), lease}}}, 1.0,
                 [this, epoch, lease, sent, back](const wire::StoreReply &c) {
                   if (epoch != epoch_) return;
--- a/src/core/placer.cpp
+++ b/src/core/placer.cpp
@@ -58,7 +58,7 @@
 }
 
 bool Placer::patient(int j) const {
-  return wishes_.patient(jobs_[j].spec, age(jobs_[j]));
+  return wishes_.patient(jobs_[j].spec, dependencies_.urgency(j), dependencies_.deadline(j), age(j));
 }
 
 PlaceOptions Placer::options() const {
@@ -72,7 +72,9 @@
                                            const std::function<bool(int)> &silent_too) const {
   std::vector<PlaceMachine> out;
   const double cheapest = catalogue_.cheapest_cpu();
-  auto small = [this](const Slot &s) { return s.job >= 0 && is_small(jobs_[s.job].spec); };
+  auto small = [this](const Slot &s) {
+    return s.job >= 0 && is_small(jobs_[s.job].spec, dependencies_.urgency(s.job));
+  };
   const int first = std::max(0, only), end = only >= 0 ? only + 1 : static_cast<int>(fleet_.slots());
   for (int m = first; m < end; ++m) {
     const Machine *p = fleet_.find(m);
@@ -153,7 +155,8 @@
   if (n.spec.spread) p.zone_cap = static_cast<int>((n.spec.tasks + 1) / 2);
   p.barred = judge_.barred(j);
   p.ready = n.pending();
-  bool held = n.cancelled || n.ending || n.paused || ledger_.spent(n.team); // of its team's budget, not an end
+  bool held = n.cancelled || n.ending || n.paused || ledger_.spent(n.team) || // of its team's budget, not an end
+              !dependencies_.ready(j);
   if (suspect) { // one task, or one gang, at a time and seldom
     held |= port_.now() < judge_.retry_at(j) || n.placed > 0 || n.unaccounted > 0;
     if (n.spec.shape != Shape::Gang) p.ready = std::min(p.ready, 1U);
@@ -165,19 +168,20 @@
     if (n.placed && n.gang_closed) held = true; // the old attempt has to be gone first
   }
   p.limit = held ? 0 : p.ready;
-  p.urgency = n.spec.urgency;
-  p.wait_s = std::max(0.0, age(n));
+  p.urgency = dependencies_.urgency(j);
+  p.wait_s = std::max(0.0, age(j));
   p.borrowed = n.borrowed.has_value();
   p.started = n.placed + n.done > 0 || suspect || p.borrowed; // a suspect reserves nothing, nor does others' work
   // Work that nobody wants at a certain time waits for cheap places, of which it may have what others leave.
   if (patient(j)) p.most_dear = 1 - 1 / kDear;
   // The last of its tasks starts once the others have had their turn on the fleet.
-  p.in_time = wishes_.wanted_after(n.spec) &&
+  const auto deadline = dependencies_.deadline(j);
+  p.in_time = wishes_.wanted_after(n.spec, deadline) &&
               p.wait_s + n.spec.estimate_s * (1 + p.ready * p.need.cpus / std::max(1.0, up_cpus_)) <=
-                  wishes_.due_after(n.spec, age(n));
+                  wishes_.due_after(n.spec, deadline, age(j));
   p.image = n.image;
   p.image_gb = n.spec.image_gb;
-  p.small = is_small(n.spec);
+  p.small = is_small(n.spec, p.urgency);
   p.team = std::max(0, n.team);
   return p;
 }
@@ -278,7 +282,7 @@
                {"class", n.spec.job_class},
                {"machine", fleet_[m].name},
                {"type", catalogue_.type_name(fleet_[m].type)},
-               {"after_s", age(n)}});
+               {"after_s", age(j)}});
 }
 
 void Placer::round() {
@@ -297,7 +301,7 @@
   std::vector<Resources> wanted(settings_.teams.size());
   std::vector<int> order;
   jobs_.each([&](int j, const Job &n) {
-    if (n.team >= 0 && !n.cancelled && n.pending() > 0) order.push_back(j);
+    if (n.team >= 0 && !n.cancelled && n.pending() > 0 && dependencies_.ready(j)) order.push_back(j);
   });
   // Oldest first, so that a team's guarantee covers its earliest unfinished jobs.
   std::sort(order.begin(), order.end(), [this](int a, int b) { return jobs_[a].submit_wall < jobs_[b].submit_wall; });
@@ -326,8 +330,8 @@
   next_ahead_ = port_.now() + kAheadEvery;
   std::vector<std::tuple<int, bool, double, int>> line;
   jobs_.each([&](int j, const Job &n) {
-    if (n.cancelled || n.spec.shape == Shape::Gang || n.pending() == 0) return;
-    line.emplace_back(-static_cast<int>(n.spec.urgency), !place_job(j).in_time, n.submit_wall, j);
+    if (n.cancelled || n.spec.shape == Shape::Gang || n.pending() == 0 || !dependencies_.ready(j)) return;
+    line.emplace_back(-static_cast<int>(dependencies_.urgency(j)), !place_job(j).in_time, n.submit_wall, j);
   });
   std::sort(line.begin(), line.end());
   double left = kAheadShare * up_cpus_;
@@ -400,7 +404,7 @@
       if (slot.stop) { // going anyway
         o.free.add(slot.need);
         o.at_once &= owner && owner->spec.checkpoint_s <= 0;
-      } else if (owner && (owner->spec.urgency < p.urgency || owner->borrowed) && owner->spec.shape == Shape::Array) {
+      } else if (owner && (dependencies_.urgency(slot.job) < p.urgency || owner->borrowed) && owner->spec.shape == Shape::Array) {
         const double ran = slot.running_since >= 0 ? port_.now() - slot.running_since : 0.1;
         o.victims.push_back({ran * slot.need.cpus, s, slot.need});
         o.at_once &= owner->spec.checkpoint_s <= 0;
@@ -439,10 +443,10 @@
 // A job that fits nowhere may take the place of work of lower priority, where the least work is lost. Tasks
 // that cannot save exit as soon as they are told, so their successors are started by the very same answer.
 void Placer::preempt(std::vector<int> starved) {
-  std::erase_if(starved, [this](int j) { return jobs_[j].spec.urgency == Urgency::Low || jobs_[j].borrowed; });
+  std::erase_if(starved, [this](int j) { return dependencies_.urgency(j) == Urgency::Low || jobs_[j].borrowed; });
   if (starved.empty()) return;
   std::stable_sort(starved.begin(), starved.end(),
-                   [this](int a, int b) { return jobs_[a].spec.urgency > jobs_[b].spec.urgency; });
+                   [this](int a, int b) { return dependencies_.urgency(a) > dependencies_.urgency(b); });
   std::vector<int> index;
   auto machines = snapshot(index, -1);
   for (int j : starved) {
--- a/src/core/reasons.cpp
+++ b/src/core/reasons.cpp
@@ -4,6 +4,10 @@
 
 namespace loft::core {
 
+std::string stopped_with(std::string_view id) {
+  return fmt::format("stopped: job {}, which it waits for, was cancelled", id);
+}
+
 const std::string &Reasons::of(int j) const {
   static const std::string none;
   return static_cast<std::size_t>(j) < last_.size() ? last_[static_cast<std::size_t>(j)] : none;
@@ -39,10 +43,12 @@
   e.team = n.spec.team;
   e.submit_wall = n.submit_wall;
   e.end_wall = port_.wall();
-  const double took = port_.wall() - n.submit_wall;
-  const auto wanted = wishes_.wanted_after(n.spec);
+  const double took = port_.wall() - dependencies_.ready_wall(j);
+  const auto wanted = wishes_.wanted_after(n.spec, dependencies_.own_deadline(j));
   e.late = !n.cancelled && wanted && took > *wanted;
-  if (n.cancelled)
+  if (const auto &with = dependencies_.stopped_with(j); n.cancelled && !with.empty())
+    e.reason = stopped_with(with);
+  else if (n.cancelled)
     e.reason = judge_.failed_on(j)
                    ? fmt::format("stopped: cancelled by its user; it had failed on {} machines", judge_.failed_on(j))
                    : "stopped: cancelled by its user";
--- a/src/core/recorder.cpp
+++ b/src/core/recorder.cpp
@@ -37,13 +37,14 @@
   Shard s;
   s.key = e.key;
   s.stamp = e.stamp;
+  s.oversize = e.value.dump().size() > most_chars();
   ledger_.load_sums(shards_.size(), std::move(shard->sums));
   for (auto &[id, p] : shard->jobs) {
     // Guards against what an earlier loan of the same job has done here being taken for this one's: its entry goes
     // lazily.
     const std::pair key(id, p.borrowed);
-    loaded_shard_[key] = shards_.size();
     auto &known = loaded_[key];
+    if (p.at_ms >= known.at_ms) loaded_shard_[key] = shards_.size(); // the newer, of a job that was being moved
     known.started.insert(known.started.end(), p.started.begin(), p.started.end());
     known.finished.insert(known.finished.end(), p.finished.begin(), p.finished.end());
     known.failed_on = std::max(known.failed_on, p.failed_on);
@@ -101,7 +102,7 @@
     ledger_.restore(j, it->second);
   }
   events_.publish(JobAccepted{j});
-  jobs_.changed(j, n.spec.urgency != Urgency::Low);
+  jobs_.changed(j, n.spec.urgency != Urgency::Low && n.spec.waits_for.empty());
 }
 
 void Recorder::on(const TermElected &) {
@@ -162,9 +163,14 @@
   return static_cast<std::size_t>(settings_.state_value_kb * 1024 * 0.95);
 }
 
-std::size_t Recorder::room_for_entries() const {
-  const std::size_t sums = ledger_.on() ? kSumsChars * settings_.teams.size() : 0;
-  return most_chars() - std::min(sums, most_chars() / 2);
+std::size_t Recorder::room_for_entries(std::size_t s, const std::string &team) const {
+  if (!ledger_.on()) return most_chars();
+  std::set<std::string> teams{team};
+  for (int j : shards_[s].jobs)
+    teams.insert(jobs_[j].spec.team);
+  for (const auto &[key, row] : ledger_.sums(s))
+    teams.insert(key.second);
+  return most_chars() - std::min(kSumsChars * teams.size(), most_chars() / 2);
 }
 
 // With accounts, room for one full set and a short one: tasks are started in their order, so those that were are one
@@ -175,30 +181,109 @@
   return (ledger_.on() ? kAccountChars + n.spec.id.size() + set : kEntryChars + 2 * set) + loans;
 }
 
-// A job stays in its shard for as long as this node leads; room for its largest form is reserved.
+// A job stays in its shard for as long as this node leads; room for its largest form is reserved. One that an earlier
+// leader kept where values may be larger than now may have to move.
 void Recorder::assign_shard(int j) {
   const Job &n = jobs_[j];
   const std::size_t chars = entry_chars(n);
-  const std::size_t limit = room_for_entries();
-  std::size_t s = shards_.size();
-  if (auto it = loaded_shard_.find(loaded_key(n)); it != loaded_shard_.end()) s = it->second;
-  for (std::size_t k = 0; k < shards_.size() && s == shards_.size(); ++k)
-    if (shards_[k].reserved + chars <= limit) s = k;
-  if (s == shards_.size()) {
-    Shard fresh;
-    for (std::size_t name = 0; fresh.key.empty(); ++name) {
-      auto key = fmt::format("progress/s{}", name);
-      if (std::none_of(shards_.begin(), shards_.end(), [&](const Shard &x) { return x.key == key; })) fresh.key = key;
-    }
-    shards_.push_back(std::move(fresh));
+  auto has_room = [&](std::size_t s) { return shards_[s].reserved + chars <= room_for_entries(s, n.spec.team); };
+  if (auto it = loaded_shard_.find(loaded_key(n)); it != loaded_shard_.end()) {
+    if (has_room(it->second) || shards_[it->second].jobs.empty()) return put_in(j, it->second);
+    return move(j, it->second);
   }
+  for (std::size_t s = 0; s < shards_.size(); ++s)
+    if (has_room(s)) return put_in(j, s);
+  put_in(j, fresh_shard('s'));
+}
+
+void Recorder::put_in(int j, std::size_t s) {
   entry(j).shard = static_cast<int>(s);
   shards_[s].jobs.push_back(j);
-  shards_[s].reserved += chars;
+  shards_[s].reserved += entry_chars(jobs_[j]);
+}
+
+std::size_t Recorder::fresh_shard(char series) {
+  Shard fresh;
+  for (std::size_t name = 0; fresh.key.empty(); ++name) {
+    auto key = fmt::format("progress/{}{}", series, name);
+    if (std::none_of(shards_.begin(), shards_.end(), [&](const Shard &x) { return x.key == key; })) fresh.key = key;
+  }
+  shards_.push_back(std::move(fresh));
+  return shards_.size() - 1;
+}
+
+// In steps, each of them safe by itself: a job that stands in two records has been started as far as either says, and
+// what it has used is what the newer says (load_progress). Its sums stay where they were charged. The new record comes
+// after the old one in the list, since earlier versions take the last for the newer.
+void Recorder::move(int j, std::size_t from) {
+  const std::size_t chars = entry_chars(jobs_[j]);
+  std::size_t to = shards_.size();
+  for (std::size_t s = 0; s < shards_.size() && to == shards_.size(); ++s)
+    if (s != from && shards_[s].key > shards_[from].key && shards_[s].leaving.empty() &&
+        shards_[s].reserved + chars <= room_for_entries(s, jobs_[j].spec.team))
+      to = s;
+  put_in(j, to < shards_.size() ? to : fresh_shard('t'));
+  entry(j).from = static_cast<int>(from);
+  shards_[from].leaving.push_back(j);
+  entry(j).dirty = true;
+  mark_shard(static_cast<std::size_t>(entry(j).shard), true);
+}
+
+// After a write that the state service has confirmed.
+void Recorder::move_on(const Transaction &t) {
+  for (const auto &id : t.jobs) {
+    const int j = jobs_.index(id);
+    if (j < 0 || entry(j).from < 0 || entry(j).copied) continue;
+    entry(j).copied = true;
+    if (const auto from = static_cast<std::size_t>(entry(j).from); !blocked(shards_[from])) mark_shard(from, true);
+  }
+  for (const auto *list : {&t.shards, &t.emptied})
+    for (std::size_t s : *list)
+      for (int j : std::exchange(shards_[s].leaving, {})) { // it no longer holds them
+        entry(j).from = -1;
+        entry(j).copied = false;
+      }
+}
+
+// Jobs leave it that are not known to be elsewhere; or it has too much in it that is about to be settled.
+bool Recorder::blocked(const Shard &s) const {
+  return (s.oversize && !s.ghosts.empty()) || std::any_of(s.leaving.begin(), s.leaving.end(), [this](int j) {
+           return !entries_[static_cast<std::size_t>(j)].copied;
+         });
+}
+
+// Guards against a record that is refused for its size for ever, and others with it: which one it is shows when they
+// are written one by one; that one is made smaller.
+void Recorder::refused(const Transaction &t) {
+  flush_after_ = port_.now() + 0.3;
+  const std::size_t writes = t.shards.size() + t.emptied.size() + t.ends.size() + t.moves.size();
+  const std::string what = t.shards.size() == 1 ? shards_[t.shards[0]].key
+                           : t.ends.size() == 1 ? "the end of " + t.ends[0]
+                                                : fmt::format("{} records", writes);
+  port_.log(LogLevel::Error, "record_refused", {{"record", what}, {"then", writes > 1 ? "one by one" : "made smaller"}});
+  alone_until_ = port_.now() + 5;
+  if (writes != 1) return;
+  if (!t.folded.empty()) left_alone_.insert(t.folded);
+  for (const auto &id : t.ends)
+    if (const int j = jobs_.index(id); j >= 0) entry(j).coarser = std::max(1, entry(j).coarser);
+  for (std::size_t s : t.shards) {
+    auto jobs = shards_[s].jobs;
+    for (int j : jobs)
+      ++entry(j).coarser;
+    for (std::size_t k = 1; k < jobs.size(); k += 2)
+      if (entry(jobs[k]).from < 0) {
+        std::erase(shards_[s].jobs, jobs[k]);
+        shards_[s].reserved -= entry_chars(jobs_[jobs[k]]);
+        move(jobs[k], s);
+      }
+    for (int j : shards_[s].jobs)
+      entry(j).dirty = true;
+  }
 }
 
 void Recorder::remove(int j) {
   const auto s = static_cast<std::size_t>(entry(j).shard);
+  if (entry(j).from >= 0) std::erase(shards_[static_cast<std::size_t>(entry(j).from)].leaving, j);
   std::erase(shards_[s].jobs, j);
   shards_[s].reserved -= entry_chars(jobs_[j]);
   mark_shard(s, false);
@@ -220,7 +305,7 @@
 // wait until leases have run out.
 void Recorder::record_ahead(int j) {
   const Job &n = jobs_[j];
-  if (n.cancelled) return;
+  if (n.cancelled || !dependencies_.ready(j)) return;
   std::uint32_t ahead = n.spec.shape == Shape::Gang ? (n.spec.tasks <= 64 ? n.spec.tasks : 0) : entry(j).ahead;
   for (std::uint32_t i = 0; i < n.spec.tasks && ahead > 0; ++i)
     if (n.tasks[i].state == TaskState::Pending) {
@@ -236,15 +321,16 @@
   std::vector<std::size_t> due;
   const double lazy = ending_.size() > kManyEnds ? kLazyWriteBusy : kLazyWrite;
   for (std::size_t s = 0; s < shards_.size(); ++s)
-    if (shards_[s].dirty && (shards_[s].urgent || port_.now() - shards_[s].dirty_since >= lazy)) due.push_back(s);
+    if (shards_[s].dirty && !blocked(shards_[s]) && (shards_[s].urgent || port_.now() - shards_[s].dirty_since >= lazy)) due.push_back(s);
   settle_ghosts();
-  if (due.empty() && ending_.empty() && moves_.empty()) return fold();
+  if (due.empty() && ending_.empty() && moves_.empty()) return port_.now() < alone_until_ ? void() : fold();
   std::sort(due.begin(), due.end(), [this](std::size_t a, std::size_t b) {
     return std::pair(!shards_[a].urgent, shards_[a].dirty_since) <
            std::pair(!shards_[b].urgent, shards_[b].dirty_since);
   });
   const double level = budget_.leader_writes(port_.now());
-  const auto max_ops = static_cast<std::size_t>(std::max(3, settings_.state_txn_ops));
+  const bool alone = port_.now() < alone_until_;
+  const std::size_t max_ops = alone ? 1 : static_cast<std::size_t>(settings_.state_txn_ops);
   Transaction t;
   t.guards = {{"leader", lead_.term()}};
   bool full = false;
@@ -254,7 +340,7 @@
   };
   // Where many jobs end at once, one write says so for each and the record is moved later: three writes
   // instead of two, but people wait for the first alone.
-  const bool in_place = ending_.size() > kManyEnds && moves_.size() < kMostMoves;
+  const bool in_place = alone || (ending_.size() > kManyEnds && moves_.size() < kMostMoves);
   auto put_ends = [&] {
     for (std::size_t k = ending_.size(); k-- > 0 && !full;) {
       const int j = ending_.front();
@@ -262,6 +348,9 @@
         ending_.pop_front();
         entry(j).to_end = false;
         mark(j, false, false);
+      } else if (entry(j).from >= 0) { // its move has to be over: what it has used must not be counted twice
+        ending_.pop_front();
+        ending_.push_back(j);
       } else if (entry(j).needs_resync) {
         resync(j);
         ending_.pop_front();
@@ -328,6 +417,7 @@
     e.end.usage = ledger_.usage(j);
     e.end.need = n.spec.need;
   }
+  if (e.coarser) e.end.reason.clear();
   const double took = e.end.end_wall - e.end.submit_wall;
   port_.log(e.end.late && !n.cancelled ? LogLevel::Info : LogLevel::Debug, "job_ends",
             {{"job", n.spec.id},
@@ -337,7 +427,7 @@
              {"tasks", n.spec.tasks},
              {"estimate_s", n.spec.estimate_s},
              {"took_s", took},
-             {"wanted_after_s", wishes_.due_after(n.spec, took)}});
+             {"wanted_after_s", wishes_.due_after(n.spec, n.spec.deadline_s, took)}});
   t.guards.push_back({"open/" + n.spec.id, n.open_stamp});
   t.guards.push_back({"end/" + n.spec.id, 0});
   if (in_place) {
@@ -359,9 +449,10 @@
   ProgressRecord p;
   p.started = make_ranges(n.spec.tasks, [&](std::uint32_t i) { return (e.marks[i] & kStarted) != 0; });
   p.finished = make_ranges(n.spec.tasks, [&](std::uint32_t i) { return n.tasks[i].state == TaskState::Done; });
-  if (n.spec.tasks / 4 + 3 > set_chars()) { // a range takes 14 characters at most
-    p.started = widen(std::move(p.started), set_chars() / 14);
-    p.finished = narrow(std::move(p.finished), set_chars() / 14);
+  const std::size_t chars = set_chars() >> std::min(e.coarser, 8);
+  if (n.spec.tasks / 4 + 3 > chars) { // a range takes 14 characters at most
+    p.started = widen(std::move(p.started), std::max<std::size_t>(1, chars / 14));
+    p.finished = narrow(std::move(p.finished), chars / 14);
   }
   p.failed_on = judge_.suspect(j) ? judge_.failed_on(j) : 0;
   p.loans = n.loans;
@@ -413,6 +504,7 @@
       if (const int j = jobs_.index(name); j >= 0) fn(j);
   };
   if (r.status == 200) {
+    move_on(t);
     for (std::size_t s : t.shards) {
       shards_[s].stamp = r.revision;
       shards_[s].folding.clear(); // whatever was under way before can no longer be applied
@@ -460,6 +552,8 @@
         if (!t.folded.empty()) shards_[s].folding = t.folded;
       }
     flush_after_ = port_.now() + 0.2;
+  } else if (r.status == 400) {
+    refused(t);
   } else {
     flush_after_ = port_.now() + 0.3;
   }
--- a/src/core/scaler.cpp
+++ b/src/core/scaler.cpp
@@ -28,9 +28,10 @@
 } // namespace
 
 Scaler::Scaler(Port &port, const Settings &settings, Catalogue &catalogue, const Operators &operators,
-               const Leadership &lead, const JobTable &jobs, const FailureJudge &judge, Fleet &fleet,
+               const Leadership &lead, const JobTable &jobs, const Dependencies &dependencies,
+               const FailureJudge &judge, Fleet &fleet,
                const Silence &silence, const Placer &placer, const Wishes &wishes)
-    : port_(port), settings_(settings), catalogue_(catalogue), operators_(operators), lead_(lead), jobs_(jobs),
+    : port_(port), settings_(settings), catalogue_(catalogue), operators_(operators), lead_(lead), jobs_(jobs), dependencies_(dependencies),
       judge_(judge), fleet_(fleet), silence_(silence), placer_(placer), wishes_(wishes),
       calls_(0.7 * settings.cloud_rps, std::max(1.0, 0.7 * settings.cloud_rps)) {}
 
@@ -286,7 +287,7 @@
     if (!placer_.patient(j)) pending += p.ready * p.need.cpus;
     const bool low = p.urgency == Urgency::Low;
     const double est = std::max(8.0, n.spec.estimate_s);
-    const double due = wishes_.due_after(n.spec, placer_.age(n)), left = due - p.wait_s;
+    const double due = wishes_.due_after(n.spec, dependencies_.deadline(j), placer_.age(j)), left = due - p.wait_s;
     // A gang needs all its places at the same time, perhaps in one zone: none serves two of its tasks, one after the
     // other. Counting so from the start rents more than others leave time for (measured: worse); a gang that has waited
     // long is what the easier count does not serve.
--- a/src/core/siblings.cpp
+++ b/src/core/siblings.cpp
@@ -43,7 +43,7 @@
   for (std::size_t i = 0; i < states_.size(); ++i) {
     wire::PeerMessage m;
     m.kind = wire::PeerMessage::Kind::Ping;
-    m.nonce = ++ping_nonce_;
+    m.nonce = ++ping_nonce_ | wire::kKnowsWaiting;
     m.term = lead_.highest_term();
     m.sender = self_;
     m.reach = own_;
@@ -56,6 +56,7 @@
 void Siblings::answer_ping(const CmdPeer &cmd, const Standing &standing) {
   if (const int i = by_sender(cmd.message.sender); i >= 0) {
     states_[static_cast<std::size_t>(i)].asked_at = port_.now();
+    states_[static_cast<std::size_t>(i)].knows_waiting = cmd.message.nonce & wire::kKnowsWaiting;
     states_[static_cast<std::size_t>(i)].asks_with = cmd.message.reach;
   }
   wire::PeerMessage r;
@@ -104,6 +105,12 @@
     port_.send({static_cast<int>(i), 0, m});
 }
 
+bool Siblings::earlier_version() const {
+  return lead_.leader_knows_waiting() == std::optional(false) ||
+         std::any_of(states_.begin(), states_.end(),
+                     [this](const State &s) { return port_.now() - s.asked_at < kLately && !s.knows_waiting; });
+}
+
 bool Siblings::common_outage() const {
   if (!cut_off() || states_.empty()) return false;
   return std::all_of(states_.begin(), states_.end(),
--- a/src/core/users.cpp
+++ b/src/core/users.cpp
@@ -12,7 +12,7 @@
 constexpr int kMaxUserOps = 256;
 constexpr std::size_t kMostKnown = 4000;   // open records
 constexpr double kConfirmEvery = 0.03;     // least time between comparisons
-constexpr double kQuestionPatience = 0.25; // that a question waits for one
+constexpr double kSweepEvery = 0.05;       // the same, between looks for questions that have waited too long
 // Within what a user waits for an answer (2 s, and 5 s for what changes something), a sibling's has to be there.
 constexpr double kLookWithin = 1.8, kChangeWithin = 4.5, kLeastForSibling = 0.15;
 constexpr std::size_t kKeptBody = 4096; // of a description that may be passed on a second time
@@ -46,11 +46,12 @@
 // ---- by way of siblings ----
 
 // One that the state service answers, the leader if it can be.
-int UserDesk::helper(std::uint64_t tried) const {
+int UserDesk::helper(std::uint64_t tried, bool knows_waiting) const {
   int best = -1;
   for (std::size_t i = 0; i < siblings_.count() && i < 64; ++i) {
     const auto &s = siblings_[i];
     if (s.cut_off || port_.now() - s.stated_at > kWordLife || (tried >> i & 1)) continue;
+    if (knows_waiting && !s.knows_waiting) continue;
     if (best < 0 || s.leads) best = static_cast<int>(i);
   }
   return best;
@@ -62,9 +63,9 @@
 
 // Never what a sibling has passed on to this node: two that each think well of the other would send it to and fro.
 bool UserDesk::pass_on(RequestId req, Verb verb, const std::string &id, double asked, std::string body,
-                       std::uint64_t tried) {
+                       std::uint64_t tried, bool waits) {
   const double until = asked + (verb == Verb::Look ? kLookWithin : kChangeWithin);
-  const int to = helper(tried);
+  const int to = helper(tried, waits);
   if (to < 0 || Port::is_stand_in(req) || passed_.full() || port_.now() + kLeastForSibling > until ||
       body.size() + 256 > wire::kPeerMaxRelayed)
     return false;
@@ -72,7 +73,7 @@
   m.kind = wire::PeerMessage::Kind::Ask;
   m.nonce = passed_.take(req, until,
                          {verb, id, body.size() <= kKeptBody ? body : std::string(), asked,
-                          tried | std::uint64_t(1) << to | (body.size() <= kKeptBody ? 0 : ~std::uint64_t(0))});
+                          tried | std::uint64_t(1) << to | (body.size() <= kKeptBody ? 0 : ~std::uint64_t(0)), waits});
   m.term = lead_.highest_term();
   m.sender = siblings_.self();
   m.verb = verb;
@@ -82,8 +83,8 @@
   return true;
 }
 
-void UserDesk::no_answer(const Question &q, Verb verb, std::string_view why, std::string body) {
-  if (!pass_on(q.req, verb, q.id, q.asked, std::move(body))) port_.refuse(q.req, why);
+void UserDesk::no_answer(const Question &q, Verb verb, std::string_view why, std::string body, bool waits) {
+  if (!pass_on(q.req, verb, q.id, q.asked, std::move(body), 0, waits)) port_.refuse(q.req, why);
 }
 
 void UserDesk::take_asked(const CmdPeer &cmd) {
@@ -103,13 +104,14 @@
 void UserDesk::take_told(const wire::PeerMessage &m) {
   const auto item = passed_.answered(m.nonce);
   if (!item) return; // given up
-  const auto &[verb, id, body, asked, tried] = item->kept;
+  const auto &[verb, id, body, asked, tried, waits] = item->kept;
   // It may have been cut off at the same moment as this node, and not have known yet.
-  if (m.status == 503 && pass_on(item->req, verb, id, asked, body, tried)) return;
+  if (m.status == 503 && pass_on(item->req, verb, id, asked, body, tried, waits)) return;
   if (m.status == 200) {
     const bool brief = verb != Verb::Look;
     if (const auto *end = ended_.find(id)) return answer_end(item->req, id, *end, brief);
-    if (const auto it = known_open_.find(id); it != known_open_.end() && it->second.cancelled)
+    if (const auto it = known_open_.find(id);
+        it != known_open_.end() && (it->second.cancelled || !cancelled_name(id).empty()))
       return tell_open({item->req, id, brief, port_.now()}, true);
   }
   port_.reply(item->req, m.status, m.body, m.retry_s ? std::optional<int>(m.retry_s) : std::nullopt);
@@ -120,6 +122,34 @@
     port_.refuse(item.req, "neither the state service nor a sibling has answered");
 }
 
+struct UserDesk::Submission {
+  Question q;
+  OpenRecord record;
+  std::size_t left = 1; // names being looked up, and one for the loop that begins it
+  std::string never = {}, service = {};
+  bool unknown = false, cancelled = false;
+
+  void take(const std::string &name, Named found) {
+    switch (found) {
+    case Named::Never:
+      never = name;
+      break;
+    case Named::Service:
+      service = name;
+      break;
+    case Named::Unknown:
+      unknown = true;
+      break;
+    case Named::Cancelled:
+      cancelled = true;
+      break;
+    case Named::Open:
+    case Named::Done:
+      break;
+    }
+  }
+};
+
 // ---- submissions ----
 
 void UserDesk::take(CmdSubmit &&cmd) {
@@ -129,34 +159,126 @@
   case Verdict::Never:
     return port_.reply(cmd.req, 422, wire::encode_error(why));
   case Verdict::Unknown:
-    if (pass_on(cmd.req, Verb::Submit, cmd.spec.id, port_.now(), wire::encode(wire::to_json(cmd.spec)))) return;
+    if (pass_on(cmd.req, Verb::Submit, cmd.spec.id, port_.now(), wire::encode(wire::to_json(cmd.spec)), 0,
+                !cmd.spec.waits_for.empty()))
+      return;
     return port_.refuse(cmd.req, "machine types are not known yet");
   case Verdict::Ok:
     break;
   }
-  OpenRecord record{cmd.spec, port_.wall(), false, {}};
-  auto value = wire::to_json(record);
-  if (static_cast<double>(value.dump().size()) > settings_.state_value_kb * 1024 - 64)
-    return port_.reply(cmd.req, 422, wire::encode_error("the job's description is too long to be kept"));
   const Question q{cmd.req, cmd.spec.id, true, port_.now()};
-  auto body = [spec = std::move(cmd.spec)] { return wire::encode(wire::to_json(spec)); };
-  if (siblings_.cut_off() && pass_on(q.req, Verb::Submit, q.id, q.asked, body())) return;
+  const bool waits = !cmd.spec.waits_for.empty();
+  OpenRecord record{std::move(cmd.spec), port_.wall(), false, {}};
+  if (static_cast<double>(wire::to_json(record).dump().size()) > settings_.state_value_kb * 1024 - 64)
+    return port_.reply(q.req, 422, wire::encode_error("the job's description is too long to be kept"));
+  // An earlier version would start it at once, whether it leads or has it passed on.
+  if (waits && siblings_.earlier_version())
+    return port_.refuse(q.req, "jobs that wait for others are accepted once all nodes have this version", 2);
+  if (siblings_.cut_off() &&
+      pass_on(q.req, Verb::Submit, q.id, q.asked, wire::encode(wire::to_json(record.spec)), 0, waits))
+    return;
+  if (!waits) return accept(q, std::move(record));
+  check_names(std::make_shared<Submission>(Submission{q, std::move(record)}));
+}
+
+void UserDesk::accept(const Question &q, OpenRecord record) {
   if (under_way_ >= kMaxUserOps || !budget_.take_write(port_.now()))
     return port_.refuse(q.req, "too many submissions at once");
   ++under_way_;
+  auto value = wire::to_json(record);
   port_.store(StoreCommit{{{"open/" + q.id, 0}, {"end/" + q.id, 0}}, {{"open/" + q.id, std::move(value), 0}}},
-              kUserDeadline, [this, q, body = std::move(body)](const wire::StoreReply &r) {
+              kUserDeadline, [this, q, record = std::move(record)](const wire::StoreReply &r) {
                 --under_way_;
                 if (r.status == 200) {
-                  note_open(q.id, r.revision, false);
-                  return port_.reply(q.req, 201, wire::encode_accepted(q.id, JobState::Queued));
+                  note_open(record, r.revision, record.cancelled);
+                  return port_.reply(
+                      q.req, 201,
+                      wire::encode_accepted(q.id, record.cancelled ? JobState::Cancelled : JobState::Queued));
                 }
                 if (r.status == 409) return answer_state(q);
                 // It may have been carried out, or may be yet: the same again is the same job.
-                no_answer(q, Verb::Submit, "the state service did not confirm the submission", body());
+                no_answer(q, Verb::Submit, "the state service did not confirm the submission",
+                          wire::encode(wire::to_json(record.spec)), !record.spec.waits_for.empty());
               });
 }
 
+// ---- the jobs that a submission names ----
+
+// That a job was accepted is for ever, so what this node knows of it will do; that it was not, only reads made since
+// can tell.
+void UserDesk::check_names(std::shared_ptr<Submission> s) {
+  for (const auto &name : s->record.spec.waits_for) {
+    if (const Named found = known(name); found != Named::Unknown) {
+      s->take(name, found);
+      continue;
+    }
+    ++s->left;
+    learn(name, [this, s, name](Named found) {
+      s->take(name, found);
+      if (--s->left == 0) names_checked(s);
+    });
+  }
+  if (--s->left == 0) names_checked(s);
+}
+
+void UserDesk::names_checked(const std::shared_ptr<Submission> &s) {
+  if (s->unknown)
+    return no_answer(s->q, Verb::Submit, "whether the jobs that it waits for exist cannot be told at present",
+                     wire::encode(wire::to_json(s->record.spec)), true);
+  if (!s->never.empty())
+    return port_.reply(s->q.req, 422, wire::encode_error(fmt::format("no job {} was ever accepted", s->never)));
+  if (!s->service.empty())
+    return port_.reply(s->q.req, 422,
+                       wire::encode_error(fmt::format("job {} is a service, which is never done", s->service)));
+  s->record.cancelled = s->cancelled;
+  accept(s->q, std::move(s->record));
+}
+
+const UserDesk::KnownOpen *UserDesk::known_open(const std::string &id) {
+  if (const auto it = known_open_.find(id); it != known_open_.end()) return &it->second;
+  // What this leader has cancelled along the graph is not recorded so yet.
+  const int j = lead_.leading() ? jobs_.index(id) : -1;
+  if (j < 0 || jobs_[j].cancelled || jobs_[j].ending || jobs_[j].borrowed) return nullptr;
+  note_open({jobs_[j].spec, jobs_[j].submit_wall, false, {}}, jobs_[j].open_stamp, false);
+  return &known_open_.find(id)->second;
+}
+
+UserDesk::Named UserDesk::known(const std::string &id) {
+  if (const auto *end = ended_.find(id)) return end->cancelled ? Named::Cancelled : Named::Done;
+  const auto *open = known_open(id);
+  if (!open) return Named::Unknown;
+  return open->cancelled ? Named::Cancelled : open->service ? Named::Service : Named::Open;
+}
+
+// Reads a job's records, in the order in which it moves through them.
+void UserDesk::learn(const std::string &id, std::function<void(Named)> then) {
+  if (under_way_ >= kMaxUserOps || !budget_.take_read(port_.now(), 1.3)) return then(Named::Unknown);
+  ++under_way_;
+  port_.store(StoreGet{"open/" + id}, kUserDeadline / 2, [this, id, then](const wire::StoreReply &r) {
+    --under_way_;
+    const bool one = r.status == 200 && r.entries.size() == 1;
+    if (auto end = one ? wire::final_from_json(r.entries[0].value) : std::nullopt) {
+      ended_.remember(id, std::move(*end));
+      return then(known(id));
+    }
+    if (auto open = one ? wire::open_from_json(r.entries[0].value) : std::nullopt; open && !open->lent) {
+      note_open(*open, r.entries[0].stamp, open->cancelled);
+      return then(known(id));
+    } else if (r.status != 404 && !open) {
+      return then(Named::Unknown);
+    }
+    ++under_way_;
+    port_.store(StoreGet{"end/" + id}, kUserDeadline / 2, [this, id, then](const wire::StoreReply &e) {
+      --under_way_;
+      if (e.status == 404) return then(Named::Never);
+      auto end = e.status == 200 && e.entries.size() == 1 ? wire::end_from_json(e.entries[0].value) : std::nullopt;
+      if (!end) return then(Named::Unknown);
+      ended_.remember(id, std::move(*end));
+      then(known(id));
+    });
+  });
+}
+
 // ---- questions ----
 
 void UserDesk::take(CmdLookup &&cmd) {
@@ -189,28 +311,49 @@
     auto open = r.status == 200 && r.entries.size() == 1 ? wire::open_from_json(r.entries[0].value) : std::nullopt;
     if (!open) return no_answer(q, Verb::Look, "the state service did not answer");
     if (open->lent) return q.as_submit ? want_id(q, r.entries[0].stamp, std::move(*open)) : read_end(q, false);
-    note_open(q.id, r.entries[0].stamp, open->cancelled);
-    tell_open(q, open->cancelled);
+    note_open(*open, r.entries[0].stamp, open->cancelled);
+    if (open->cancelled || open->spec.waits_for.empty()) return tell_open(q, open->cancelled);
+    Question names = q; // how those are that it waits for
+    names.patience = kNamesPatience;
+    names.unchanged.push_back("open/" + q.id);
+    questions_.push_back(std::move(names));
   });
 }
 
+// A job that it names and that was cancelled, as far as this node knows; empty: none.
+std::string UserDesk::cancelled_name(const std::string &id) {
+  const auto it = known_open_.find(id);
+  if (it == known_open_.end()) return {};
+  const auto names = it->second.waits_for;
+  for (const auto &name : names)
+    if (known(name) == Named::Cancelled) return name;
+  return {};
+}
+
 void UserDesk::tell_open(const Question &q, bool cancelled) {
   // What this node has learnt while the question was under way is newer than what was found.
   if (const auto *end = ended_.find(q.id)) return answer_end(q.req, q.id, *end, q.as_submit);
   if (auto it = known_open_.find(q.id); it != known_open_.end()) cancelled |= it->second.cancelled;
-  auto view = insight_.view(q.id, cancelled);
+  const auto with = cancelled_name(q.id);
+  auto view = insight_.view(q.id, cancelled || !with.empty());
+  if (!with.empty()) view.reason = stopped_with(with);
   port_.reply(q.req, 200, q.as_submit ? wire::encode_accepted(q.id, view.state) : wire::encode_job_view(view));
 }
 
-void UserDesk::note_open(const std::string &id, std::uint64_t stamp, bool cancelled) {
+void UserDesk::note_open(const OpenRecord &record, std::uint64_t stamp, bool cancelled) {
+  const std::string &id = record.spec.id;
   // Whoever tells a user so has to tell the leader too (`extended`), also if another node wrote it, or this one
   // without an answer.
   const auto before = known_open_.find(id);
   if (cancelled && (before == known_open_.end() || !before->second.cancelled)) siblings_.cancelled(id);
   if (const int mine = jobs_.index(id); cancelled && lead_.leading() && mine >= 0)
     jobs_.cancel(mine); // sooner than the watch tells it
-  auto [it, fresh] = known_open_.try_emplace(id, KnownOpen{stamp, cancelled});
-  if (!fresh && stamp > it->second.stamp) it->second = {stamp, cancelled};
+  auto [it, fresh] = known_open_.try_emplace(
+      id, KnownOpen{stamp, cancelled, record.spec.shape == Shape::Service, record.spec.waits_for});
+  if (!fresh && stamp > it->second.stamp) {
+    it->second.stamp = stamp;
+    it->second.cancelled = cancelled;
+  }
   if (!fresh) return;
   known_order_.push_back(id);
   if (known_order_.size() <= kMostKnown) return;
@@ -218,47 +361,123 @@
   known_order_.pop_front();
 }
 
+// What a question has to find unchanged: its job's record, and those of the jobs that it names and that are not known
+// to be done. A job that names a cancelled one is cancelled with it, for ever, and every node says so by the same
+// records: the leader writes it down, but nobody has to wait for that. Nothing: it has been seen to otherwise.
+std::optional<UserDesk::Compared> UserDesk::compare(Question q, StoreCommit &commit) {
+  const std::size_t most = static_cast<std::size_t>(std::max(1, 4 * settings_.state_txn_ops));
+  std::vector<std::pair<std::string, std::uint64_t>> all;
+  const auto own = known_open_.find(q.id);
+  if (own == known_open_.end() || own->second.cancelled) { // ended, cancelled or pushed out meanwhile
+    answer_state(q);
+    return std::nullopt;
+  }
+  Compared out;
+  all.emplace_back("open/" + q.id, own->second.stamp);
+  const auto names = own->second.waits_for; // what is learnt below may move the entry
+  std::vector<std::string> done;
+  for (const auto &name : names) {
+    const Named found = known(name);
+    if (found == Named::Cancelled) {
+      tell_open(q, true);
+      return std::nullopt;
+    }
+    if (found == Named::Unknown) {
+      q.patience = kNamesPatience;
+      learn(name, [this, q](Named learnt) mutable {
+        if (learnt == Named::Never || learnt == Named::Unknown)
+          return no_answer(q, Verb::Look, "how the jobs are that it waits for cannot be told at present");
+        questions_.push_back(std::move(q));
+      });
+      return std::nullopt;
+    }
+    if (found == Named::Done)
+      done.push_back(name);
+    else
+      all.emplace_back("open/" + name, known_open_.find(name)->second.stamp);
+  }
+  if (auto it = known_open_.find(q.id); it != known_open_.end() && !done.empty())
+    std::erase_if(it->second.waits_for,
+                  [&](const auto &n) { return std::find(done.begin(), done.end(), n) != done.end(); });
+  for (auto &[key, stamp] : all) {
+    if (std::find(q.unchanged.begin(), q.unchanged.end(), key) != q.unchanged.end()) continue;
+    if (std::none_of(commit.guards.begin(), commit.guards.end(), [&k = key](const auto &g) { return g.key == k; })) {
+      if (commit.guards.size() >= most) {
+        out.whole = false; // the rest with the next
+        break;
+      }
+      commit.guards.push_back({key, stamp});
+    }
+    out.keys.push_back(key);
+  }
+  out.question = std::move(q);
+  return out;
+}
+
 // One comparison of revisions answers many questions: a record whose revision is still the one read before
 // is still what it was then. It is sent after the questions have come, so the answer is not older than they are.
 void UserDesk::confirm() {
-  while (!questions_.empty() && port_.now() - questions_.front().asked > kQuestionPatience) {
-    port_.refuse(questions_.front().req, "too many questions at once");
-    questions_.pop_front();
+  const double now = port_.now();
+  if (!questions_.empty() && now >= next_sweep_) {
+    next_sweep_ = now + kSweepEvery;
+    for (std::size_t k = questions_.size(); k-- > 0;) {
+      Question q = std::move(questions_.front());
+      questions_.pop_front();
+      if (now - q.asked > q.patience)
+        port_.refuse(q.req, "too many questions at once");
+      else
+        questions_.push_back(std::move(q));
+    }
   }
-  if (confirming_ || questions_.empty() || port_.now() < next_confirm_ || !budget_.take_read(port_.now())) return;
-  next_confirm_ = port_.now() + kConfirmEvery;
+  if (confirming_ || questions_.empty() || now < next_confirm_ || !budget_.take_read(now)) return;
+  next_confirm_ = now + kConfirmEvery;
   confirming_ = true;
-  StoreCommit compare;
-  std::vector<Question> asked;
+  StoreCommit commit;
+  std::vector<Compared> asked;
   const auto most = static_cast<std::size_t>(std::max(1, 4 * settings_.state_txn_ops));
-  while (!questions_.empty() && asked.size() < most) {
-    auto q = std::move(questions_.front());
+  for (std::size_t k = questions_.size(); k-- > 0 && asked.size() < most && commit.guards.size() < most;) {
+    Question q = std::move(questions_.front());
     questions_.pop_front();
-    if (auto it = known_open_.find(q.id); it != known_open_.end() && !it->second.cancelled) {
-      const std::string key = "open/" + q.id;
-      if (std::none_of(compare.guards.begin(), compare.guards.end(), [&](const auto &g) { return g.key == key; }))
-        compare.guards.push_back({key, it->second.stamp});
-      asked.push_back(std::move(q));
-    } else {
-      answer_state(q); // ended, cancelled or pushed out meanwhile
-    }
+    auto c = compare(std::move(q), commit);
+    if (!c) continue;
+    if (c->keys.empty() && c->whole)
+      tell_open(c->question, false); // it has just been read, and all that it names is done
+    else
+      asked.push_back(std::move(*c));
   }
-  if (asked.empty()) {
+  if (commit.guards.empty()) {
     confirming_ = false;
     return;
   }
-  port_.store(std::move(compare), kUserDeadline / 2, [this, asked = std::move(asked)](const wire::StoreReply &r) {
+  port_.store(std::move(commit), kUserDeadline / 2, [this, asked = std::move(asked)](const wire::StoreReply &r) {
     confirming_ = false;
-    for (const auto &q : asked) {
-      if (r.status == 200) {
-        tell_open(q, false);
-      } else if (r.status != 409) {
+    auto failed = [&](const std::string &key) {
+      return std::find(r.failed.begin(), r.failed.end(), key) != r.failed.end();
+    };
+    for (auto c : asked) {
+      auto &q = c.question;
+      if (r.status != 200 && r.status != 409) {
         no_answer(q, Verb::Look, "the state service did not answer");
-      } else if (std::find(r.failed.begin(), r.failed.end(), "open/" + q.id) != r.failed.end()) {
+        continue;
+      }
+      if (failed("open/" + q.id)) {
         read_open(q); // cancelled or over by now
-      } else {
-        questions_.push_back(q);
+        continue;
+      }
+      for (const auto &key : c.keys)
+        if (failed(key)) { // so is one that it waits for: that is read again
+          known_open_.erase(key.substr(5));
+          q.patience = kNamesPatience;
+        }
+      if (r.status == 200 && c.whole) {
+        tell_open(q, false);
+        continue;
       }
+      if (r.status == 200) {
+        q.patience = kNamesPatience;
+        q.unchanged.insert(q.unchanged.end(), c.keys.begin(), c.keys.end());
+      }
+      questions_.push_back(std::move(q));
     }
   });
 }
@@ -311,16 +530,23 @@
     if (!open) return no_answer(q, Verb::Abort, "the state service did not answer");
     if (open->lent) return read_end(q, true); // not a job of this cell's users
     if (open->cancelled) {
-      note_open(q.id, r.entries[0].stamp, true);
+      note_open(*open, r.entries[0].stamp, true);
       return port_.reply(q.req, 200, wire::encode_accepted(q.id, JobState::Cancelled));
     }
     open->cancelled = true;
     ++under_way_;
-    port_.store(StoreCommit{{{"open/" + q.id, r.entries[0].stamp}}, {{"open/" + q.id, wire::to_json(*open), 0}}},
-                kUserDeadline, [this, q](const wire::StoreReply &c) {
+    auto value = wire::to_json(*open);
+    if (static_cast<double>(value.dump().size()) > settings_.state_value_kb * 1024) { // from when values were larger
+      auto shorter = *open;
+      shorter.spec.types.reset(); // nothing of it starts any more
+      shorter.spec.waits_for.clear();
+      value = wire::to_json(shorter);
+    }
+    port_.store(StoreCommit{{{"open/" + q.id, r.entries[0].stamp}}, {{"open/" + q.id, std::move(value), 0}}},
+                kUserDeadline, [this, q, record = *open](const wire::StoreReply &c) {
                   --under_way_;
                   if (c.status == 200) {
-                    note_open(q.id, c.revision, true);
+                    note_open(record, c.revision, true);
                     return port_.reply(q.req, 200, wire::encode_accepted(q.id, JobState::Cancelled));
                   }
                   if (c.status == 409) return port_.refuse(q.req, "the job has just changed; ask again");
--- a/src/core/wishes.cpp
+++ b/src/core/wishes.cpp
@@ -11,16 +11,16 @@
 constexpr double kPatience = 1800.0;   // s, of small work without a wish: afterwards it may use dear machines too
 } // namespace
 
-std::optional<double> Wishes::wanted_after(const JobSpec &spec) const {
-  if (spec.deadline_s) return spec.deadline_s;
+std::optional<double> Wishes::wanted_after(const JobSpec &spec, std::optional<double> deadline) const {
+  if (deadline) return deadline;
   std::optional<double> last;
   for (const auto &o : settings_.objectives)
     if (o.kind == "finished" && o.job_class == spec.job_class) last = std::max(last.value_or(0), o.within_s);
   return last;
 }
 
-double Wishes::due_after(const JobSpec &spec, double age_s) const {
-  if (spec.deadline_s) return *spec.deadline_s;
+double Wishes::due_after(const JobSpec &spec, std::optional<double> deadline, double age_s) const {
+  if (deadline) return *deadline;
   const double soonest = age_s + spec.estimate_s;
   double first = std::numeric_limits<double>::infinity(), last = 0;
   for (const auto &o : settings_.objectives) {
@@ -32,8 +32,8 @@
   return std::isfinite(first) ? first : last;
 }
 
-bool Wishes::patient(const JobSpec &spec, double age_s) const {
-  return is_small(spec) && !wanted_after(spec) && age_s < kPatience;
+bool Wishes::patient(const JobSpec &spec, Urgency urgency, std::optional<double> deadline, double age_s) const {
+  return is_small(spec, urgency) && !wanted_after(spec, deadline) && age_s < kPatience;
 }
 
 } // namespace loft::core
--- a/src/wire/messages.cpp
+++ b/src/wire/messages.cpp
@@ -25,7 +25,7 @@
                      *value = "v", *entries = "entries", *more = "truncated", *guards = "guards", *writes = "writes",
                      *put = "set", *del = "drop", *failed = "failed", *events = "events", *ttl = "ttl_ms",
                      *request = "hire", *count = "number", *name = "sku", *cache = "local_gb", *fetch = "pull_gb_per_s",
-                     *price = "rate", *spot_price = "spot_price", *boot = "startup_s", *age = "age_s";
+                     *price = "rate", *spot_price = "spot_price", *boot = "startup_s", *age = "age_s", *waits_for = "waits_on";
 }
 
 constexpr const char *kShapes[] = {"array", "gang", "service"};
@@ -212,6 +212,15 @@
     if (!d) return bad(f::deadline);
     s.deadline_s = *d;
   }
+  if (const Json &v = at(j, f::waits_for); !v.is_null()) {
+    if (!v.is_array() || v.size() > kMostWaitsFor) return bad(f::waits_for);
+    for (const auto &name : v) {
+      const auto named = text(name);
+      if (!named || !valid_job_id(*named) || *named == s.id) return bad(f::waits_for);
+      if (std::find(s.waits_for.begin(), s.waits_for.end(), *named) == s.waits_for.end())
+        s.waits_for.push_back(*named);
+    }
+  }
   return s;
 }
 
@@ -236,6 +245,7 @@
   if (s.types) j[f::types] = *s.types;
   if (s.zone) j[f::zone] = *s.zone;
   if (s.deadline_s) j[f::deadline] = *s.deadline_s;
+  if (!s.waits_for.empty()) j[f::waits_for] = s.waits_for;
   return j;
 }
 
