Jobs that wait for others: worlds with pipelines, versions in turn and limits that fall

Change: the simulated world judges too_early and orphaned; jobs removed by the same write as what they wait for no longer end the process.

--- a/src/core/dependencies.cpp
+++ b/src/core/dependencies.cpp
@@ -46,7 +46,7 @@
   at(j).needs.push_back(needed);
   at(needed).dependants.push_back(j);
   outdated_ = true;
-  if (jobs_[needed].cancelled) stop(j, at(needed).id);
+  if (jobs_.find(needed) && jobs_[needed].cancelled) stop(j, at(needed).id);
 }
 
 void Dependencies::on(const JobCancelled &e) {
@@ -60,14 +60,14 @@
 void Dependencies::stop(int j, const std::string &with) {
   if (at(j).stopped_with.empty()) at(j).stopped_with = with;
   outdated_ = true;
-  jobs_.cancel(j);
+  if (jobs_.find(j)) jobs_.cancel(j); // it may have ended by the same write
 }
 
 void Dependencies::done(int j, double end_wall) {
   Node &n = at(j);
   n.ready_wall = std::max(n.ready_wall, end_wall);
   outdated_ = true;
-  if (--n.waits == 0 && n.stopped_with.empty() && !jobs_[j].cancelled) jobs_.readied(j);
+  if (--n.waits == 0 && n.stopped_with.empty() && jobs_.find(j) && !jobs_[j].cancelled) jobs_.readied(j);
 }
 
 void Dependencies::settle(const std::vector<int> &dependants, const std::string &id, const EndRecord &end) {
@@ -181,7 +181,7 @@
     urgency = spec.urgency;
     if (spec.deadline_s) due = jobs_[j].submit_wall + *spec.deadline_s;
     for (int d : at(j).dependants) {
-      if (jobs_[d].cancelled) continue;
+      if (!jobs_.find(d) || jobs_[d].cancelled) continue;
       const auto &[of, by] = wanted_[static_cast<std::size_t>(d)];
       urgency = std::max(urgency, of);
       if (!by) continue;
--- a/tests/world.hpp
+++ b/tests/world.hpp
@@ -30,6 +30,10 @@
   double hang_per_hour = 0;
   bool accounts = false;
   double value_kb = 8;                  // most that the state service takes as a value
+  int txn_ops = 8;                      // and changes in a transaction
+  double next_value_kb = 0;             // the same from `limits_fall` on; 0: as before
+  int next_txn_ops = 0;
+  bool begins_old = false;              // nodes write records as large as may be, until `upgrade`
   long most_machines = 400;             // up at a time
   std::map<std::string, long> capacity; // the same by type, where it is said
   std::vector<MachineType> types{{"small", {4, 0, 16}, 50, 1, 0.2, 0.08, 8, {"a", "b"}},
@@ -50,6 +54,11 @@
 
   // Troubles, to be called at the moment they begin.
   void crash(int node, double back_after);
+  void upgrade(int node, double back_after) { // it knows of the limits to come from then on
+    old_.erase(node);
+    crash(node, back_after);
+  }
+  void limits_fall();
   void outage(double for_s);
   // Refuse: an error at once; NoAnswers: carried out, but no answer arrives; Slow: each way takes a second or so.
   enum class Cut { Drop, Hold, Refuse, NoAnswers, Slow };
@@ -126,6 +135,9 @@
     ++epoch_;
     change(key, std::move(value), 0);
   }
+  // A job that it needs, directly or through others, whose user has been told that it is cancelled by `t`; negative:
+  // has asked for that.
+  bool needs_cancelled(const std::string &id, double t);
   int sick_machines() const;
   int open_records() const;
   int leaders() const;
@@ -251,6 +263,7 @@
   std::map<std::string, std::vector<std::string>> rents_;
   std::map<std::string, Told> told_;
   int next_job_ = 1;
+  std::set<int> old_; // nodes that know nothing of the limits to come
   std::set<std::string> broken_jobs_;
   std::map<std::string, int> starts_by_job_;
   std::unordered_map<std::string, std::map<std::uint64_t, std::size_t>>
--- a/tests/world_state.cpp
+++ b/tests/world_state.cpp
@@ -69,6 +69,11 @@
         break_rule("value too large: " + w.key);
         r.status = 400;
       }
+    const auto ops = static_cast<std::size_t>(o_.txn_ops);
+    if (c->writes.size() > ops || c->guards.size() > 4 * ops) {
+      break_rule("transaction too large");
+      r.status = 400;
+    }
     for (auto &w : c->writes)
       if (w.lease && !leases_.count(w.lease)) r.status = 400;
     if (r.status == 200 && !r.failed.empty()) r.status = 409;
--- a/tests/world_workers.cpp
+++ b/tests/world_workers.cpp
@@ -289,6 +289,10 @@
   if (spec.types && std::find(spec.types->begin(), spec.types->end(), b.type) == spec.types->end())
     break_rule("wrong_place (type) " + r.job);
   if (told.cancelled_at >= 0 && t_ > told.cancelled_at + o_.cancel_s) break_rule("ran_cancelled " + r.job);
+  for (const auto &name : spec.waits_for)
+    if (const auto *named = own(name);
+        !named || std::count(named->finished.begin(), named->finished.end(), 1) != static_cast<long>(named->spec.tasks))
+      break_rule("too_early " + r.job + " before " + name);
   for (const auto &team : o_.teams) {
     if (team.cpus_max <= 0 || spec.team != team.name) continue;
     if (!own(r.job)) continue; // with several cells: tests/federation.hpp
