Whether work leaves whole machines alone goes by its own priority, not by what it is wanted for

Cause: stages of a pipeline have the priority of its last job, and so were placed on the machines that whole-machine work needs.

Change: is_small takes the job's own priority where machines are kept.

--- a/src/core/placer.cpp
+++ b/src/core/placer.cpp
@@ -73,7 +73,7 @@
   std::vector<PlaceMachine> out;
   const double cheapest = catalogue_.cheapest_cpu();
   auto small = [this](const Slot &s) {
-    return s.job >= 0 && is_small(jobs_[s.job].spec, dependencies_.urgency(s.job));
+    return s.job >= 0 && is_small(jobs_[s.job].spec, jobs_[s.job].spec.urgency);
   };
   const int first = std::max(0, only), end = only >= 0 ? only + 1 : static_cast<int>(fleet_.slots());
   for (int m = first; m < end; ++m) {
@@ -181,7 +181,7 @@
                   wishes_.due_after(n.spec, deadline, age(j));
   p.image = n.image;
   p.image_gb = n.spec.image_gb;
-  p.small = is_small(n.spec, p.urgency);
+  p.small = is_small(n.spec, n.spec.urgency); // whatever it is wanted for
   p.team = std::max(0, n.team);
   return p;
 }
