Machines for what waits for others are rented about one boot before it can start

Change: the owners' estimates along the graph say when a job can probably start; from one boot before that it counts as waiting work for renting.

--- a/include/loftrouter/core/scaler.hpp
+++ b/include/loftrouter/core/scaler.hpp
@@ -36,6 +36,7 @@
   void load_types();
   void list(std::string from);
   void merge(const wire::CloudReply &r);
+  std::vector<double> ready_soon() const;
   void scale();
   void drain_surplus(double waiting_cpus);
   void rent(const Wanted &w);
--- a/src/core/scaler.cpp
+++ b/src/core/scaler.cpp
@@ -227,6 +227,23 @@
   }
 }
 
+// Seconds until each job can probably start; 0: it can. By its owners' estimates, so never beyond what is being run.
+std::vector<double> Scaler::ready_soon() const {
+  std::vector<double> out(jobs_.slots(), 0), over(jobs_.slots(), 0);
+  for (int j : dependencies_.in_order()) {
+    const Job *n = jobs_.find(j);
+    if (!n) continue;
+    auto &ready = out[static_cast<std::size_t>(j)];
+    const bool waits = !dependencies_.ready(j);
+    for (int needed : dependencies_.waits_for(j))
+      ready = std::max(ready, over[static_cast<std::size_t>(needed)]);
+    if (waits) ready = std::max(ready, 0.5);
+    const double age = waits ? 0 : std::max(0.0, placer_.age(j));
+    over[static_cast<std::size_t>(j)] = ready + std::max(1.0, n->spec.estimate_s - age);
+  }
+  return out;
+}
+
 void Scaler::scale() {
   if (listed_once_at_ < 0 || port_.now() - listed_once_at_ < 1.0 || silence_.nobody_heard()) return;
   const auto &types = catalogue_.types();
@@ -248,8 +265,8 @@
   std::vector<int> order;
   jobs_.each([&](int j, const Job &) { order.push_back(j); });
   std::sort(order.begin(), order.end(), [this](int a, int b) {
-    return std::pair(-static_cast<int>(jobs_[a].spec.urgency), jobs_[a].submit_wall) <
-           std::pair(-static_cast<int>(jobs_[b].spec.urgency), jobs_[b].submit_wall);
+    return std::pair(-static_cast<int>(dependencies_.urgency(a)), jobs_[a].submit_wall) <
+           std::pair(-static_cast<int>(dependencies_.urgency(b)), jobs_[b].submit_wall);
   });
   std::vector<int> index;
   auto up = placer_.snapshot(index, -1, [this](int m) { return silence_.expected(m); });
@@ -272,11 +289,18 @@
     }
     group.busy += busy[i];
   }
+  // What will be able to start within a boot: machines for it are on their way by then.
+  const auto ready_in = ready_soon();
+  double most_boot = 0;
+  for (const auto &t : types)
+    most_boot = std::max(most_boot, t.boot_s);
   double pending = 0;
   std::vector<Wanted> wanted; // in the order of the jobs that want them first
   for (int j : order) {
     const Job &n = jobs_[j];
     PlaceJob p = placer_.place_job(j);
+    const double soon = ready_in[static_cast<std::size_t>(j)];
+    if (p.limit == 0 && soon > 0 && soon <= most_boot && !n.cancelled && !n.ending && n.team >= 0) p.limit = p.ready;
     if (p.limit == 0) continue;
     // For work that fails everywhere nothing is rented, unless it could never be tried again.
     if (judge_.suspect(j)) {
@@ -330,7 +354,7 @@
     }
     for (int t = 0; t < static_cast<int>(types.size()); ++t) {
       const auto &type = catalogue_.type(t);
-      if (!p.types[static_cast<std::size_t>(t)] || !p.need.fits(type.size)) continue;
+      if (!p.types[static_cast<std::size_t>(t)] || !p.need.fits(type.size) || soon > type.boot_s) continue;
       const double per = places_on(type);
       for (const auto &zone : type.zones) {
         const int z = catalogue_.zone(zone);
