Work whose start is wanted by a time, or for which others wait, is not put off as if nobody wanted it

Cause: small work without a deadline or an objective for finishing goes last and keeps off dear machines for half an hour. A class that is only to start within a time had neither once its pipeline's last job was submitted late: feetally waited up to 224 s.

Change: an objective for starting counts as one for finishing a run later; jobs that wait for others or are waited for are never put off.

--- a/include/loftrouter/core/wishes.hpp
+++ b/include/loftrouter/core/wishes.hpp
@@ -20,6 +20,7 @@
   bool patient(const JobSpec &spec, Urgency urgency, std::optional<double> deadline, double age_s) const;
 
 private:
+  std::optional<double> started_within(const JobSpec &spec) const;
   const Settings &settings_;
 };
 
--- a/src/core/placer.cpp
+++ b/src/core/placer.cpp
@@ -58,6 +58,7 @@
 }
 
 bool Placer::patient(int j) const {
+  if (!dependencies_.needed_by(j).empty() || !jobs_[j].spec.waits_for.empty()) return false; // others wait with it
   return wishes_.patient(jobs_[j].spec, dependencies_.urgency(j), dependencies_.deadline(j), age(j));
 }
 
--- a/src/core/wishes.cpp
+++ b/src/core/wishes.cpp
@@ -16,6 +16,15 @@
   std::optional<double> last;
   for (const auto &o : settings_.objectives)
     if (o.kind == "finished" && o.job_class == spec.job_class) last = std::max(last.value_or(0), o.within_s);
+  return last ? last : started_within(spec);
+}
+
+// Where only its start is wanted by a time: that, and its run.
+std::optional<double> Wishes::started_within(const JobSpec &spec) const {
+  std::optional<double> last;
+  for (const auto &o : settings_.objectives)
+    if (o.kind == "wait" && o.job_class == spec.job_class)
+      last = std::max(last.value_or(0), o.within_s + spec.estimate_s);
   return last;
 }
 
@@ -28,7 +37,7 @@
     if (o.within_s >= soonest) first = std::min(first, o.within_s);
     last = std::max(last, o.within_s);
   }
-  if (last <= 0) return kDefaultDue;
+  if (last <= 0) return started_within(spec).value_or(kDefaultDue);
   return std::isfinite(first) ? first : last;
 }
 
