--- a/include/loftrouter/core/administration.hpp
+++ b/include/loftrouter/core/administration.hpp
@@ -9,6 +9,7 @@
 #include "loftrouter/core/cells.hpp"
 #include "loftrouter/core/insight.hpp"
 #include "loftrouter/core/reports.hpp"
+#include "loftrouter/core/served.hpp"
 
 namespace loft::core {
 
@@ -16,12 +17,13 @@
 public:
   Administration(Port &port, const Settings &settings, const Catalogue &catalogue, Operators &operators,
                  StoreBudget &budget, const Leadership &lead, const RecordWatch &watch, const JobTable &jobs,
-                 const Dependencies &dependencies, const FailureJudge &judge, const Fleet &fleet, const Scaler &scaler, const Siblings &siblings,
-                 const Reach &reach, const Cells &cells, const ReportDesk &reports, const Insight &insight,
-                 const Ledger &ledger)
+                 const Dependencies &dependencies, const FailureJudge &judge, const Fleet &fleet, const Scaler &scaler,
+                 const Siblings &siblings, const Reach &reach, const Cells &cells, const ReportDesk &reports,
+                 const Served &served, const Insight &insight, const Ledger &ledger)
       : port_(port), settings_(settings), catalogue_(catalogue), operators_(operators), budget_(budget), lead_(lead),
-        watch_(watch), jobs_(jobs), dependencies_(dependencies), judge_(judge), fleet_(fleet), scaler_(scaler), siblings_(siblings), reach_(reach),
-        cells_(cells), reports_(reports), insight_(insight), ledger_(ledger) {}
+        watch_(watch), jobs_(jobs), dependencies_(dependencies), judge_(judge), fleet_(fleet), scaler_(scaler),
+        siblings_(siblings), reach_(reach), cells_(cells), reports_(reports), served_(served), insight_(insight),
+        ledger_(ledger) {}
 
   void take(CmdAdmin &&cmd);
 
@@ -51,6 +53,7 @@
   const Reach &reach_;
   const Cells &cells_;
   const ReportDesk &reports_;
+  const Served &served_;
   const Insight &insight_;
   const Ledger &ledger_;
 };
--- a/include/loftrouter/core/core.hpp
+++ b/include/loftrouter/core/core.hpp
@@ -11,6 +11,7 @@
 #include "loftrouter/core/chronicle.hpp"
 #include "loftrouter/core/insight.hpp"
 #include "loftrouter/core/reports.hpp"
+#include "loftrouter/core/served.hpp"
 #include "loftrouter/core/users.hpp"
 
 namespace loft::core {
@@ -67,6 +68,7 @@
   Placer placer_;
   Scaler scaler_;
   Cells cells_;
+  Served served_;
   Insight insight_;
   UserDesk users_;
   Administration administration_;
--- a/include/loftrouter/core/fleet.hpp
+++ b/include/loftrouter/core/fleet.hpp
@@ -97,7 +97,7 @@
   int add(const std::string &name, const std::string &type, const std::string &zone, bool spot);
   void set_rented_at(int m, double at);
   void set_proven(int m); // rented by this leader
-  void give_back(int m); // takes no new tasks from here on
+  void give_back(int m);  // takes no new tasks from here on
   void set_draining(int m, bool draining);
   void listed_failed(int m); // it stopped on its own
   void listed_running(int m);
--- a/include/loftrouter/core/insight.hpp
+++ b/include/loftrouter/core/insight.hpp
@@ -19,11 +19,11 @@
 public:
   Insight(Port &port, const Settings &settings, const Catalogue &catalogue, const Operators &operators,
           const Leadership &lead, const RecordWatch &watch, const JobTable &jobs, const EndedJobs &ended,
-          const Dependencies &dependencies, const FailureJudge &judge, const Reasons &reasons, const Fleet &fleet, const Placer &placer,
-          const Scaler &scaler, const Wishes &wishes, const Ledger &ledger, Siblings &siblings)
+          const Dependencies &dependencies, const FailureJudge &judge, const Reasons &reasons, const Fleet &fleet,
+          const Placer &placer, const Scaler &scaler, const Wishes &wishes, const Ledger &ledger, Siblings &siblings)
       : port_(port), settings_(settings), catalogue_(catalogue), operators_(operators), lead_(lead), watch_(watch),
-        jobs_(jobs), ended_(ended), dependencies_(dependencies), judge_(judge), reasons_(reasons), fleet_(fleet), placer_(placer), scaler_(scaler),
-        wishes_(wishes), ledger_(ledger), siblings_(siblings) {}
+        jobs_(jobs), ended_(ended), dependencies_(dependencies), judge_(judge), reasons_(reasons), fleet_(fleet),
+        placer_(placer), scaler_(scaler), wishes_(wishes), ledger_(ledger), siblings_(siblings) {}
 
   // What a user is shown of a job that the state service has just said is open.
   JobView view(const std::string &id, bool cancelled) const;
@@ -52,8 +52,8 @@
   struct Told { // to siblings
     std::uint32_t done = 0, running = 0;
   };
-  // When each open job is expected to be able to start, and to be done, by estimates and the queue; and of those that it waits for the one that
-  // is expected last, or -1.
+  // When each open job is expected to be able to start, and to be done, by estimates and the queue; and of those that
+  // it waits for the one that is expected last, or -1.
   struct Outlook {
     double at = -1e9;
     std::vector<double> begins_in, done_in;
--- a/include/loftrouter/core/jobs.hpp
+++ b/include/loftrouter/core/jobs.hpp
@@ -99,7 +99,7 @@
   void drop_loan(int j, std::uint64_t generation);
   void pause(int j, bool paused);
   void readied(int j); // what it waited for is done (Dependencies)
-  void settle(int j); // borrowed: home knows how it ended
+  void settle(int j);  // borrowed: home knows how it ended
 
   // Mono, when every lease that an earlier leader may have kept alive has run out; 0: nothing is waited for.
   double unaccounted_until() const { return unaccounted_until_; }
--- a/include/loftrouter/core/placement.hpp
+++ b/include/loftrouter/core/placement.hpp
@@ -71,8 +71,8 @@
 double place_score(const PlaceJob &job, const PlaceMachine &m, const PlaceOptions &o);
 
 // Rounds until nothing more fits. `team_room` (CPUs and GPUs left under each team's limit, or
-// negative for none) is used up along the way. `reserved`: which machines a job that has waited too long keeps for itself;
-// until the next round over all machines nothing else may be placed there.
+// negative for none) is used up along the way. `reserved`: which machines a job that has waited too long keeps for
+// itself; until the next round over all machines nothing else may be placed there.
 std::vector<Assignment> place_round(std::vector<PlaceMachine> machines, const std::vector<const PlaceJob *> &jobs,
                                     std::vector<Resources> team_room, const PlaceOptions &options,
                                     std::vector<Reservation> *reserved = nullptr);
--- a/include/loftrouter/core/placer.hpp
+++ b/include/loftrouter/core/placer.hpp
@@ -48,8 +48,8 @@
   std::vector<Resources> team_room() const;
   bool patient(int j) const;
   double age(int j) const { return port_.wall() - dependencies_.ready_wall(j); } // since it could start
-  double up_cpus() const { return up_cpus_; }        // at the last round
-  const Kept *kept(int type, double within_s) const; // wanted within so many seconds
+  double up_cpus() const { return up_cpus_; }                                    // at the last round
+  const Kept *kept(int type, double within_s) const;                             // wanted within so many seconds
 
   void on(const JobAccepted &e);
   void on(const TaskExited &) { room_ = true; }
--- a/include/loftrouter/core/recorder.hpp
+++ b/include/loftrouter/core/recorder.hpp
@@ -78,17 +78,17 @@
     // hold them this one is not written; then it is, without them; and only after that may they go from the other.
     std::vector<int> leaving;
     bool oversize = false; // as it was read
-    std::string folding; // a period whose sums may have been moved from here, by a write without an answer
+    std::string folding;   // a period whose sums may have been moved from here, by a write without an answer
   };
   static constexpr std::uint8_t kStarted = 1, kCovered = 2, kRecorded = 4, kDoneCovered = 8, kDoneRecorded = 16;
   struct Entry {                     // of a job
     std::vector<std::uint8_t> marks; // by task; `covered`: by the transaction that last wrote its progress
-    int shard = -1, from = -1; // the latter: the record that it moves from, until that was written without it
-    bool copied = false;       // the new one is known to hold it
-    int coarser = 0;           // its sets take half the room, so many times: the state service has refused them
-    bool dirty = false;        // its progress differs from what was last written
-    bool to_end = false;       // in the queue for that
-    bool needs_resync = false; // stamp unknown after an unanswered or refused write
+    int shard = -1, from = -1;       // the latter: the record that it moves from, until that was written without it
+    bool copied = false;             // the new one is known to hold it
+    int coarser = 0;                 // its sets take half the room, so many times: the state service has refused them
+    bool dirty = false;              // its progress differs from what was last written
+    bool to_end = false;             // in the queue for that
+    bool needs_resync = false;       // stamp unknown after an unanswered or refused write
     bool resyncing = false;
     std::uint32_t ahead = 4;
     wire::Json progress; // as last written
--- a/include/loftrouter/core/scaler.hpp
+++ b/include/loftrouter/core/scaler.hpp
@@ -16,8 +16,8 @@
 class Scaler {
 public:
   Scaler(Port &port, const Settings &settings, Catalogue &catalogue, const Operators &operators, const Leadership &lead,
-         const JobTable &jobs, const Dependencies &dependencies, const FailureJudge &judge, Fleet &fleet, const Silence &silence, const Placer &placer,
-         const Wishes &wishes);
+         const JobTable &jobs, const Dependencies &dependencies, const FailureJudge &judge, Fleet &fleet,
+         const Silence &silence, const Placer &placer, const Wishes &wishes);
 
   void tick();
   void probe(); // asks the cloud something, so that it is known whether it answers this node; seldom
--- a/include/loftrouter/core/siblings.hpp
+++ b/include/loftrouter/core/siblings.hpp
@@ -31,7 +31,7 @@
     double asked_at = -1e9;
     ReachWord asks_with;
     bool knows_waiting = false; // by the same: its version knows of jobs that wait for others
-    std::uint64_t term = 0; // that it knows of, or leads
+    std::uint64_t term = 0;     // that it knows of, or leads
     StoreBudget::Use use;
   };
   struct Standing { // of this node, towards workers
--- a/include/loftrouter/core/wishes.hpp
+++ b/include/loftrouter/core/wishes.hpp
@@ -12,7 +12,8 @@
 public:
   explicit Wishes(const Settings &settings) : settings_(settings) {}
 
-  // Seconds after it could start, as its age: nothing if nobody has said. `deadline`: its own or what its path leaves it.
+  // Seconds after it could start, as its age: nothing if nobody has said. `deadline`: its own or what its path leaves
+  // it.
   std::optional<double> wanted_after(const JobSpec &spec, std::optional<double> deadline) const;
   // What to work for: of several objectives the first that a job of this age can still meet.
   double due_after(const JobSpec &spec, std::optional<double> deadline, double age_s) const;
--- a/include/loftrouter/wire/admin.hpp
+++ b/include/loftrouter/wire/admin.hpp
@@ -137,6 +137,12 @@
     double oldest_s = 0;
     int waiting_for_others = 0; // jobs
   };
+  struct Served { // of a class, the largest jobs of one, or a team; since the leader leads
+    std::string of, name;
+    std::uint64_t accepted = 0, begun = 0, done = 0, cancelled = 0, waiting = 0; // the last: could start, and have not
+    double longest_wait_s = 0;
+  };
+  std::vector<Served> served;
   std::vector<Queue> queues;
   double round_p50 = 0, round_p99 = 0, queue_p50 = 0, queue_p99 = 0;
   std::vector<std::string> troubles; // in plain words
--- a/src/core/administration.cpp
+++ b/src/core/administration.cpp
@@ -85,7 +85,9 @@
                           !word           ? "nothing"
                           : word->by_link ? "link"
                                           : "state service",
-                          x.asked_at < -1e8 ? "unknown" : x.knows_waiting ? "this or later" : "earlier"});
+                          x.asked_at < -1e8 ? "unknown"
+                          : x.knows_waiting ? "this or later"
+                                            : "earlier"});
   }
   const auto load = reports_.load();
   s.load = {load.reports, load.reports_most, load.passed,  load.workers,       load.workers_most,
@@ -112,6 +114,7 @@
     k.spot = spot;
     s.fleet.push_back(k);
   }
+  if (leads) s.served = served_.rows();
   s.cell = settings_.cells.name;
   if (leads)
     for (const auto &c : cells_.states())
@@ -280,7 +283,8 @@
           after = wire::to_json(orders);
         }
         if (static_cast<double>(after.dump().size()) > settings_.state_value_kb * 1024)
-          return fail(req, 409, "that is more than one record of the state service holds, now or after its limits fall");
+          return fail(req, 409,
+                      "that is more than one record of the state service holds, now or after its limits fall");
         port_.store(StoreCommit{{{key, stamp}}, {{key, after, 0}}}, kAdminDeadline / 2,
                     [this, req, key, after, budgets, cells](const wire::StoreReply &c) {
                       if (c.status == 409) return fail(req, 409, "somebody else has just changed it; ask again");
--- a/src/core/budget.cpp
+++ b/src/core/budget.cpp
@@ -52,8 +52,8 @@
   }
   reads_.set_rate(now, std::max(reads / nodes, reads - others.reads));
   writes_.set_rate(now, std::max(writes / nodes, writes - others.writes));
-  leader_writes_.set_rate(now, std::max((1 - kUserWrites) * write_rps_,
-                                        kAllWrites * write_rps_ - use_.writes - others.writes));
+  leader_writes_.set_rate(
+      now, std::max((1 - kUserWrites) * write_rps_, kAllWrites * write_rps_ - use_.writes - others.writes));
 }
 
 } // namespace loft::core
--- a/src/core/cells.cpp
+++ b/src/core/cells.cpp
@@ -559,10 +559,9 @@
   m.generation = l.state.generation();
   JobSpec spec = n.spec;
   const double age = std::max(0.0, port_.wall() - n.submit_wall);
-  spec.deadline_s =
-      wishes_.wanted_after(n.spec, n.spec.deadline_s)
-          ? std::optional(std::max(1.0, wishes_.due_after(n.spec, n.spec.deadline_s, age) - age))
-          : std::nullopt;
+  spec.deadline_s = wishes_.wanted_after(n.spec, n.spec.deadline_s)
+                        ? std::optional(std::max(1.0, wishes_.due_after(n.spec, n.spec.deadline_s, age) - age))
+                        : std::nullopt;
   m.body = wire::encode(wire::to_json(spec));
   for (const auto &x : n.loans)
     if (x.generation == m.generation) m.ranges = x.tasks;
--- a/src/core/core.cpp
+++ b/src/core/core.cpp
@@ -7,9 +7,11 @@
 Core::Core(Settings settings, std::uint64_t seed)
     : settings_(with_cell_teams(std::move(settings))), port_(seed), wishes_(settings_), catalogue_(settings_.zones),
       operators_(port_, events_), budget_(settings_), lead_(port_, events_, settings_, catalogue_),
-      jobs_(port_, events_, settings_), ended_(events_), dependencies_(port_, settings_, budget_, lead_, jobs_, ended_), judge_(port_, events_, jobs_, operators_),
-      reasons_(port_, jobs_, dependencies_, judge_, wishes_), ledger_(port_, settings_, catalogue_, jobs_, operators_),
-      recorder_(port_, events_, settings_, lead_, budget_, jobs_, ended_, dependencies_, judge_, reasons_, wishes_, ledger_),
+      jobs_(port_, events_, settings_), ended_(events_), dependencies_(port_, settings_, budget_, lead_, jobs_, ended_),
+      judge_(port_, events_, jobs_, operators_), reasons_(port_, jobs_, dependencies_, judge_, wishes_),
+      ledger_(port_, settings_, catalogue_, jobs_, operators_),
+      recorder_(port_, events_, settings_, lead_, budget_, jobs_, ended_, dependencies_, judge_, reasons_, wishes_,
+                ledger_),
       watch_(port_, settings_, lead_, recorder_),
       fleet_(port_, events_, settings_, catalogue_, operators_, lead_, jobs_, recorder_),
       silence_(port_, settings_, catalogue_, lead_, fleet_), siblings_(port_, settings_, lead_, budget_, jobs_, watch_),
@@ -17,14 +19,16 @@
       reports_(port_, settings_, lead_, siblings_, reach_, silence_, watch_, fleet_),
       placer_(port_, events_, settings_, catalogue_, operators_, lead_, jobs_, dependencies_, judge_, recorder_, fleet_,
               wishes_, ledger_),
-      scaler_(port_, settings_, catalogue_, operators_, lead_, jobs_, dependencies_, judge_, fleet_, silence_, placer_, wishes_),
+      scaler_(port_, settings_, catalogue_, operators_, lead_, jobs_, dependencies_, judge_, fleet_, silence_, placer_,
+              wishes_),
       cells_(port_, events_, settings_, catalogue_, operators_, lead_, watch_, budget_, jobs_, judge_, ledger_,
              recorder_, fleet_, siblings_, placer_, scaler_, wishes_),
-      insight_(port_, settings_, catalogue_, operators_, lead_, watch_, jobs_, ended_, dependencies_, judge_, reasons_, fleet_,
-               placer_, scaler_, wishes_, ledger_, siblings_),
+      served_(port_, jobs_, ended_, dependencies_),
+      insight_(port_, settings_, catalogue_, operators_, lead_, watch_, jobs_, ended_, dependencies_, judge_, reasons_,
+               fleet_, placer_, scaler_, wishes_, ledger_, siblings_),
       users_(port_, settings_, catalogue_, budget_, lead_, jobs_, ended_, siblings_, insight_),
-      administration_(port_, settings_, catalogue_, operators_, budget_, lead_, watch_, jobs_, dependencies_, judge_, fleet_, scaler_,
-                      siblings_, reach_, cells_, reports_, insight_, ledger_),
+      administration_(port_, settings_, catalogue_, operators_, budget_, lead_, watch_, jobs_, dependencies_, judge_,
+                      fleet_, scaler_, siblings_, reach_, cells_, reports_, served_, insight_, ledger_),
       chronicle_(port_, jobs_, fleet_) {
   reports_.refuse_while([this](const WorkerReport &r) { return cells_.unsure_of(r); });
 }
@@ -58,8 +62,8 @@
       };
       (one(parts), ...);
     };
-    hand(chronicle_, dependencies_, judge_, fleet_, silence_, ledger_, recorder_, watch_, reports_, placer_, scaler_, cells_, reasons_,
-         insight_, users_, jobs_);
+    hand(chronicle_, dependencies_, judge_, fleet_, silence_, ledger_, recorder_, watch_, reports_, placer_, scaler_,
+         cells_, served_, reasons_, insight_, users_, jobs_);
   });
 }
 
@@ -90,6 +94,7 @@
   });
   step([this] { dependencies_.tick(); });
   insight_.log_summary();
+  served_.tick();
   step([this] { fleet_.tick(); });
   ledger_.tick();
   step([this] { placer_.tick(); });
--- a/src/core/dependencies.cpp
+++ b/src/core/dependencies.cpp
@@ -151,9 +151,8 @@
         ended_.remember(name, std::move(*end));
     };
   };
-  port_.store(StoreGet{"open/" + name}, 1.0, told(false, [this, name, told] {
-                port_.store(StoreGet{"end/" + name}, 1.0, told(true, [] {}));
-              }));
+  port_.store(StoreGet{"open/" + name}, 1.0,
+              told(false, [this, name, told] { port_.store(StoreGet{"end/" + name}, 1.0, told(true, [] {})); }));
 }
 
 // ---- what follows along the graph ----
@@ -194,7 +193,8 @@
 
 Urgency Dependencies::urgency(int j) const {
   if (outdated_) recompute();
-  return static_cast<std::size_t>(j) < wanted_.size() && jobs_[j].spec.urgency < wanted_[static_cast<std::size_t>(j)].first
+  return static_cast<std::size_t>(j) < wanted_.size() &&
+                 jobs_[j].spec.urgency < wanted_[static_cast<std::size_t>(j)].first
              ? wanted_[static_cast<std::size_t>(j)].first
              : jobs_[j].spec.urgency;
 }
--- a/src/core/placer.cpp
+++ b/src/core/placer.cpp
@@ -7,11 +7,11 @@
 
 namespace {
 constexpr double kRound = 0.25;
-constexpr double kFirstRound = 0.5;  // after a term has begun
-constexpr double kImageWorth = 2.0;  // a fetch spared, against the CPU seconds of work lost
-constexpr double kHoldForJob = 15.0; // s, that a machine emptied for a job stays free for it
+constexpr double kFirstRound = 0.5;   // after a term has begun
+constexpr double kImageWorth = 2.0;   // a fetch spared, against the CPU seconds of work lost
+constexpr double kHoldForJob = 15.0;  // s, that a machine emptied for a job stays free for it
 constexpr double kHoldReserved = 1.0; // s, the same for one that has waited too long; said again in each round
-constexpr double kKeptFor = 600.0;   // s, that a machine type is kept after a job has wanted it whole
+constexpr double kKeptFor = 600.0;    // s, that a machine type is kept after a job has wanted it whole
 constexpr double kAheadEvery = 0.25;
 constexpr double kAheadShare = 0.15; // of the fleet's CPUs: tasks recorded ahead of their placement
 constexpr std::uint32_t kAheadLeast = 4;
@@ -74,9 +74,7 @@
                                            const std::function<bool(int)> &silent_too) const {
   std::vector<PlaceMachine> out;
   const double cheapest = catalogue_.cheapest_cpu();
-  auto small = [this](const Slot &s) {
-    return s.job >= 0 && is_small(jobs_[s.job].spec, jobs_[s.job].spec.urgency);
-  };
+  auto small = [this](const Slot &s) { return s.job >= 0 && is_small(jobs_[s.job].spec, jobs_[s.job].spec.urgency); };
   const int first = std::max(0, only), end = only >= 0 ? only + 1 : static_cast<int>(fleet_.slots());
   for (int m = first; m < end; ++m) {
     const Machine *p = fleet_.find(m);
@@ -222,7 +220,8 @@
 }
 
 void Placer::offer(int m) {
-  if (!wanted() || fleet_[m].returning || !fleet_[m].proven || fleet_[m].deaf() || !lead_.active() || line_.empty()) return;
+  if (!wanted() || fleet_[m].returning || !fleet_[m].proven || fleet_[m].deaf() || !lead_.active() || line_.empty())
+    return;
   std::vector<int> index;
   auto machines = snapshot(index, m);
   if (machines.empty()) return;
@@ -415,7 +414,8 @@
       if (slot.stop) { // going anyway
         o.free.add(slot.need);
         o.at_once &= owner && owner->spec.checkpoint_s <= 0;
-      } else if (owner && (dependencies_.urgency(slot.job) < p.urgency || owner->borrowed) && owner->spec.shape == Shape::Array) {
+      } else if (owner && (dependencies_.urgency(slot.job) < p.urgency || owner->borrowed) &&
+                 owner->spec.shape == Shape::Array) {
         const double ran = slot.running_since >= 0 ? port_.now() - slot.running_since : 0.1;
         o.victims.push_back({ran * slot.need.cpus, s, slot.need});
         o.at_once &= owner->spec.checkpoint_s <= 0;
--- a/src/core/recorder.cpp
+++ b/src/core/recorder.cpp
@@ -283,7 +283,8 @@
   const std::string what = t.shards.size() == 1 ? shards_[t.shards[0]].key
                            : t.ends.size() == 1 ? "the end of " + t.ends[0]
                                                 : fmt::format("{} records", writes);
-  port_.log(LogLevel::Error, "record_refused", {{"record", what}, {"then", writes > 1 ? "one by one" : "made smaller"}});
+  port_.log(LogLevel::Error, "record_refused",
+            {{"record", what}, {"then", writes > 1 ? "one by one" : "made smaller"}});
   alone_until_ = port_.now() + 5;
   if (writes != 1) return;
   if (!t.folded.empty()) left_alone_.insert(t.folded);
@@ -344,7 +345,8 @@
   std::vector<std::size_t> due;
   const double lazy = ending_.size() > kManyEnds ? kLazyWriteBusy : kLazyWrite;
   for (std::size_t s = 0; s < shards_.size(); ++s)
-    if (shards_[s].dirty && !blocked(shards_[s]) && (shards_[s].urgent || port_.now() - shards_[s].dirty_since >= lazy)) due.push_back(s);
+    if (shards_[s].dirty && !blocked(shards_[s]) && (shards_[s].urgent || port_.now() - shards_[s].dirty_since >= lazy))
+      due.push_back(s);
   settle_ghosts();
   if (due.empty() && ending_.empty() && moves_.empty()) return port_.now() < alone_until_ ? void() : fold();
   std::sort(due.begin(), due.end(), [this](std::size_t a, std::size_t b) {
--- a/src/core/scaler.cpp
+++ b/src/core/scaler.cpp
@@ -30,10 +30,10 @@
 
 Scaler::Scaler(Port &port, const Settings &settings, Catalogue &catalogue, const Operators &operators,
                const Leadership &lead, const JobTable &jobs, const Dependencies &dependencies,
-               const FailureJudge &judge, Fleet &fleet,
-               const Silence &silence, const Placer &placer, const Wishes &wishes)
-    : port_(port), settings_(settings), catalogue_(catalogue), operators_(operators), lead_(lead), jobs_(jobs), dependencies_(dependencies),
-      judge_(judge), fleet_(fleet), silence_(silence), placer_(placer), wishes_(wishes),
+               const FailureJudge &judge, Fleet &fleet, const Silence &silence, const Placer &placer,
+               const Wishes &wishes)
+    : port_(port), settings_(settings), catalogue_(catalogue), operators_(operators), lead_(lead), jobs_(jobs),
+      dependencies_(dependencies), judge_(judge), fleet_(fleet), silence_(silence), placer_(placer), wishes_(wishes),
       calls_(0.7 * settings.cloud_rps, std::max(1.0, 0.7 * settings.cloud_rps)) {}
 
 void Scaler::on(const TermBegun &) {
--- /dev/null
+++ b/src/core/served.cpp
@@ -0,0 +1,105 @@
+#include "loftrouter/core/served.hpp"
+
+#include <algorithm>
+
+namespace loft::core {
+
+namespace {
+constexpr double kLineEvery = 60.0; // s
+} // namespace
+
+template <class Fn> void Served::each_count(const Entry &e, Fn &&fn) {
+  if (e.job_class < 0) return;
+  Group &c = grown(classes_, e.job_class);
+  fn(c.all);
+  if (e.largest) fn(c.largest);
+  fn(grown(teams_, e.team).all);
+}
+
+void Served::on(const JobAccepted &e) {
+  const Job *n = jobs_.find(e.job);
+  if (!n || n->borrowed) return;
+  Entry &x = grown(entries_, e.job);
+  x = {place(class_names_, n->spec.job_class), place(team_names_, n->spec.team), false,
+       n->placed + n->done + n->unaccounted > 0};
+  Group &c = grown(classes_, x.job_class);
+  const double cpus = n->spec.tasks * n->spec.need.cpus;
+  x.largest = cpus >= kLargest * c.most_cpus;
+  c.most_cpus = std::max(c.most_cpus, cpus);
+  each_count(x, [&](Count &count) {
+    ++count.accepted;
+    count.begun += x.begun;
+  });
+}
+
+void Served::on(const TaskRuns &e) {
+  Entry &x = grown(entries_, e.job);
+  if (x.job_class < 0 || std::exchange(x.begun, true)) return;
+  each_count(x, [](Count &count) { ++count.begun; });
+}
+
+void Served::on(const JobOver &e) {
+  const Entry x = std::exchange(grown(entries_, e.job), {});
+  const auto *end = ended_.find(e.id);
+  each_count(x, [&](Count &count) {
+    const bool cancelled = end && end->cancelled;
+    ++(cancelled ? count.cancelled : count.done);
+    count.begun += !x.begun && !cancelled; // too short to have been seen running
+  });
+}
+
+void Served::on(const TermBegun &) {
+  next_line_ = port_.now() + kLineEvery;
+}
+
+void Served::on(const TermEnded &) {
+  classes_.clear();
+  teams_.clear();
+  entries_.clear();
+}
+
+std::vector<wire::AdminStatus::Served> Served::rows() const {
+  std::vector<wire::AdminStatus::Served> out;
+  std::vector<std::size_t> of_class(classes_.size(), 0), of_largest(classes_.size(), 0), of_team(teams_.size(), 0);
+  auto row = [&](const char *of, const std::string &name, const Count &c) {
+    out.push_back({of, name, c.accepted, c.begun, c.done, c.cancelled, 0, 0});
+    return out.size() - 1;
+  };
+  for (std::size_t i = 0; i < classes_.size(); ++i) {
+    of_class[i] = row("class", class_names_.name(static_cast<int>(i)), classes_[i].all);
+    of_largest[i] = row("largest of class", class_names_.name(static_cast<int>(i)), classes_[i].largest);
+  }
+  for (std::size_t i = 0; i < teams_.size(); ++i)
+    of_team[i] = row("team", team_names_.name(static_cast<int>(i)), teams_[i].all);
+  jobs_.each([&](int j, const Job &n) {
+    if (static_cast<std::size_t>(j) >= entries_.size()) return;
+    const Entry &x = entries_[static_cast<std::size_t>(j)];
+    if (x.job_class < 0 || x.begun || n.cancelled || !dependencies_.ready(j)) return;
+    const double waited = std::max(0.0, port_.wall() - dependencies_.ready_wall(j));
+    auto add = [&](std::size_t k) {
+      ++out[k].waiting;
+      out[k].longest_wait_s = std::max(out[k].longest_wait_s, waited);
+    };
+    add(of_class[static_cast<std::size_t>(x.job_class)]);
+    if (x.largest) add(of_largest[static_cast<std::size_t>(x.job_class)]);
+    add(of_team[static_cast<std::size_t>(x.team)]);
+  });
+  return out;
+}
+
+void Served::tick() {
+  if (port_.now() < next_line_) return;
+  next_line_ = port_.now() + kLineEvery;
+  for (const auto &r : rows())
+    if (r.waiting)
+      port_.log(LogLevel::Info, "served",
+                {{"of", r.of},
+                 {"name", r.name},
+                 {"accepted", r.accepted},
+                 {"begun", r.begun},
+                 {"done", r.done},
+                 {"waiting", r.waiting},
+                 {"longest_wait_s", r.longest_wait_s}});
+}
+
+} // namespace loft::core
--- a/src/core/users.cpp
+++ b/src/core/users.cpp
@@ -10,15 +10,15 @@
 namespace {
 constexpr double kUserDeadline = 1.4; // a poll waits 2 s, a submission 5 s
 constexpr int kMaxUserOps = 256;
-constexpr std::size_t kMostKnown = 4000;   // open records
-constexpr double kConfirmEvery = 0.03;     // least time between comparisons
-constexpr double kSweepEvery = 0.05;       // the same, between looks for questions that have waited too long
+constexpr std::size_t kMostKnown = 4000; // open records
+constexpr double kConfirmEvery = 0.03;   // least time between comparisons
+constexpr double kSweepEvery = 0.05;     // the same, between looks for questions that have waited too long
 // Within what a user waits for an answer (2 s, and 5 s for what changes something), a sibling's has to be there.
 constexpr double kLookWithin = 1.8, kChangeWithin = 4.5, kLeastForSibling = 0.15;
 constexpr std::size_t kKeptBody = 4096; // of a description that may be passed on a second time
 // At once: nothing that this node could ask would answer in time.
 constexpr std::string_view kCutOff = "this node reaches neither the state service nor a sibling that does";
-constexpr double kWordLife = 1.2;       // s, of a sibling's word that the state service answers it
+constexpr double kWordLife = 1.2; // s, of a sibling's word that the state service answers it
 } // namespace
 
 UserDesk::Verdict UserDesk::judge(const JobSpec &spec, std::string &why) const {
--- a/src/core/watch.cpp
+++ b/src/core/watch.cpp
@@ -9,7 +9,7 @@
 namespace {
 constexpr double kLoadRetry = 0.2;
 constexpr double kAuditEvery = 5.0, kAuditReads = 100; // s; and one read in so many
-constexpr double kFollowHold = 3.0; // short, so that a watch that has died is noticed soon
+constexpr double kFollowHold = 3.0;                    // short, so that a watch that has died is noticed soon
 } // namespace
 
 void RecordWatch::tick() {
--- a/src/wire/admin.cpp
+++ b/src/wire/admin.cpp
@@ -215,6 +215,16 @@
                      {"cpus", x.cpus},
                      {"cpus_in_use", x.used},
                      {"refused_by_cloud", x.refused}});
+  Json served = Json::array();
+  for (const auto &x : s.served)
+    served.push_back({{"of", x.of},
+                      {"name", x.name},
+                      {"accepted", x.accepted},
+                      {"begun", x.begun},
+                      {"done", x.done},
+                      {"cancelled", x.cancelled},
+                      {"waiting", x.waiting},
+                      {"longest_wait_s", std::round(x.longest_wait_s)}});
   for (const auto &x : s.queues)
     queues.push_back({{"team", x.team},
                       {"open_jobs", x.jobs},
@@ -256,6 +266,7 @@
        {"siblings", std::move(siblings)},
        {"fleet", std::move(fleet)},
        {"queues", std::move(queues)},
+       {"served", std::move(served)},
        {"cell", s.cell.empty() ? Json() : Json(s.cell)},
        {"cells", std::move(cells)},
        {"batch_ms", {{"p50", rounded(s.round_p50)}, {"p99", rounded(s.round_p99)}}},
--- a/src/wire/messages.cpp
+++ b/src/wire/messages.cpp
@@ -25,7 +25,8 @@
                      *value = "v", *entries = "entries", *more = "truncated", *guards = "guards", *writes = "writes",
                      *put = "set", *del = "drop", *failed = "failed", *events = "events", *ttl = "ttl_ms",
                      *request = "hire", *count = "number", *name = "sku", *cache = "local_gb", *fetch = "pull_gb_per_s",
-                     *price = "rate", *spot_price = "spot_price", *boot = "startup_s", *age = "age_s", *waits_for = "waits_on";
+                     *price = "rate", *spot_price = "spot_price", *boot = "startup_s", *age = "age_s",
+                     *waits_for = "waits_on";
 }
 
 constexpr const char *kShapes[] = {"array", "gang", "service"};
@@ -217,8 +218,7 @@
     for (const auto &name : v) {
       const auto named = text(name);
       if (!named || !valid_job_id(*named) || *named == s.id) return bad(f::waits_for);
-      if (std::find(s.waits_for.begin(), s.waits_for.end(), *named) == s.waits_for.end())
-        s.waits_for.push_back(*named);
+      if (std::find(s.waits_for.begin(), s.waits_for.end(), *named) == s.waits_for.end()) s.waits_for.push_back(*named);
     }
   }
   return s;
--- a/tests/daemon_test.cpp
+++ b/tests/daemon_test.cpp
@@ -377,7 +377,7 @@
   auto report = [&] {
     for (int i = 0; i < 600; ++i) {
       json r = {
-          {"box", "n-000001"}, {"address", "127.0.0.1:9"}, {"hull", "big"}, {"yard", "a"},          {"standby", false},
+          {"box", "n-000001"}, {"address", "127.0.0.1:9"}, {"hull", "big"},  {"yard", "a"},          {"standby", false},
           {"shift", 1},        {"tick", ++tick},           {"baton", baton}, {"warning_s", nullptr}, {"pieces", runs}};
       auto a = call(d.api[at], "POST", "/v1/report", wire::encode(r));
       if (a.status == 200) {
--- a/tests/pipelines_test.cpp
+++ b/tests/pipelines_test.cpp
@@ -56,8 +56,9 @@
 
 // ---- the version in production ----
 
-// tests/golden/production.txt holds one of each record and frame (in hexadecimal digits), made by the code of the version
-// in production. What that has written is read whole, and without anything new the same bytes are written again.
+// tests/golden/production.txt holds one of each record and frame (in hexadecimal digits), made by the code of the
+// version in production. What that has written is read whole, and without anything new the same bytes are written
+// again.
 TEST(Upgrade, RecordsAndFramesAreAsInProduction) {
   std::ifstream in(GOLDEN);
   int checked = 0;
@@ -70,8 +71,10 @@
       std::string_view rest = bytes;
       wire::PeerMessage peer;
       wire::CellMessage cell;
-      if (name.starts_with("cell") && wire::read_cell(rest, cell) == wire::PeerRead::Frame) again = wire::encode_cell(cell);
-      if (name.starts_with("frame") && wire::read_peer(rest, peer) == wire::PeerRead::Frame) again = wire::encode_peer(peer);
+      if (name.starts_with("cell") && wire::read_cell(rest, cell) == wire::PeerRead::Frame)
+        again = wire::encode_cell(cell);
+      if (name.starts_with("frame") && wire::read_peer(rest, peer) == wire::PeerRead::Frame)
+        again = wire::encode_peer(peer);
       EXPECT_EQ(again, bytes) << name;
       continue;
     }
@@ -84,7 +87,8 @@
     if (name == "leader") again = wire::to_json(wire::leader_from_json(j).value());
     if (name == "reach") again = wire::to_json(wire::reach_from_json(j).value());
     if (name == "types") again = wire::to_json(wire::types_from_json(j).value());
-    if (name == "progress") again = wire::to_json(wire::progress_from_json("progress/j-000412", j).value().jobs[0].second);
+    if (name == "progress")
+      again = wire::to_json(wire::progress_from_json("progress/j-000412", j).value().jobs[0].second);
     if (name.starts_with("shard")) {
       const auto shard = wire::progress_from_json("progress/s0", j).value();
       again = wire::progress_shard({{shard.jobs[0].first, wire::to_json(shard.jobs[0].second)}}, shard.sums);
@@ -140,15 +144,15 @@
   struct One {
     std::vector<std::string> names;
     bool open = true, cancelled = false, done = false, told = true; // told: its end is known here
-    bool stopped = false; // for ever, once it is
+    bool stopped = false;                                           // for ever, once it is
   };
   std::map<std::string, One> jobs;
 
   bool stopped(const std::string &id) {
     One &x = jobs.at(id);
     return x.stopped |= x.cancelled || std::any_of(x.names.begin(), x.names.end(), [&](const auto &n) {
-             return (jobs.at(n).open || jobs.at(n).told) && stopped(n);
-           });
+                          return (jobs.at(n).open || jobs.at(n).told) && stopped(n);
+                        });
   }
   bool ready(const std::string &id) {
     const One &x = jobs.at(id);
@@ -323,7 +327,8 @@
     if (const auto *get = std::get_if<core::StoreGet>(&op.what); get && get->key == "conf/types") {
       wire::StoreReply r;
       r.status = 200;
-      r.entries.push_back({get->key, wire::to_json(std::vector<MachineType>{{"g", {4, 0, 8}, 1, 1, 1, 1, 1, {"a"}}}), 1, 0});
+      r.entries.push_back(
+          {get->key, wire::to_json(std::vector<MachineType>{{"g", {4, 0, 8}, 1, 1, 1, 1, 1, {"a"}}}), 1, 0});
       core.apply({core::CmdStoreReply{op.op, r}}, {now, 1.7e9 + now});
     }
   EXPECT_EQ(status(), "unknown");
@@ -364,7 +369,8 @@
   ASSERT_EQ(w.cancelled_jobs > 0, true);
   std::vector<std::shared_ptr<World::Answer>> told;
   for (std::size_t i = 0; i < 30; ++i)
-    w.at(205 + 0.1 * static_cast<double>(i), [&, i] { told.push_back(w.look_up(static_cast<int>(i % 3), ids[i * 33])); });
+    w.at(205 + 0.1 * static_cast<double>(i),
+         [&, i] { told.push_back(w.look_up(static_cast<int>(i % 3), ids[i * 33])); });
   w.run(210);
   for (const auto &a : told) {
     EXPECT_EQ(a->status, 200);
--- a/tests/survival_test.cpp
+++ b/tests/survival_test.cpp
@@ -211,6 +211,12 @@
     });
     w.at(150, [&w] { w.crash(w.leader(), 1); });
     w.run(60 + 240);
+    auto status = w.admin(w.leader(), "GET", "/admin/v1/status");
+    w.run(w.now() + 0.5);
+    for (const auto &row : status->body["served"]) // what the leader says of it
+      if (row["of"] == "largest of class") {
+        EXPECT_GT(row["begun"].get<int>(), 0) << row;
+      }
     for (const auto &id : large) {
       auto why = w.look_up(w.leader(), id);
       w.run(w.now() + 0.5);
--- a/tests/world.cpp
+++ b/tests/world.cpp
@@ -217,7 +217,8 @@
     Box *box = &*found;
     double there = t_ + (chance(3 * o_.loss) ? uniform(0.1, 120) : uniform(0.001, 0.005)); // held up for minutes
     schedule(there, [this, box, call] {
-      if (box->gone || !box->up || t_ < box->hang_until || t_ < box->mute_until || call.token < box->token || call.session != box->session)
+      if (box->gone || !box->up || t_ < box->hang_until || t_ < box->mute_until || call.token < box->token ||
+          call.session != box->session)
         return;
       box->token = call.token;
       for (const auto &o : call.orders) {
