OneWay: with one node, where every report arrives, silence gives no machine away

Cause: the test passed with its guard taken out: reports that go round three nodes leave gaps longer than a lease.

Change: half of its worlds have one node.

--- a/tests/survival_test.cpp
+++ b/tests/survival_test.cpp
@@ -76,7 +76,9 @@
 // nothing more and is replaced; when all are so, none is thrown away.
 TEST(OneWay, MachinesThatHearNothingHoldUpNothing) {
   for (std::uint64_t seed = 1; seed <= 4; ++seed) {
-    World w(seed, {});
+    WorldOptions o;
+    if (seed % 2) o.nodes = 1; // every report reaches the leader, so that no silence gives the machine away
+    World w(seed, o);
     w.at(2, [&w] { w.submit(w.job(Shape::Array, 30, 1, 20)); });
     w.at(25, [&w] { w.mute_boxes(0.4, 400); });
     for (int i = 0; i < 10; ++i)
