After reading the change again: what was there already is called, twins made one, less work at a takeover

Change: a node cut off hands a question on by no_answer, which did just that; the walk along the graph that renting and the outlook each had is Dependencies::along; whether a record may be written is asked in one place (StoreBudget::fits), whether a machine may be given tasks too (Machine::hears), whether a progress record has room as well, and that collects the names of teams only where they matter, not for each job and record after a takeover. A look-up of a named job is told in one way; a line that link() had made dead is gone.

No behaviour meant. One nuance: a job whose names are all still being looked up counts half a second for its own renting, no longer for that of the jobs behind it.

--- a/include/loftrouter/core/budget.hpp
+++ b/include/loftrouter/core/budget.hpp
@@ -12,6 +12,7 @@
 
 #include "loftrouter/core/settings.hpp"
 #include "loftrouter/core/util.hpp"
+#include "loftrouter/wire/cbor.hpp"
 
 namespace loft::core {
 
@@ -27,6 +28,10 @@
   double leader_writes(double now) { return leader_writes_.level(now); }
   void take_leader_writes(double now, double amount) { leader_writes_.take(now, amount); }
 
+  // Whether a record may be written, now and after the limits fall, with so many characters to spare.
+  static constexpr std::size_t kRoomForMark = 64; // of a new open record: it may have to be marked as cancelled
+  bool fits(const wire::Json &value, std::size_t spare = 0) const;
+
   // Own use for users, smoothed.
   const Use &use() const { return use_; }
   // The state service has refused something by rate. Three times that within seconds, while nodes have kept to what is
--- a/include/loftrouter/core/dependencies.hpp
+++ b/include/loftrouter/core/dependencies.hpp
@@ -10,10 +10,10 @@
 // of the path still meets its deadline.
 #pragma once
 
+#include <functional>
 #include <map>
 #include <optional>
 #include <string>
-#include <string_view>
 #include <unordered_map>
 #include <vector>
 
@@ -47,6 +47,13 @@
   const std::string &stopped_with(int j) const { return at(j).stopped_with; }
   // Every open job once, each after all open ones that it needs.
   const std::vector<int> &in_order() const;
+  // By job: seconds until it can start and until it is done, if each that can start takes `left` more; and of those
+  // that it waits for the one that is done last, or -1.
+  struct Path {
+    std::vector<double> begins_in, done_in;
+    std::vector<int> last;
+  };
+  Path along(const std::function<double(int)> &left) const;
 
   void tick(); // looks names up
   void on(const JobAccepted &e);
--- a/include/loftrouter/core/fleet.hpp
+++ b/include/loftrouter/core/fleet.hpp
@@ -68,6 +68,7 @@
 
   bool silent(double now, double report_s) const { return now - last_answer > 2.5 * report_s + 1; }
   bool deaf() const { return deaf_since >= 0; }
+  bool hears() const { return proven && !deaf(); } // may be given tasks
 };
 using MachineKind = std::tuple<int, int, bool>; // type, zone, spot
 
--- a/include/loftrouter/core/insight.hpp
+++ b/include/loftrouter/core/insight.hpp
@@ -52,15 +52,9 @@
   struct Told { // to siblings
     std::uint32_t done = 0, running = 0;
   };
-  // When each open job is expected to be able to start, and to be done, by estimates and the queue; and of those that
-  // it waits for the one that is expected last, or -1.
-  struct Outlook {
-    double at = -1e9;
-    std::vector<double> begins_in, done_in;
-    std::vector<int> last;
-  };
+  // When each open job is expected to be able to start, and to be done, by estimates and the queue.
   static constexpr double kOutlookEvery = 0.5; // s
-  const Outlook &outlook() const;
+  const Dependencies::Path &outlook() const;
   std::string at_risk(int j) const;
   Supplies supplies() const;
   std::string why(int j, const Supplies &supply) const;
@@ -91,7 +85,8 @@
   std::uint64_t news_term_ = 0;
   std::vector<Told> told_; // by job
   double next_digest_ = 0, next_summary_ = 0;
-  mutable Outlook outlook_;
+  mutable Dependencies::Path outlook_;
+  mutable double outlook_at_ = -1e9;
   std::size_t cursor_ = 0; // of the digest, over jobs
 };
 
--- a/include/loftrouter/core/recorder.hpp
+++ b/include/loftrouter/core/recorder.hpp
@@ -111,7 +111,7 @@
   void mark_shard(std::size_t s, bool urgent);
   std::size_t set_chars() const;
   std::size_t most_chars() const;
-  std::size_t room_for_entries(std::size_t s, const std::string &team) const;
+  bool has_room(std::size_t s, int j) const;
   std::size_t entry_chars(const Job &n) const;
   std::size_t fresh_shard(char series);
   void put_in(int j, std::size_t s);
--- a/include/loftrouter/core/users.hpp
+++ b/include/loftrouter/core/users.hpp
@@ -81,6 +81,7 @@
   void check_names(std::shared_ptr<Submission> s);
   void names_checked(const std::shared_ptr<Submission> &s);
   void accept(const Question &q, OpenRecord record);
+  std::size_t most_guards() const { return static_cast<std::size_t>(4 * settings_.state_txn_ops); } // of a comparison
   std::optional<Compared> compare(Question q, StoreCommit &commit);
   std::string cancelled_name(const std::string &id);
   void read_open(const Question &q);
--- a/src/core/administration.cpp
+++ b/src/core/administration.cpp
@@ -282,7 +282,7 @@
             return fail(req, 409, "too many machines are under an order; release some first");
           after = wire::to_json(orders);
         }
-        if (static_cast<double>(after.dump().size()) > settings_.state_value_kb * 1024)
+        if (!budget_.fits(after))
           return fail(req, 409,
                       "that is more than one record of the state service holds, now or after its limits fall");
         port_.store(StoreCommit{{{key, stamp}}, {{key, after, 0}}}, kAdminDeadline / 2,
--- a/src/core/budget.cpp
+++ b/src/core/budget.cpp
@@ -23,6 +23,10 @@
   reads_.reset(now, kUserReads * r / nodes, std::max(2.0, 0.7 * r / nodes));
 }
 
+bool StoreBudget::fits(const wire::Json &value, std::size_t spare) const {
+  return static_cast<double>(value.dump().size() + spare) <= settings_.state_value_kb * 1024;
+}
+
 bool StoreBudget::refused(double now) {
   const double rps = std::min(rps_, settings_.state_next_rps.value_or(rps_));
   const double write_rps = std::min(write_rps_, settings_.state_next_write_rps.value_or(write_rps_));
--- a/src/core/cells.cpp
+++ b/src/core/cells.cpp
@@ -743,8 +743,7 @@
   record.spec.zone.reset();
   const std::string key = "open/" + record.spec.id, end = "end/" + record.spec.id;
   auto value = wire::to_json(record);
-  if (static_cast<double>(value.dump().size()) > settings_.state_value_kb * 1024 - 64)
-    return answer(false, "its description is too long to be kept");
+  if (!budget_.fits(value, StoreBudget::kRoomForMark)) return answer(false, "its description is too long to be kept");
   budget_.take_leader_writes(port_.now(), 1);
   taking_.insert(m.generation);
   // The record comes before the yes; an id that anybody here uses or has used is not mixed with it.
--- a/src/core/dependencies.cpp
+++ b/src/core/dependencies.cpp
@@ -39,7 +39,6 @@
     else
       unknown_[name].dependants.push_back(j);
   }
-  if (job.cancelled) on(JobCancelled{j});
 }
 
 void Dependencies::link(int j, int needed) {
@@ -136,23 +135,24 @@
 // A job is in one of the two records at every moment, and moves from the first to the second: so the second is read
 // after the first. One that is open here is told by the watch.
 void Dependencies::read(const std::string &name) {
-  auto told = [this, name, epoch = lead_.epoch()](bool last, auto &&next) {
-    return [this, name, epoch, last, next](const wire::StoreReply &r) {
-      if (epoch != lead_.epoch()) return;
-      if (r.status == 404 && !last) return next();
-      --reading_;
-      if (auto it = unknown_.find(name); it != unknown_.end()) {
-        it->second.reading = false;
-        it->second.next_read = port_.now() + kReadAgain;
-      }
-      if (r.status != 200 || r.entries.size() != 1) return;
-      const auto &value = r.entries[0].value;
-      if (auto end = last ? wire::end_from_json(value) : wire::final_from_json(value))
-        ended_.remember(name, std::move(*end));
-    };
+  auto told = [this, name](std::optional<EndRecord> end) {
+    --reading_;
+    if (auto it = unknown_.find(name); it != unknown_.end()) {
+      it->second.reading = false;
+      it->second.next_read = port_.now() + kReadAgain;
+    }
+    if (end) ended_.remember(name, std::move(*end));
   };
-  port_.store(StoreGet{"open/" + name}, 1.0,
-              told(false, [this, name, told] { port_.store(StoreGet{"end/" + name}, 1.0, told(true, [] {})); }));
+  const auto epoch = lead_.epoch();
+  port_.store(StoreGet{"open/" + name}, 1.0, [this, name, told, epoch](const wire::StoreReply &r) {
+    if (epoch != lead_.epoch()) return;
+    if (r.status != 404)
+      return told(r.status == 200 && r.entries.size() == 1 ? wire::final_from_json(r.entries[0].value) : std::nullopt);
+    port_.store(StoreGet{"end/" + name}, 1.0, [this, told, epoch](const wire::StoreReply &e) {
+      if (epoch != lead_.epoch()) return;
+      told(e.status == 200 && e.entries.size() == 1 ? wire::end_from_json(e.entries[0].value) : std::nullopt);
+    });
+  });
 }
 
 // ---- what follows along the graph ----
@@ -211,6 +211,22 @@
   return own ? std::optional(jobs_[j].submit_wall + *own - ready_wall(j)) : std::nullopt;
 }
 
+Dependencies::Path Dependencies::along(const std::function<double(int)> &left) const {
+  const std::vector<double> none(jobs_.slots(), 0);
+  Path out{none, none, std::vector<int>(jobs_.slots(), -1)};
+  for (int j : in_order()) {
+    if (!jobs_.find(j)) continue;
+    const auto at = static_cast<std::size_t>(j);
+    for (int needed : waits_for(j))
+      if (const double done = out.done_in[static_cast<std::size_t>(needed)]; done > out.begins_in[at]) {
+        out.begins_in[at] = done;
+        out.last[at] = needed;
+      }
+    out.done_in[at] = out.begins_in[at] + left(j);
+  }
+  return out;
+}
+
 const std::vector<int> &Dependencies::in_order() const {
   if (outdated_) recompute();
   return order_;
--- a/src/core/insight.cpp
+++ b/src/core/insight.cpp
@@ -142,25 +142,15 @@
          wait;
 }
 
-const Insight::Outlook &Insight::outlook() const {
-  if (port_.now() - outlook_.at < kOutlookEvery && outlook_.done_in.size() == jobs_.slots()) return outlook_;
-  const std::vector<double> none(jobs_.slots(), 0);
-  outlook_ = {port_.now(), none, none, std::vector<int>(jobs_.slots(), -1)};
-  for (int j : dependencies_.in_order()) {
-    const Job *n = jobs_.find(j);
-    if (!n) continue;
-    const auto at = static_cast<std::size_t>(j);
-    double begins = 0;
-    for (int needed : dependencies_.waits_for(j))
-      if (const double done = outlook_.done_in[static_cast<std::size_t>(needed)]; done > begins) {
-        begins = done;
-        outlook_.last[at] = needed;
-      }
-    const double queue = n->pending() * n->spec.need.cpus / std::max(1.0, placer_.up_cpus());
-    outlook_.begins_in[at] = begins;
-    outlook_.done_in[at] = begins + (n->pending() ? n->spec.estimate_s * (1 + queue)
-                                                  : std::max(0.0, n->spec.estimate_s - std::max(0.0, placer_.age(j))));
-  }
+const Dependencies::Path &Insight::outlook() const {
+  if (port_.now() - outlook_at_ < kOutlookEvery && outlook_.done_in.size() == jobs_.slots()) return outlook_;
+  outlook_at_ = port_.now();
+  outlook_ = dependencies_.along([this](int j) {
+    const Job &n = jobs_[j];
+    const double queue = n.pending() * n.spec.need.cpus / std::max(1.0, placer_.up_cpus());
+    return n.pending() ? n.spec.estimate_s * (1 + queue)
+                       : std::max(0.0, n.spec.estimate_s - std::max(0.0, placer_.age(j)));
+  });
   return outlook_;
 }
 
--- a/src/core/placer.cpp
+++ b/src/core/placer.cpp
@@ -80,7 +80,7 @@
     const Machine *p = fleet_.find(m);
     if (!p || p->returning || p->taken_at || p->draining || p->order || p->type < 0) continue;
     // Probably dead, hanging or cut off.
-    if ((!p->heard || p->lost || p->silent(port_.now(), settings_.report_s) || !p->proven || p->deaf()) &&
+    if ((!p->heard || p->lost || p->silent(port_.now(), settings_.report_s) || !p->hears()) &&
         !(silent_too && silent_too(m)))
       continue;
     PlaceMachine pm;
@@ -220,8 +220,7 @@
 }
 
 void Placer::offer(int m) {
-  if (!wanted() || fleet_[m].returning || !fleet_[m].proven || fleet_[m].deaf() || !lead_.active() || line_.empty())
-    return;
+  if (!wanted() || fleet_[m].returning || !fleet_[m].hears() || !lead_.active() || line_.empty()) return;
   std::vector<int> index;
   auto machines = snapshot(index, m);
   if (machines.empty()) return;
--- a/src/core/recorder.cpp
+++ b/src/core/recorder.cpp
@@ -186,14 +186,18 @@
   return static_cast<std::size_t>(settings_.state_value_kb * 1024 * 0.95);
 }
 
-std::size_t Recorder::room_for_entries(std::size_t s, const std::string &team) const {
-  if (!ledger_.on()) return most_chars();
-  std::set<std::string> teams{team};
-  for (int j : shards_[s].jobs)
-    teams.insert(jobs_[j].spec.team);
+// Room that is reserved besides is that of the sums of its teams, half of the record at most: which teams they are
+// matters in between alone. (After a takeover every job is tried on every record.)
+bool Recorder::has_room(std::size_t s, int j) const {
+  const std::size_t chars = shards_[s].reserved + entry_chars(jobs_[j]), most = most_chars();
+  if (!ledger_.on() || chars > most) return chars <= most;
+  if (chars <= most - most / 2) return true;
+  std::set<std::string> teams{jobs_[j].spec.team};
+  for (int k : shards_[s].jobs)
+    teams.insert(jobs_[k].spec.team);
   for (const auto &[key, row] : ledger_.sums(s))
     teams.insert(key.second);
-  return most_chars() - std::min(kSumsChars * teams.size(), most_chars() / 2);
+  return chars <= most - std::min(kSumsChars * teams.size(), most / 2);
 }
 
 // With accounts, room for one full set and a short one: tasks are started in their order, so those that were are one
@@ -207,15 +211,12 @@
 // A job stays in its shard for as long as this node leads; room for its largest form is reserved. One that an earlier
 // leader kept where values may be larger than now may have to move.
 void Recorder::assign_shard(int j) {
-  const Job &n = jobs_[j];
-  const std::size_t chars = entry_chars(n);
-  auto has_room = [&](std::size_t s) { return shards_[s].reserved + chars <= room_for_entries(s, n.spec.team); };
-  if (auto it = loaded_shard_.find(loaded_key(n)); it != loaded_shard_.end()) {
-    if (has_room(it->second) || shards_[it->second].jobs.empty()) return put_in(j, it->second);
+  if (auto it = loaded_shard_.find(loaded_key(jobs_[j])); it != loaded_shard_.end()) {
+    if (has_room(it->second, j) || shards_[it->second].jobs.empty()) return put_in(j, it->second);
     return move(j, it->second);
   }
   for (std::size_t s = 0; s < shards_.size(); ++s)
-    if (has_room(s)) return put_in(j, s);
+    if (has_room(s, j)) return put_in(j, s);
   put_in(j, fresh_shard('s'));
 }
 
@@ -239,12 +240,9 @@
 // what it has used is what the newer says (load_progress). Its sums stay where they were charged. The new record comes
 // after the old one in the list, since earlier versions take the last for the newer.
 void Recorder::move(int j, std::size_t from) {
-  const std::size_t chars = entry_chars(jobs_[j]);
   std::size_t to = shards_.size();
   for (std::size_t s = 0; s < shards_.size() && to == shards_.size(); ++s)
-    if (s != from && shards_[s].key > shards_[from].key && shards_[s].leaving.empty() &&
-        shards_[s].reserved + chars <= room_for_entries(s, jobs_[j].spec.team))
-      to = s;
+    if (s != from && shards_[s].key > shards_[from].key && shards_[s].leaving.empty() && has_room(s, j)) to = s;
   put_in(j, to < shards_.size() ? to : fresh_shard('t'));
   entry(j).from = static_cast<int>(from);
   shards_[from].leaving.push_back(j);
--- a/src/core/scaler.cpp
+++ b/src/core/scaler.cpp
@@ -237,19 +237,15 @@
 
 // Seconds until each job can probably start; 0: it can. By its owners' estimates, so never beyond what is being run.
 std::vector<double> Scaler::ready_soon() const {
-  std::vector<double> out(jobs_.slots(), 0), over(jobs_.slots(), 0);
-  for (int j : dependencies_.in_order()) {
-    const Job *n = jobs_.find(j);
-    if (!n) continue;
-    auto &ready = out[static_cast<std::size_t>(j)];
-    const bool waits = !dependencies_.ready(j);
-    for (int needed : dependencies_.waits_for(j))
-      ready = std::max(ready, over[static_cast<std::size_t>(needed)]);
-    if (waits) ready = std::max(ready, 0.5);
-    const double age = waits ? 0 : std::max(0.0, placer_.age(j));
-    over[static_cast<std::size_t>(j)] = ready + std::max(1.0, n->spec.estimate_s - age);
-  }
-  return out;
+  auto out = dependencies_.along([this](int j) {
+    const double age = dependencies_.ready(j) ? std::max(0.0, placer_.age(j)) : 0;
+    return std::max(1.0, jobs_[j].spec.estimate_s - age);
+  });
+  jobs_.each([&](int j, const Job &) { // one whose names are all being looked up still waits
+    auto &in = out.begins_in[static_cast<std::size_t>(j)];
+    if (!dependencies_.ready(j)) in = std::max(in, 0.5);
+  });
+  return std::move(out.begins_in);
 }
 
 void Scaler::scale() {
--- a/src/core/users.cpp
+++ b/src/core/users.cpp
@@ -156,31 +156,24 @@
 
 void UserDesk::take(CmdSubmit &&cmd) {
   if (const auto *end = ended_.find(cmd.spec.id)) return answer_end(cmd.req, cmd.spec.id, *end, true);
+  const Question q{cmd.req, cmd.spec.id, true, port_.now()};
+  const bool waits = !cmd.spec.waits_for.empty();
   std::string why;
   switch (judge(cmd.spec, why)) {
   case Verdict::Never:
     return port_.reply(cmd.req, 422, wire::encode_error(why));
   case Verdict::Unknown:
-    if (pass_on(cmd.req, Verb::Submit, cmd.spec.id, port_.now(), wire::encode(wire::to_json(cmd.spec)), 0,
-                !cmd.spec.waits_for.empty()))
-      return;
-    return port_.refuse(cmd.req, "machine types are not known yet");
+    return no_answer(q, Verb::Submit, "machine types are not known yet", wire::encode(wire::to_json(cmd.spec)), waits);
   case Verdict::Ok:
     break;
   }
-  const Question q{cmd.req, cmd.spec.id, true, port_.now()};
-  const bool waits = !cmd.spec.waits_for.empty();
   OpenRecord record{std::move(cmd.spec), port_.wall(), false, {}};
-  if (static_cast<double>(wire::to_json(record).dump().size()) > settings_.state_value_kb * 1024 - 64)
+  if (!budget_.fits(wire::to_json(record), StoreBudget::kRoomForMark))
     return port_.reply(q.req, 422, wire::encode_error("the job's description is too long to be kept"));
   // An earlier version would start it at once, whether it leads or has it passed on.
   if (waits && siblings_.earlier_version())
     return port_.refuse(q.req, "jobs that wait for others are accepted once all nodes have this version", 2);
-  if (siblings_.cut_off()) {
-    if (!pass_on(q.req, Verb::Submit, q.id, q.asked, wire::encode(wire::to_json(record.spec)), 0, waits))
-      port_.refuse(q.req, kCutOff);
-    return;
-  }
+  if (siblings_.cut_off()) return no_answer(q, Verb::Submit, kCutOff, wire::encode(wire::to_json(record.spec)), waits);
   if (!waits) return accept(q, std::move(record));
   check_names(std::make_shared<Submission>(Submission{q, std::move(record)}));
 }
@@ -295,10 +288,7 @@
   auto known = known_open_.find(q.id);
   // Cancelled is for ever; that it is still open has to be confirmed.
   if (known != known_open_.end() && known->second.cancelled) return tell_open(q, true);
-  if (siblings_.cut_off()) {
-    if (!pass_on(q.req, Verb::Look, q.id, q.asked)) port_.refuse(q.req, kCutOff);
-    return;
-  }
+  if (siblings_.cut_off()) return no_answer(q, Verb::Look, kCutOff);
   if (known == known_open_.end()) return read_open(q);
   if (questions_.size() >= kMaxUserOps) return port_.refuse(q.req, "too many questions at once");
   questions_.push_back(q);
@@ -372,7 +362,6 @@
 // to be done. A job that names a cancelled one is cancelled with it, for ever, and every node says so by the same
 // records: the leader writes it down, but nobody has to wait for that. Nothing: it has been seen to otherwise.
 std::optional<UserDesk::Compared> UserDesk::compare(Question q, StoreCommit &commit) {
-  const std::size_t most = static_cast<std::size_t>(std::max(1, 4 * settings_.state_txn_ops));
   std::vector<std::pair<std::string, std::uint64_t>> all;
   const auto own = known_open_.find(q.id);
   if (own == known_open_.end() || own->second.cancelled) { // ended, cancelled or pushed out meanwhile
@@ -409,7 +398,7 @@
   for (auto &[key, stamp] : all) {
     if (std::find(q.unchanged.begin(), q.unchanged.end(), key) != q.unchanged.end()) continue;
     if (std::none_of(commit.guards.begin(), commit.guards.end(), [&k = key](const auto &g) { return g.key == k; })) {
-      if (commit.guards.size() >= most) {
+      if (commit.guards.size() >= most_guards()) {
         out.whole = false; // the rest with the next
         break;
       }
@@ -441,7 +430,7 @@
   confirming_ = true;
   StoreCommit commit;
   std::vector<Compared> asked;
-  const auto most = static_cast<std::size_t>(std::max(1, 4 * settings_.state_txn_ops));
+  const std::size_t most = most_guards();
   for (std::size_t k = questions_.size(); k-- > 0 && asked.size() < most && commit.guards.size() < most;) {
     Question q = std::move(questions_.front());
     questions_.pop_front();
@@ -522,10 +511,7 @@
   if (!wire::valid_job_id(id)) return port_.reply(cmd.req, 404, wire::encode_error("no such job"));
   if (const auto *end = ended_.find(id)) return answer_end(cmd.req, id, *end, true);
   const Question q{cmd.req, id, false, port_.now()};
-  if (siblings_.cut_off()) {
-    if (!pass_on(q.req, Verb::Abort, id, q.asked)) port_.refuse(q.req, kCutOff);
-    return;
-  }
+  if (siblings_.cut_off()) return no_answer(q, Verb::Abort, kCutOff);
   if (under_way_ >= kMaxUserOps || !budget_.take_write(port_.now()))
     return port_.refuse(cmd.req, "too many requests at once");
   ++under_way_;
@@ -546,7 +532,7 @@
     open->cancelled = true;
     ++under_way_;
     auto value = wire::to_json(*open);
-    if (static_cast<double>(value.dump().size()) > settings_.state_value_kb * 1024) { // from when values were larger
+    if (!budget_.fits(value)) { // from when values were larger
       auto shorter = *open;
       shorter.spec.types.reset(); // nothing of it starts any more
       shorter.spec.waits_for.clear();
