One known_until decides whether leases may be renewed, in place of ages, uptimes and counts

Cause: what a leader knows of cancellations was judged twice, by the age of its watch while its lease was valid, and in an outage by how long ago the state service last answered anything. The two differ: renewals may be answered while lists and watches are not, and then an outage began a second allowance on top of the first; a node that told of a cancellation and was restarted at once was not asked about in the first 'cancel_s - lease_s - 5'. Names heard for jobs not in the table yet, or while the records were being read, were dropped. Change: core/cancellations owns what this node and its siblings have noted and the moment up to which that is complete; RecordWatch::informed and the conditions in Siblings::extended are gone. Frames are the same.

--- a/include/loftrouter/core/administration.hpp
+++ b/include/loftrouter/core/administration.hpp
@@ -16,14 +16,14 @@
 class Administration {
 public:
   Administration(Port &port, const Settings &settings, const Catalogue &catalogue, Operators &operators,
-                 StoreBudget &budget, const Leadership &lead, const RecordWatch &watch, const JobTable &jobs,
+                 StoreBudget &budget, const Leadership &lead, const Cancellations &cancellations, const JobTable &jobs,
                  const Dependencies &dependencies, const FailureJudge &judge, const Fleet &fleet, const Scaler &scaler,
                  const Siblings &siblings, const Reach &reach, const Cells &cells, const ReportDesk &reports,
                  const Served &served, const Insight &insight, const Ledger &ledger)
       : port_(port), settings_(settings), catalogue_(catalogue), operators_(operators), budget_(budget), lead_(lead),
-        watch_(watch), jobs_(jobs), dependencies_(dependencies), judge_(judge), fleet_(fleet), scaler_(scaler),
-        siblings_(siblings), reach_(reach), cells_(cells), reports_(reports), served_(served), insight_(insight),
-        ledger_(ledger) {}
+        cancellations_(cancellations), jobs_(jobs), dependencies_(dependencies), judge_(judge), fleet_(fleet),
+        scaler_(scaler), siblings_(siblings), reach_(reach), cells_(cells), reports_(reports), served_(served),
+        insight_(insight), ledger_(ledger) {}
 
   void take(CmdAdmin &&cmd);
 
@@ -43,7 +43,7 @@
   Operators &operators_;
   StoreBudget &budget_;
   const Leadership &lead_;
-  const RecordWatch &watch_;
+  const Cancellations &cancellations_;
   const JobTable &jobs_;
   const Dependencies &dependencies_;
   const FailureJudge &judge_;
--- a/include/loftrouter/core/cells.hpp
+++ b/include/loftrouter/core/cells.hpp
@@ -39,7 +39,7 @@
   };
 
   Cells(Port &port, Events &events, const Settings &settings, const Catalogue &catalogue, const Operators &operators,
-        const Leadership &lead, const RecordWatch &watch, StoreBudget &budget, JobTable &jobs,
+        const Leadership &lead, const Cancellations &cancellations, StoreBudget &budget, JobTable &jobs,
         const FailureJudge &judge, Ledger &ledger, Recorder &recorder, Fleet &fleet, Siblings &siblings,
         const Placer &placer, const Scaler &scaler, const Wishes &wishes);
 
@@ -146,7 +146,7 @@
   const Catalogue &catalogue_;
   const Operators &operators_;
   const Leadership &lead_;
-  const RecordWatch &watch_;
+  const Cancellations &cancellations_;
   StoreBudget &budget_;
   JobTable &jobs_;
   const FailureJudge &judge_;
--- a/include/loftrouter/core/core.hpp
+++ b/include/loftrouter/core/core.hpp
@@ -13,6 +13,7 @@
 #include "loftrouter/core/reports.hpp"
 #include "loftrouter/core/served.hpp"
 #include "loftrouter/core/users.hpp"
+#include "loftrouter/core/watch.hpp"
 
 namespace loft::core {
 
@@ -59,6 +60,7 @@
   Reasons reasons_;
   Ledger ledger_;
   Recorder recorder_;
+  Cancellations cancellations_;
   RecordWatch watch_;
   Fleet fleet_;
   Silence silence_;
--- a/include/loftrouter/core/insight.hpp
+++ b/include/loftrouter/core/insight.hpp
@@ -18,12 +18,13 @@
 class Insight {
 public:
   Insight(Port &port, const Settings &settings, const Catalogue &catalogue, const Operators &operators,
-          const Leadership &lead, const RecordWatch &watch, const JobTable &jobs, const EndedJobs &ended,
+          const Leadership &lead, const Cancellations &cancellations, const JobTable &jobs, const EndedJobs &ended,
           const Dependencies &dependencies, const FailureJudge &judge, const Reasons &reasons, const Fleet &fleet,
           const Placer &placer, const Scaler &scaler, const Wishes &wishes, const Ledger &ledger, Siblings &siblings)
-      : port_(port), settings_(settings), catalogue_(catalogue), operators_(operators), lead_(lead), watch_(watch),
-        jobs_(jobs), ended_(ended), dependencies_(dependencies), judge_(judge), reasons_(reasons), fleet_(fleet),
-        placer_(placer), scaler_(scaler), wishes_(wishes), ledger_(ledger), siblings_(siblings) {}
+      : port_(port), settings_(settings), catalogue_(catalogue), operators_(operators), lead_(lead),
+        cancellations_(cancellations), jobs_(jobs), ended_(ended), dependencies_(dependencies), judge_(judge),
+        reasons_(reasons), fleet_(fleet), placer_(placer), scaler_(scaler), wishes_(wishes), ledger_(ledger),
+        siblings_(siblings) {}
 
   // What a user is shown of a job that the state service has just said is open.
   JobView view(const std::string &id, bool cancelled) const;
@@ -68,7 +69,7 @@
   const Catalogue &catalogue_;
   const Operators &operators_;
   const Leadership &lead_;
-  const RecordWatch &watch_;
+  const Cancellations &cancellations_;
   const JobTable &jobs_;
   const EndedJobs &ended_;
   const Dependencies &dependencies_;
--- a/include/loftrouter/core/reports.hpp
+++ b/include/loftrouter/core/reports.hpp
@@ -36,7 +36,7 @@
   };
 
   ReportDesk(Port &port, const Settings &settings, Leadership &lead, Siblings &siblings, Reach &reach,
-             const Silence &silence, const RecordWatch &watch, Fleet &fleet);
+             const Silence &silence, Fleet &fleet);
 
   std::optional<Pending> take(CmdReport &&cmd);
   std::optional<Pending> take_passed(const CmdPeer &cmd);
@@ -71,7 +71,6 @@
   Siblings &siblings_;
   Reach &reach_;
   const Silence &silence_;
-  const RecordWatch &watch_;
   Fleet &fleet_;
   ReportRelay relay_;
   WorkerSpread spread_;
--- a/include/loftrouter/core/siblings.hpp
+++ b/include/loftrouter/core/siblings.hpp
@@ -3,20 +3,17 @@
 //
 // Owns the siblings' last statements. Promises that a statement counts from when it was asked for, and that a leader
 // goes on without the state service only while every sibling says that it is cut off too; if that were wrong, two
-// leaders could keep workers alive (ran_twice), or one keep what was cancelled (ran_cancelled). See docs/safety.md,
-// "Outages".
+// leaders could keep workers alive (ran_twice). See docs/safety.md, "Outages". What was cancelled meanwhile is
+// `Cancellations`'.
 #pragma once
 
-#include <deque>
 #include <string>
-#include <utility>
 #include <vector>
 
 #include "loftrouter/core/budget.hpp"
+#include "loftrouter/core/cancellations.hpp"
 #include "loftrouter/core/events.hpp"
-#include "loftrouter/core/jobs.hpp"
 #include "loftrouter/core/leadership.hpp"
-#include "loftrouter/core/watch.hpp"
 
 namespace loft::core {
 
@@ -39,8 +36,7 @@
   };
   static constexpr double kPingEvery = 0.5; // s
 
-  Siblings(Port &port, const Settings &settings, Leadership &lead, StoreBudget &budget, JobTable &jobs,
-           const RecordWatch &watch);
+  Siblings(Port &port, const Settings &settings, Leadership &lead, StoreBudget &budget, Cancellations &cancellations);
 
   std::size_t count() const { return states_.size(); }
   const State &operator[](std::size_t i) const { return states_[i]; }
@@ -65,24 +61,21 @@
   // keeps saying so. It starts nothing.
   bool common_outage() const;
   bool extended() const;
-  bool answering() const { return (lead_.active() && watch_.informed()) || extended(); }
-  // Told to a user by this node: the leader has to learn of it, also while the state service is out of reach.
-  void cancelled(const std::string &id) { confirmed_cancels_.emplace_back(id, port_.now()); }
+  // Workers' leases may be renewed: nobody else leads, and what is not known to be cancelled would be over in time.
+  bool answering() const { return (lead_.active() || extended()) && cancellations_.may_renew(); }
 
 private:
   Port &port_;
   const Settings &settings_;
   Leadership &lead_;
   StoreBudget &budget_;
-  JobTable &jobs_;
-  const RecordWatch &watch_;
+  Cancellations &cancellations_;
   std::vector<State> states_;
   std::uint8_t self_ = 0;
   std::vector<int> by_name_; // sibling, or -1 for this node, by index in the sorted names of all
   std::uint64_t ping_nonce_;
   double next_ping_ = 0;
   ReachWord own_;
-  std::deque<std::pair<std::string, double>> confirmed_cancels_;
 };
 
 } // namespace loft::core
--- a/include/loftrouter/core/users.hpp
+++ b/include/loftrouter/core/users.hpp
@@ -21,9 +21,11 @@
 class UserDesk {
 public:
   UserDesk(Port &port, const Settings &settings, const Catalogue &catalogue, StoreBudget &budget,
-           const Leadership &lead, JobTable &jobs, EndedJobs &ended, Siblings &siblings, const Insight &insight)
+           const Leadership &lead, JobTable &jobs, EndedJobs &ended, Siblings &siblings, Cancellations &cancellations,
+           const Insight &insight)
       : port_(port), settings_(settings), catalogue_(catalogue), budget_(budget), lead_(lead), jobs_(jobs),
-        ended_(ended), siblings_(siblings), insight_(insight), passed_(kMostPassed, port.nonce()) {}
+        ended_(ended), siblings_(siblings), cancellations_(cancellations), insight_(insight),
+        passed_(kMostPassed, port.nonce()) {}
 
   void take(CmdSubmit &&cmd);
   void take(CmdLookup &&cmd);
@@ -101,6 +103,7 @@
   JobTable &jobs_;
   EndedJobs &ended_;
   Siblings &siblings_;
+  Cancellations &cancellations_;
   const Insight &insight_;
   int under_way_ = 0; // operations for users
   std::deque<Question> questions_;
--- a/include/loftrouter/core/watch.hpp
+++ b/include/loftrouter/core/watch.hpp
@@ -1,12 +1,12 @@
 // Reads the records when this node is elected, and follows the open ones while it leads.
 //
-// Owns the watch. Promises that every submission and cancellation confirmed before `informed` was last renewed is in
-// the job table. One confirmed later may not be, so after a while without news nothing is started or kept alive:
-// what runs must be gone `cancel_s` after its cancellation (ran_cancelled).
+// Owns the watch. Promises that when it passes news on to `Cancellations`, all that was recorded before it asked is in
+// the job table: every submission, every cancellation (ran_cancelled, forgotten).
 #pragma once
 
 #include <string>
 
+#include "loftrouter/core/cancellations.hpp"
 #include "loftrouter/core/leadership.hpp"
 #include "loftrouter/core/recorder.hpp"
 
@@ -14,13 +14,10 @@
 
 class RecordWatch {
 public:
-  RecordWatch(Port &port, const Settings &settings, Leadership &lead, Recorder &recorder)
-      : port_(port), settings_(settings), lead_(lead), recorder_(recorder) {}
+  RecordWatch(Port &port, const Settings &settings, Leadership &lead, Recorder &recorder, Cancellations &cancellations)
+      : port_(port), settings_(settings), lead_(lead), recorder_(recorder), cancellations_(cancellations) {}
 
   void tick();
-  bool informed() const;
-  double informed_at() const { return informed_at_; } // mono
-  double informed_wall() const { return informed_wall_; }
 
   void on(const TermElected &);
   void on(const TermBegun &) { follow(); }
@@ -38,11 +35,12 @@
   const Settings &settings_;
   Leadership &lead_;
   Recorder &recorder_;
+  Cancellations &cancellations_;
   std::uint64_t follow_from_ = 0;
   bool following_ = false, relisting_ = false, auditing_ = false;
   std::string audited_; // up to this key
   double next_audit_ = 0;
-  double listed_from_ = -1e9, informed_at_ = -1e9, informed_wall_ = 0;
+  double listed_from_ = -1e9;
 };
 
 } // namespace loft::core
--- a/src/core/administration.cpp
+++ b/src/core/administration.cpp
@@ -155,9 +155,9 @@
                       ? fmt::format("no leader since {}", wire::clock_time(lead_.leaderless_since_wall()))
                       : "no leader is known yet");
   if (leads && !lead_.active()) out.push_back("this node leads but starts nothing: its lease could not be renewed");
-  if (lead_.active() && !watch_.informed())
-    out.push_back(
-        fmt::format("nothing is started: no news of cancellations since {}", wire::clock_time(watch_.informed_wall())));
+  if (lead_.active() && !cancellations_.may_renew())
+    out.push_back(fmt::format("nothing is started: no news of cancellations since {}",
+                              wire::clock_time(cancellations_.known_until_wall())));
   std::uint64_t unaccounted = 0;
   std::size_t suspects = 0;
   jobs_.each([&](int j, const Job &n) {
--- a/src/core/cells.cpp
+++ b/src/core/cells.cpp
@@ -35,12 +35,12 @@
 }
 
 Cells::Cells(Port &port, Events &events, const Settings &settings, const Catalogue &catalogue,
-             const Operators &operators, const Leadership &lead, const RecordWatch &watch, StoreBudget &budget,
-             JobTable &jobs, const FailureJudge &judge, Ledger &ledger, Recorder &recorder, Fleet &fleet,
-             Siblings &siblings, const Placer &placer, const Scaler &scaler, const Wishes &wishes)
+             const Operators &operators, const Leadership &lead, const Cancellations &cancellations,
+             StoreBudget &budget, JobTable &jobs, const FailureJudge &judge, Ledger &ledger, Recorder &recorder,
+             Fleet &fleet, Siblings &siblings, const Placer &placer, const Scaler &scaler, const Wishes &wishes)
     : port_(port), events_(events), settings_(settings), catalogue_(catalogue), operators_(operators), lead_(lead),
-      watch_(watch), budget_(budget), jobs_(jobs), judge_(judge), ledger_(ledger), recorder_(recorder), fleet_(fleet),
-      siblings_(siblings), placer_(placer), scaler_(scaler), wishes_(wishes), passed_(256, port.nonce()),
+      cancellations_(cancellations), budget_(budget), jobs_(jobs), judge_(judge), ledger_(ledger), recorder_(recorder),
+      fleet_(fleet), siblings_(siblings), placer_(placer), scaler_(scaler), wishes_(wishes), passed_(256, port.nonce()),
       numbers_(port.nonce()) {
   for (const auto &c : settings_.cells.others) {
     std::vector<int> nodes;
@@ -168,7 +168,7 @@
     cells::Work work{m.need, m.types, m.spot, m.whole, m.tasks};
     auto r = message(Kind::Room, cell);
     r.number = m.number;
-    if (lead_.active() && watch_.informed() && operators_.cell_rules().borrow && indebted_.size() < kMostDebts)
+    if (lead_.active() && siblings_.answering() && operators_.cell_rules().borrow && indebted_.size() < kMostDebts)
       r.tasks = promises_.promise(m.number, m.need.cpus, m.tasks, m.whole, spare_cpus(work), port_.now());
     return reply(from, std::move(r));
   }
@@ -381,7 +381,7 @@
 // as long as this leader answers its own workers.
 bool Cells::may_confirm(const cells::Terms &t) const {
   return siblings_.answering() && t.grant_s > 0 &&
-         port_.now() - watch_.informed_at() + t.over_after_s() < settings_.cancel_s - 1;
+         port_.now() - cancellations_.known_until() + t.over_after_s() < settings_.cancel_s - 1;
 }
 
 bool Cells::may_leave(const JobSpec &spec) const {
@@ -728,7 +728,7 @@
   int known = -1;
   if (debt(m.generation, cell, known)) return answer(true, "");
   if (taking_.contains(m.generation)) return;
-  if (!lead_.active() || !watch_.informed()) return; // asked again
+  if (!lead_.active() || !siblings_.answering()) return; // asked again
   auto spec = wire::decode_job(m.body);
   auto *job = std::get_if<JobSpec>(&spec);
   if (!job || m.ranges.back().second > job->tasks) return answer(false, "the job cannot be read");
--- a/src/core/core.cpp
+++ b/src/core/core.cpp
@@ -12,23 +12,24 @@
       ledger_(port_, settings_, catalogue_, jobs_, operators_),
       recorder_(port_, events_, settings_, lead_, budget_, jobs_, ended_, dependencies_, judge_, reasons_, wishes_,
                 ledger_),
-      watch_(port_, settings_, lead_, recorder_),
+      cancellations_(port_, settings_, lead_, jobs_), watch_(port_, settings_, lead_, recorder_, cancellations_),
       fleet_(port_, events_, settings_, catalogue_, operators_, lead_, jobs_, recorder_),
-      silence_(port_, settings_, catalogue_, lead_, fleet_), siblings_(port_, settings_, lead_, budget_, jobs_, watch_),
+      silence_(port_, settings_, catalogue_, lead_, fleet_),
+      siblings_(port_, settings_, lead_, budget_, cancellations_),
       reach_(port_, settings_, catalogue_, lead_, siblings_, fleet_, silence_),
-      reports_(port_, settings_, lead_, siblings_, reach_, silence_, watch_, fleet_),
+      reports_(port_, settings_, lead_, siblings_, reach_, silence_, fleet_),
       placer_(port_, events_, settings_, catalogue_, operators_, lead_, jobs_, dependencies_, judge_, recorder_, fleet_,
               wishes_, ledger_),
       scaler_(port_, settings_, catalogue_, operators_, lead_, jobs_, dependencies_, judge_, fleet_, silence_, placer_,
               wishes_),
-      cells_(port_, events_, settings_, catalogue_, operators_, lead_, watch_, budget_, jobs_, judge_, ledger_,
+      cells_(port_, events_, settings_, catalogue_, operators_, lead_, cancellations_, budget_, jobs_, judge_, ledger_,
              recorder_, fleet_, siblings_, placer_, scaler_, wishes_),
       served_(port_, jobs_, ended_, dependencies_),
-      insight_(port_, settings_, catalogue_, operators_, lead_, watch_, jobs_, ended_, dependencies_, judge_, reasons_,
-               fleet_, placer_, scaler_, wishes_, ledger_, siblings_),
-      users_(port_, settings_, catalogue_, budget_, lead_, jobs_, ended_, siblings_, insight_),
-      administration_(port_, settings_, catalogue_, operators_, budget_, lead_, watch_, jobs_, dependencies_, judge_,
-                      fleet_, scaler_, siblings_, reach_, cells_, reports_, served_, insight_, ledger_),
+      insight_(port_, settings_, catalogue_, operators_, lead_, cancellations_, jobs_, ended_, dependencies_, judge_,
+               reasons_, fleet_, placer_, scaler_, wishes_, ledger_, siblings_),
+      users_(port_, settings_, catalogue_, budget_, lead_, jobs_, ended_, siblings_, cancellations_, insight_),
+      administration_(port_, settings_, catalogue_, operators_, budget_, lead_, cancellations_, jobs_, dependencies_,
+                      judge_, fleet_, scaler_, siblings_, reach_, cells_, reports_, served_, insight_, ledger_),
       chronicle_(port_, jobs_, fleet_) {
   reports_.refuse_while([this](const WorkerReport &r) { return cells_.unsure_of(r); });
 }
@@ -62,8 +63,8 @@
       };
       (one(parts), ...);
     };
-    hand(chronicle_, dependencies_, judge_, fleet_, silence_, ledger_, recorder_, watch_, reports_, placer_, scaler_,
-         cells_, served_, reasons_, insight_, users_, jobs_);
+    hand(chronicle_, cancellations_, dependencies_, judge_, fleet_, silence_, ledger_, recorder_, watch_, reports_,
+         placer_, scaler_, cells_, served_, reasons_, insight_, users_, jobs_);
   });
 }
 
--- a/src/core/insight.cpp
+++ b/src/core/insight.cpp
@@ -54,9 +54,9 @@
   if (!lead_.lease_valid())
     wait = fmt::format("nothing is started: the state service has not answered since {}",
                        wire::clock_time(port_.state_ok_wall()));
-  else if (!watch_.informed())
+  else if (!cancellations_.may_renew())
     wait = fmt::format("nothing is started: the state service has told of no cancellations since {}",
-                       wire::clock_time(watch_.informed_wall()));
+                       wire::clock_time(cancellations_.known_until_wall()));
   else if (n.pending() && ledger_.spent(n.team))
     wait = why_held(n);
   else if (n.unaccounted)
--- a/src/core/reports.cpp
+++ b/src/core/reports.cpp
@@ -20,9 +20,9 @@
 } // namespace
 
 ReportDesk::ReportDesk(Port &port, const Settings &s, Leadership &lead, Siblings &siblings, Reach &reach,
-                       const Silence &silence, const RecordWatch &watch, Fleet &fleet)
-    : port_(port), settings_(s), lead_(lead), siblings_(siblings), reach_(reach), silence_(silence), watch_(watch),
-      fleet_(fleet), relay_(sockets_for(s, kRelaySockets), 3 * s.report_s + 2, port.nonce()),
+                       const Silence &silence, Fleet &fleet)
+    : port_(port), settings_(s), lead_(lead), siblings_(siblings), reach_(reach), silence_(silence), fleet_(fleet),
+      relay_(sockets_for(s, kRelaySockets), 3 * s.report_s + 2, port.nonce()),
       spread_({kDirectReports * s.cpu_share, sockets_for(s, kLeaderSockets)}) {}
 
 // The sibling that says it leads, with the highest term known here; -1 if none does.
@@ -133,7 +133,7 @@
 }
 
 void ReportDesk::answer(Pending &&p) {
-  fleet_.answer(p.machine, lead_.active() && watch_.informed(), p.orders);
+  fleet_.answer(p.machine, lead_.active() && siblings_.answering(), p.orders);
   tell(p.from, 200, p.orders);
 }
 
--- a/src/core/siblings.cpp
+++ b/src/core/siblings.cpp
@@ -9,9 +9,9 @@
 constexpr double kLately = 3.0;      // s
 } // namespace
 
-Siblings::Siblings(Port &port, const Settings &settings, Leadership &lead, StoreBudget &budget, JobTable &jobs,
-                   const RecordWatch &watch)
-    : port_(port), settings_(settings), lead_(lead), budget_(budget), jobs_(jobs), watch_(watch),
+Siblings::Siblings(Port &port, const Settings &settings, Leadership &lead, StoreBudget &budget,
+                   Cancellations &cancellations)
+    : port_(port), settings_(settings), lead_(lead), budget_(budget), cancellations_(cancellations),
       states_(settings.siblings.size()),
       // A restarted node must not take an answer to its former self's question for its own.
       ping_nonce_(port.nonce()) {
@@ -39,7 +39,6 @@
   for (const auto &s : states_)
     uses.push_back(port_.now() - s.stated_at < kLately ? std::optional(s.use) : std::nullopt);
   budget_.share(port_.now(), kPingEvery, uses);
-  std::erase_if(confirmed_cancels_, [this](const auto &c) { return port_.now() - c.second > settings_.cancel_s; });
   for (std::size_t i = 0; i < states_.size(); ++i) {
     wire::PeerMessage m;
     m.kind = wire::PeerMessage::Kind::Ping;
@@ -63,8 +62,9 @@
   r.kind = wire::PeerMessage::Kind::Pong;
   r.nonce = cmd.message.nonce;
   r.term = standing.leads ? lead_.term() : lead_.highest_term();
-  // More than can be repeated: the leader is not to go on on this node's word.
-  r.cut_off = cut_off() && confirmed_cancels_.size() <= wire::kPeerMaxCancelled;
+  r.cancelled = cancellations_.repeated();
+  // More than can be repeated: a leader of the production version goes by this.
+  r.cut_off = cut_off() && cancellations_.all_repeated();
   r.reach = own_;
   r.sender = self_;
   r.leads = standing.leads;
@@ -74,9 +74,6 @@
   r.reads = tenths(budget_.use().reads);
   r.writes = tenths(budget_.use().writes);
   r.uptime_ms = static_cast<std::uint32_t>(std::min(4e9, port_.up_s() * 1000));
-  for (auto it = confirmed_cancels_.rbegin();
-       it != confirmed_cancels_.rend() && r.cancelled.size() < wire::kPeerMaxCancelled; ++it)
-    r.cancelled.push_back(it->first);
   port_.send({-1, cmd.link, std::move(r)});
 }
 
@@ -94,9 +91,7 @@
   s.term = m.term;
   s.uptime_s = m.uptime_ms / 1000.0;
   s.use = {m.reads / 10.0, m.writes / 10.0};
-  if (lead_.leading())
-    for (const auto &id : m.cancelled)
-      if (const int j = jobs_.index(id); j >= 0) jobs_.cancel(j);
+  cancellations_.hear(static_cast<std::size_t>(cmd.sibling), s.stated_at, s.uptime_s, m.cancelled);
   return true;
 }
 
@@ -118,14 +113,7 @@
 }
 
 bool Siblings::extended() const {
-  if (!lead_.leading() || lead_.lease_valid() || lead_.highest_term() > lead_.term() || !common_outage()) return false;
-  // A sibling that has restarted since may have confirmed a cancellation that nobody remembers. Its tasks
-  // must not be kept alive beyond the time a cancellation has.
-  const double age = port_.now() - port_.state_ok_at();
-  if (age < settings_.cancel_s - settings_.lease_s * 1.01 - 5) return true;
-  for (const auto &s : states_)
-    if (s.uptime_s < age + 1) return false;
-  return confirmed_cancels_.size() <= wire::kPeerMaxCancelled;
+  return lead_.leading() && !lead_.lease_valid() && lead_.highest_term() <= lead_.term() && common_outage();
 }
 
 } // namespace loft::core
--- a/src/core/users.cpp
+++ b/src/core/users.cpp
@@ -339,12 +339,9 @@
 
 void UserDesk::note_open(const OpenRecord &record, std::uint64_t stamp, bool cancelled) {
   const std::string &id = record.spec.id;
-  // Whoever tells a user so has to tell the leader too (`extended`), also if another node wrote it, or this one
-  // without an answer.
+  // Whoever tells a user so has to tell the leader too, also if another node wrote it, or this one without an answer.
   const auto before = known_open_.find(id);
-  if (cancelled && (before == known_open_.end() || !before->second.cancelled)) siblings_.cancelled(id);
-  if (const int mine = jobs_.index(id); cancelled && lead_.leading() && mine >= 0)
-    jobs_.cancel(mine); // sooner than the watch tells it
+  if (cancelled && (before == known_open_.end() || !before->second.cancelled)) cancellations_.note(id);
   auto [it, fresh] = known_open_.try_emplace(
       id, KnownOpen{stamp, cancelled, record.spec.shape == Shape::Service, record.spec.waits_for});
   if (!fresh && stamp > it->second.stamp) {
--- a/src/core/watch.cpp
+++ b/src/core/watch.cpp
@@ -81,8 +81,7 @@
       recorder_.take_open(e.key, e.value, e.stamp);
     }
     if (r.more && !r.entries.empty()) return load_open(r.entries.back().key);
-    informed_at_ = listed_from_;
-    informed_wall_ = port_.wall();
+    cancellations_.news(listed_from_);
     if (relisting_) {
       relisting_ = false;
       return;
@@ -106,15 +105,9 @@
                 for (const auto &e : r.events)
                   if (e.value) recorder_.take_open(e.key, *e.value, e.stamp);
                 follow_from_ = std::max(follow_from_, r.revision);
-                informed_at_ = sent;
-                informed_wall_ = port_.wall();
+                cancellations_.news(sent);
                 follow();
               });
 }
 
-bool RecordWatch::informed() const {
-  // Where `cancel_s` leaves no time for a lease to run out, a watch that works must do.
-  return port_.now() - informed_at_ < std::max(settings_.cancel_s - 1.01 * settings_.lease_s - 3, kFollowHold + 2);
-}
-
 } // namespace loft::core
