--- a/tests/scenario.hpp
+++ b/tests/scenario.hpp
@@ -41,6 +41,34 @@
   return out;
 }
 
+// Every accepted job, by number, is told of by each node that is up, within a few polls: over, running, or waiting with
+// a reason. What is not, in words.
+inline std::string forgotten(World &w, int first, int last) {
+  std::map<std::pair<std::string, int>, std::shared_ptr<World::Answer>> left;
+  for (int i = first; i <= last; ++i) {
+    char id[16];
+    std::snprintf(id, sizeof id, "j-%06d", i);
+    for (int node = 0; node < 3; ++node)
+      if (const auto *job = w.own(id); job && job->accepted) left[{id, node}];
+  }
+  for (int poll = 0; poll < 5 && !left.empty(); ++poll) {
+    for (auto &[who, answer] : left) {
+      answer = w.look_up(who.second, who.first);
+      w.run(w.now() + 0.05);
+    }
+    w.run(w.now() + 3);
+    std::erase_if(left, [](const auto &x) {
+      const auto state = x.second->status == 200 ? x.second->body.value("status", "") : "";
+      return state == "queued" ? !x.second->body.value("reason", "").empty() : !state.empty();
+    });
+  }
+  std::string out;
+  for (const auto &[who, answer] : left)
+    out += who.first + " at node " + std::to_string(who.second) + ": " + std::to_string(answer->status) + " " +
+           answer->body.dump() + "\n";
+  return out;
+}
+
 inline WorldOptions troubled(std::uint64_t seed) {
   WorldOptions o;
   o.loss = seed % 3 == 0 ? 0.0 : 0.02;
--- a/tests/survival_test.cpp
+++ b/tests/survival_test.cpp
@@ -45,31 +45,6 @@
   return o;
 }
 
-// Every accepted job, by number, is told of by each node that is up, within a few polls: over, running, or waiting with
-// a reason.
-void expect_nothing_forgotten(World &w, int first, int last) {
-  std::map<std::pair<std::string, int>, std::shared_ptr<World::Answer>> left;
-  for (int i = first; i <= last; ++i) {
-    char id[16];
-    std::snprintf(id, sizeof id, "j-%06d", i);
-    for (int node = 0; node < 3; ++node)
-      if (const auto *job = w.own(id); job && job->accepted) left[{id, node}];
-  }
-  for (int poll = 0; poll < 5 && !left.empty(); ++poll) {
-    for (auto &[who, answer] : left) {
-      answer = w.look_up(who.second, who.first);
-      w.run(w.now() + 0.05);
-    }
-    w.run(w.now() + 3);
-    std::erase_if(left, [](const auto &x) {
-      const auto state = x.second->status == 200 ? x.second->body.value("status", "") : "";
-      return state == "queued" ? !x.second->body.value("reason", "").empty() : !state.empty();
-    });
-  }
-  for (const auto &[who, answer] : left)
-    ADD_FAILURE() << who.first << " at node " << who.second << ": " << answer->status << " " << answer->body;
-}
-
 } // namespace
 
 // A machine whose reports arrive while nothing reaches it looks alive. What was given to it starts elsewhere, it gets
@@ -169,7 +144,7 @@
   for (int i = 0; i < 30; ++i)
     w.at(10 + i, [&] { w.submit(w.job(Shape::Array, 2, 1, 5)); });
   w.run(75 + 75);
-  expect_nothing_forgotten(w, 1, 40);
+  EXPECT_EQ(forgotten(w, 1, 40), "");
   w.run(260);
   EXPECT_TRUE(w.broken.empty()) << all(w);
   EXPECT_TRUE(w.all_over()) << w.finished_jobs << " of " << w.accepted_jobs;
@@ -223,7 +198,7 @@
   mixed_load(w, 30);
   new_troubles(w, seed, 12, 180);
   w.run(180 + 75);
-  expect_nothing_forgotten(w, 1, 30);
+  EXPECT_EQ(forgotten(w, 1, 30), "");
   w.run(600);
   EXPECT_TRUE(w.broken.empty()) << all(w);
   EXPECT_TRUE(w.all_over()) << w.finished_jobs << " done, " << w.cancelled_jobs << " cancelled of " << w.accepted_jobs;
--- a/tests/world.cpp
+++ b/tests/world.cpp
@@ -149,12 +149,12 @@
   }
 }
 
-void World::isolate(int i, double for_s) {
-  cut_state(i, for_s, Cut::Drop);
+void World::isolate(int i, double for_s, Cut how) {
+  cut_state(i, for_s, how);
   for (int k = 0; k < o_.nodes; ++k)
     if (k != i) {
-      cut_peer(i, k, for_s, Cut::Drop);
-      cut_peer(k, i, for_s, Cut::Drop);
+      cut_peer(i, k, for_s, how);
+      cut_peer(k, i, for_s, how);
     }
 }
 
@@ -216,6 +216,7 @@
     if (found == boxes_.end() || chance(o_.loss)) continue;
     Box *box = &*found;
     double there = t_ + (chance(3 * o_.loss) ? uniform(0.1, 120) : uniform(0.001, 0.005)); // held up for minutes
+    if (o_.held_up > 0 && chance(o_.held_up)) there += uniform(0.5, 8);
     schedule(there, [this, box, call] {
       if (box->gone || !box->up || t_ < box->hang_until || t_ < box->mute_until || call.token < box->token ||
           call.session != box->session)
--- a/tests/world.hpp
+++ b/tests/world.hpp
@@ -25,6 +25,8 @@
   double core_lease_s = 0; // what the cores believe, if not 0: a bug to be caught
   double loss = 0;         // of requests, answers, or late by minutes
   double copies = 0;       // of reports that arrive once more, 1 s to three leases later, at any node
+  double late_writes = 0;  // of commits that get no answer and are carried out 2 to 12 s later
+  double held_up = 0;      // of answers to workers and orders to them that take 0.5 to 8 s
   double sick = 0;         // share of machines that fail every task
   double boot_fail = 0;
   double die_per_hour = 0; // machines
@@ -62,8 +64,9 @@
   }
   void limits_fall();
   void outage(double for_s);
-  // Refuse: an error at once; NoAnswers: carried out, but no answer arrives; Slow: each way takes a second or so.
-  enum class Cut { Drop, Hold, Refuse, NoAnswers, Slow };
+  // Refuse: an error at once; NoAnswers: carried out, but no answer arrives; Slow: each way takes a second or so;
+  // Lists: lists and watches alone get no answer (of the state service).
+  enum class Cut { Drop, Hold, Refuse, NoAnswers, Slow, Lists };
   void cut_state(int node, double for_s, Cut how);
   void cut_cloud(int node, double for_s, Cut how);
   // Stands still while its clocks run on; `within`: after it has decided and before what it decided leaves.
@@ -75,7 +78,14 @@
   void cut_boxes(double share, double for_s);             // workers that reach nobody
   void mute_boxes(double share, double for_s);            // whose reports arrive, but nothing reaches them
   void restart_boxes(double share);                       // back at once, with nothing on them
-  void isolate(int node, double for_s);                   // from the state service and its siblings, not from workers
+  // From the state service and its siblings, not from workers and users.
+  void isolate(int node, double for_s, Cut how = Cut::Drop);
+  void late_writes(double share) { o_.late_writes = share; }
+  void copy_reports(double share) { o_.copies = share; }
+  void hold_up(double share) { o_.held_up = share; }
+  void run_times(const std::string &id, std::vector<double> s) { run_s_[id] = std::move(s); } // of a job's tasks
+  bool finished(const std::string &id, std::uint32_t index) const { return told_.at(id).finished[index]; }
+  bool cancelled(const std::string &id) const { return told_.at(id).cancelled; }
   void at(double t, std::function<void()> fn) { schedule(t, std::move(fn)); }
 
   std::string submit(JobSpec spec);                  // returns the id; retried until accepted
@@ -111,14 +121,17 @@
   std::function<void(const On &)> started, stopped;
   std::uint64_t revision() const { return epoch_; } // changes of the state service
 
-  std::vector<std::string> broken; // rules broken, in words
-  bool lose_watches = false;       // watches of the state service get no answer
-  double lost_events = 0;          // share of changes that a watch leaves out without a word
-  int relayed = 0;                 // reports passed on from node to node
-  int lease_kills = 0;             // tasks ended because their worker's lease ran out
-  int rented = 0;                  // machines
-  std::vector<double> started_at;  // of each start
-  std::vector<double> elected_at;  // of each term that was begun
+  std::vector<std::string> broken;        // rules broken, in words
+  bool lose_watches = false;              // watches of the state service get no answer
+  double lost_events = 0;                 // share of changes that a watch leaves out without a word
+  int relayed = 0;                        // reports passed on from node to node
+  int lease_kills = 0;                    // tasks ended because their worker's lease ran out
+  int late_commits = 0, late_applied = 0; // commits carried out late; those of them that found their guards true
+  int copies_taken = 0;                   // copies of reports that a node was given
+  int held_answers = 0;                   // to workers, that took more than half a second
+  int rented = 0;                         // machines
+  std::vector<double> started_at;         // of each start
+  std::vector<double> elected_at;         // of each term that was begun
   int starts = 0, finished_jobs = 0, accepted_jobs = 0, cancelled_jobs = 0;
   double now() const { return t_; }
   // What a node answers now, status and body; the status stays 0 until it does.
@@ -271,6 +284,7 @@
   int next_job_ = 1;
   std::set<int> old_; // nodes that know nothing of the limits to come
   std::set<std::string> broken_jobs_;
+  std::map<std::string, std::vector<double>> run_s_;
   std::map<std::string, int> starts_by_job_;
   std::unordered_map<std::string, std::map<std::uint64_t, std::size_t>>
       on_; // tasks on machines, by job: serial, machine
--- a/tests/world_state.cpp
+++ b/tests/world_state.cpp
@@ -142,6 +142,9 @@
   if (n.state.cut(t_)) {
     const auto how = n.state.how;
     if (how == Cut::Drop) return;
+    if (how == Cut::Lists &&
+        (std::holds_alternative<core::StoreList>(op.what) || std::holds_alternative<core::StoreFollow>(op.what)))
+      return;
     if (how == Cut::Hold) there = n.state.cut_until + uniform(0, 0.01); // delivered once the cut is over
     if (how == Cut::Slow) there = t_ + uniform(0.3, 1.5);
     lose_answer = how == Cut::NoAnswers;
@@ -162,13 +165,20 @@
       there = t_ + uniform(0.5, 40); // applied late
     }
   }
+  const auto *commit = std::get_if<core::StoreCommit>(&op.what);
+  const bool late = commit && !commit->writes.empty() && o_.late_writes > 0 && chance(o_.late_writes);
+  if (late) {
+    lose_answer = true;
+    there = t_ + uniform(2, 12);
+    ++late_commits;
+  }
   auto status = [this](int code) {
     wire::StoreReply r;
     r.status = code;
     r.revision = epoch_;
     return r;
   };
-  schedule(there, [this, i, life, op, answer, status, lose_answer] {
+  schedule(there, [this, i, life, op, answer, status, lose_answer, late] {
     if (auto *f = std::get_if<core::StoreFollow>(&op.what)) {
       if (lose_watches) return;
       if (t_ < outage_until_) return answer(status(503));
@@ -188,6 +198,7 @@
       r.status = 503;
     else
       r = execute(op);
+    late_applied += late && r.status == 200;
     if (!lose_answer) schedule(t_ + uniform(0.001, 0.006), [answer, r] { answer(r); });
   });
 }
--- a/tests/world_workers.cpp
+++ b/tests/world_workers.cpp
@@ -61,6 +61,7 @@
   if (o_.copies > 0 && chance(o_.copies)) { // once more, late, by whatever way
     const int to = static_cast<int>(rng_() % nodes_.size());
     schedule(t_ + uniform(1, 3 * o_.lease_s), [this, to, r] {
+      copies_taken += nodes_[static_cast<std::size_t>(to)].core != nullptr;
       ask(
           to,
           [r](core::RequestId q) {
@@ -91,7 +92,14 @@
         [this, i, no, sent, session, next_node, lose_answer](const core::Reply &a) {
           if (lose_answer || t_ < boxes_[i].mute_until) return;
           auto answer = a;
-          schedule(t_ + uniform(0.001, 0.005), [this, i, no, sent, session, next_node, answer] {
+          double back = t_ + uniform(0.001, 0.005);
+          if (o_.held_up > 0 && chance(o_.held_up)) {
+            back += uniform(0.5, 8);
+            ++held_answers;
+          }
+          // A machine that stands still reads it when it goes on.
+          if (back < boxes_[i].hang_until && boxes_[i].hang_until < sent + 4) back = boxes_[i].hang_until;
+          schedule(back, [this, i, no, sent, session, next_node, answer] {
             Box &x = boxes_[i];
             // A response that the worker no longer waits for is dropped.
             if (x.gone || !x.up || x.report_no != no || !x.in_flight || t_ < x.hang_until) return;
@@ -132,6 +140,12 @@
     }
     b.next_report = std::min(b.next_report, t_ + 0.5);
   }
+  // The rule in its plain form: what this answer lets run on is over, by the lease alone, when its cancellation's time
+  // is, if a user had been told before the answer came.
+  for (const auto &r : b.runs)
+    if (r.phase != TaskPhase::Exited && r.told && r.told->cancelled_at >= 0 &&
+        b.lease_from + o_.lease_s > r.told->cancelled_at + o_.cancel_s)
+      break_rule("ran_cancelled: kept alive too long " + r.job);
 }
 
 void World::start_task(std::size_t i, const std::string &job, std::uint32_t index, std::uint64_t attempt) {
@@ -193,7 +207,9 @@
     }
     r->phase = TaskPhase::Running;
     if (spec.shape == Shape::Service) return;
-    schedule(t_ + spec.estimate_s * uniform(0.5, 1.5), [this, i, serial] { progress(i, serial); });
+    double takes = spec.estimate_s * uniform(0.5, 1.5);
+    if (const auto it = run_s_.find(r->job); it != run_s_.end()) takes = it->second.at(r->index);
+    schedule(t_ + takes, [this, i, serial] { progress(i, serial); });
     return;
   }
   if (r->phase == TaskPhase::Running) {
