--- a/include/loftrouter/core/cancellations.hpp
+++ b/include/loftrouter/core/cancellations.hpp
@@ -23,7 +23,7 @@
 class Cancellations {
 public:
   Cancellations(Port &port, const Settings &settings, const Leadership &lead, JobTable &jobs)
-      : port_(port), settings_(settings), lead_(lead), jobs_(jobs), siblings_(settings.siblings.size()) {}
+      : port_(port), settings_(settings), lead_(lead), jobs_(jobs), words_(settings.siblings.size(), -1e9) {}
 
   // This node has read or written that a job is cancelled. Always before a user is told.
   void note(const std::string &id);
@@ -47,9 +47,6 @@
 
 private:
   static constexpr std::size_t kMostNoted = 10'000, kMostAwaited = 4'000;
-  struct Word {
-    double until = -1e9; // all that this sibling's processes had noted by then is known here
-  };
   bool reads() const { return lead_.role() == Role::Loading || lead_.role() == Role::Leading; }
   bool mark(const std::string &id); // false: too many are awaited
 
@@ -61,7 +58,7 @@
   // Cancelled, but not in the job table: what was read before may still bring it in, without its mark. Until news asked
   // for later than this time.
   std::unordered_map<std::string, double> awaited_;
-  std::vector<Word> siblings_;
+  std::vector<double> words_;               // by sibling: all that its processes had noted by then is known here
   double news_ = -1e9, unmarked_at_ = -1e9; // the latter: when one of this node's own could not be kept
 };
 
--- a/src/core/cancellations.cpp
+++ b/src/core/cancellations.cpp
@@ -49,15 +49,15 @@
     whole &= mark(id);
   // It holds what was noted since both that process and, by its clock, `cancel_s` ago; so it continues what is known up
   // to a moment after the later of the two.
-  auto &until = siblings_[sibling].until;
+  double &until = words_[sibling];
   const double from = std::max(port_.now() - uptime_s * (1 - kDrift), port_.now() - settings_.cancel_s * (1 - kDrift));
   if (whole && std::max(until, news_) >= from) until = std::max(until, asked);
 }
 
 double Cancellations::known_until() const {
   double by_words = port_.now(); // all that this node itself has noted
-  for (const auto &s : siblings_)
-    by_words = std::min(by_words, std::max(s.until, news_));
+  for (double until : words_)
+    by_words = std::min(by_words, std::max(until, news_));
   return unmarked_at_ > news_ ? news_ : std::max(news_, by_words);
 }
 
@@ -69,7 +69,7 @@
 void Cancellations::on(const TermElected &) {
   news_ = unmarked_at_ = -1e9;
   awaited_.clear();
-  std::fill(siblings_.begin(), siblings_.end(), Word{});
+  std::fill(words_.begin(), words_.end(), -1e9);
 }
 
 void Cancellations::on(const JobAccepted &e) {
