A test that no guard taken out made fail goes: what it is about is held by KnownUntil

CancelledWhileTheNextLeaderReads brought its meeting about by chance of moments, and failed for none of the twelve guards taken out one by one; KnownUntil fails for the two that it was written for.

--- a/tests/meetings_test.cpp
+++ b/tests/meetings_test.cpp
@@ -308,33 +308,6 @@
   }
 }
 
-// A new leader reads that a job is open; then it is cancelled through another node, and nothing more of the state
-// service reaches the leader. What a sibling repeats holds also for a job that comes into the table afterwards.
-TEST_P(Meeting, CancelledWhileTheNextLeaderReads) {
-  o.page = 1; // a record at a time, so that much falls between two of them
-  World w(seed(), o);
-  std::vector<std::string> ids;
-  for (int i = 0; i < 12; ++i)
-    w.at(2 + 0.5 * i, [&] { ids.push_back(long_job(w, Shape::Array, 2, 600)); });
-  w.run(40 + shift);
-  const auto terms = w.elected_at.size();
-  const int gone = w.leader();
-  w.crash(gone, 100);
-  // As each node asks the state service four times a second or so whether there is a leader.
-  double at = w.now() + 2.5;
-  for (std::size_t k = 0; k < ids.size(); ++k, at += 0.23)
-    w.at(at, [&w, &ids, k, gone] { w.cancel(ids[k], (gone + 1 + static_cast<int>(k) % 2) % 3); });
-  for (double end = w.now() + 20; w.elected_at.size() == terms && w.now() < end;)
-    w.run(w.now() + 0.01);
-  ASSERT_GT(w.elected_at.size(), terms);
-  w.run(w.now() + 0.05 + shift / 3);
-  if (w.leader() >= 0) w.cut_state(w.leader(), 3, Cut::Refuse);
-  w.run(w.now() + 2.5);
-  w.outage(1.3 * o.cancel_s);
-  w.run(w.now() + 1.3 * o.cancel_s + 1);
-  expect_good(w, 12, 400);
-}
-
 // The state service answers slowly while users cancel and ask: what a user is told is never behind what any node said.
 TEST_P(Meeting, SlowStateServiceWhileUsersCancelAndAsk) {
   o.users_at_once = true;
