Tests: one reader of seeds, one name of a job, one way to cut two nodes apart and to end the leader

Found on reading the change again. LOFTROUTER_SEEDS was read in seven places and a job's name made in three; the cut both ways stood in four, the end of whichever node leads in six. Moves only: no assertion, seed or moment is another one.

--- a/tests/accounts_test.cpp
+++ b/tests/accounts_test.cpp
@@ -222,8 +222,4 @@
   EXPECT_EQ(w.records("accounts/").size(), 1u) << "the day that is over is in a record of its own";
 }
 
-static int account_seeds() {
-  const char *env = std::getenv("LOFTROUTER_SEEDS");
-  return env ? std::atoi(env) : 8;
-}
-INSTANTIATE_TEST_SUITE_P(Accounts, AccountsSeeds, ::testing::Range(1, 1 + account_seeds()));
+INSTANTIATE_TEST_SUITE_P(Accounts, AccountsSeeds, ::testing::Range(1, 1 + seeds(8)));
--- a/tests/cancellations_test.cpp
+++ b/tests/cancellations_test.cpp
@@ -7,21 +7,16 @@
 #include <random>
 #include <set>
 
-#include "loftrouter/core/cancellations.hpp"
+#include "world.hpp"
 
 using namespace loft;
 using namespace loft::core;
+using loft::test::job_name;
 
 namespace {
 
 constexpr double kCancel = 40, kDriftOfSiblings[] = {0.0005, -0.0005};
 
-std::string name(int i) {
-  char id[16];
-  std::snprintf(id, sizeof id, "j-%06d", i);
-  return id;
-}
-
 struct Sibling { // as Cancellations::repeated() of another process would have it
   double began = 0;
   std::deque<std::pair<std::string, double>> noted; // and when, by the true clock
@@ -68,7 +63,7 @@
   }
 
   void note_at(int sibling) {
-    const auto id = name(next++);
+    const auto id = job_name(next++);
     notes[id] = t;
     if (sibling == 2) return known.note(id), deliver();
     siblings[sibling].noted.emplace_back(id, t);
@@ -89,7 +84,7 @@
   void ask() {
     std::map<std::string, bool> open;
     for (int i = std::max(0, next - 40); i < next + 5; ++i)
-      if (pick(4)) open[name(i)] = notes.contains(name(i));
+      if (pick(4)) open[job_name(i)] = notes.contains(job_name(i));
     under_way.emplace_back(t, std::move(open));
   }
   void answer() {
--- a/tests/cells_test.cpp
+++ b/tests/cells_test.cpp
@@ -249,8 +249,4 @@
   EXPECT_TRUE(f.all_over()) << f[0].finished_jobs << " of " << f[0].accepted_jobs;
 }
 
-static int seeds() {
-  const char *env = std::getenv("LOFTROUTER_SEEDS");
-  return env ? std::atoi(env) : 6;
-}
-INSTANTIATE_TEST_SUITE_P(Cells, CellSeeds, ::testing::Range(1, 1 + seeds()));
+INSTANTIATE_TEST_SUITE_P(Cells, CellSeeds, ::testing::Range(1, 1 + seeds(6)));
--- a/tests/links_test.cpp
+++ b/tests/links_test.cpp
@@ -329,8 +329,4 @@
   EXPECT_TRUE(w.broken.empty()) << all(w);
   EXPECT_TRUE(w.all_over()) << w.finished_jobs << " of " << w.accepted_jobs;
 }
-static int five_seeds() {
-  const char *env = std::getenv("LOFTROUTER_SEEDS");
-  return env ? std::atoi(env) : 8;
-}
-INSTANTIATE_TEST_SUITE_P(Links, FiveNodes, ::testing::Range(1, 1 + five_seeds()));
+INSTANTIATE_TEST_SUITE_P(Links, FiveNodes, ::testing::Range(1, 1 + seeds(8)));
--- a/tests/meetings_test.cpp
+++ b/tests/meetings_test.cpp
@@ -45,6 +45,11 @@
   double shift;
 };
 
+// Whichever leads; the first node where none does at this moment.
+void crash_leader(World &w, double back_after) {
+  w.crash(std::max(0, w.leader()), back_after);
+}
+
 std::string long_job(World &w, Shape shape, std::uint32_t tasks, double run_s) {
   auto s = w.job(shape, tasks, 1, run_s);
   s.one_zone = shape == Shape::Gang;
@@ -85,7 +90,7 @@
     w.at(2 + 3 * i, [&w, i] { long_job(w, i % 3 ? Shape::Array : Shape::Gang, 4, 8); });
   for (int i = 0; i < 3; ++i) {
     w.at(22 + 12 * i + shift, [&w] { w.restart_boxes(0.3); }); // new sessions
-    w.at(26 + 12 * i + shift, [&w] { w.crash(w.leader() < 0 ? 0 : w.leader(), 0.5); });
+    w.at(26 + 12 * i + shift, [&w] { crash_leader(w, 0.5); });
     w.at(29 + 12 * i, [&w] { w.kill_machines(0.2); });
   }
   w.run(70);
@@ -106,8 +111,8 @@
       if (i % 5 == 4) w.at(w.now() + 2, [&w, id] { w.cancel(id); });
     });
   w.at(10, [&w] { w.late_writes(0.5); });
-  w.at(55 + shift, [&w] { w.crash(w.leader() < 0 ? 0 : w.leader(), 0.3); });
-  w.at(80 + shift, [&w] { w.crash(w.leader() < 0 ? 0 : w.leader(), 9); });
+  w.at(55 + shift, [&w] { crash_leader(w, 0.3); });
+  w.at(80 + shift, [&w] { crash_leader(w, 9); });
   w.run(125);
   EXPECT_GT(w.late_commits, 20);
   EXPECT_GT(w.late_applied, 0) << "some found their guards true";
@@ -131,7 +136,7 @@
   for (const auto &id : ids)
     ASSERT_TRUE((w.finished(id, 0) || w.finished(id, 1)) && !(w.finished(id, 0) && w.finished(id, 1))) << id;
   w.crash(w.leader(), 0.2);
-  w.at(100 + shift, [&w] { w.crash(w.leader() < 0 ? 0 : w.leader(), 20); });
+  w.at(100 + shift, [&w] { crash_leader(w, 20); });
   w.run(75);
   EXPECT_GT(w.elected_at.size(), terms);
   w.run(130);
@@ -150,7 +155,7 @@
       const auto id = long_job(w, i % 3 ? Shape::Array : Shape::Gang, 4, 6);
       if (i % 4 == 3) w.at(w.now() + 9, [&w, id] { w.cancel(id); });
     });
-  w.at(40 + shift, [&w] { w.crash(w.leader() < 0 ? 0 : w.leader(), 0.5); });
+  w.at(40 + shift, [&w] { crash_leader(w, 0.5); });
   w.run(90);
   EXPECT_GT(w.held_answers, 20);
   w.hold_up(0);
@@ -198,7 +203,7 @@
     w.run(35 + shift);
     const auto terms = w.elected_at.size();
     deaf ? w.mute_boxes(0.5, 40) : w.cut_boxes(0.5, 0.8 * o.lease_s);
-    w.at(w.now() + 0.3 + shift, [&w] { w.crash(w.leader() < 0 ? 0 : w.leader(), 12); });
+    w.at(w.now() + 0.3 + shift, [&w] { crash_leader(w, 12); });
     w.run(60);
     EXPECT_GT(w.elected_at.size(), terms);
     w.run(100);
@@ -261,8 +266,7 @@
   const double spare = o.cancel_s - o.lease_s;
   w.cut_state(leader, spare, Cut::Lists);
   w.run(w.now() + 0.6);
-  w.cut_peer(leader, teller, 1.5, Cut::Drop);
-  w.cut_peer(teller, leader, 1.5, Cut::Drop);
+  w.cut_apart(leader, teller, 1.5);
   w.run(w.now() + 0.05);
   for (const auto &id : ids)
     w.cancel(id, teller);
@@ -295,8 +299,7 @@
     const double apart = jobs > most ? 2.5 : o.cancel_s + 4;
     w.cut_state(leader, apart + 1.2 * o.cancel_s, Cut::Lists);
     w.run(w.now() + 0.6);
-    w.cut_peer(leader, teller, apart, Cut::Drop);
-    w.cut_peer(teller, leader, apart, Cut::Drop);
+    w.cut_apart(leader, teller, apart);
     w.run(w.now() + 0.05);
     const auto told = static_cast<std::size_t>(w.cancelled_jobs) + jobs;
     for (std::size_t i = 0; i < jobs; ++i)
@@ -375,11 +378,6 @@
   }
 }
 
-int pairs() {
-  const char *env = std::getenv("LOFTROUTER_SEEDS");
-  return env ? std::atoi(env) : 16;
-}
-
 } // namespace
 
 // Nothing but what bears on cancellations: refusals of one node or of some requests, links cut, nodes back at once,
@@ -408,10 +406,7 @@
     w.at(soon(2), [&w, leader, how, lists_for] { w.cut_state(leader, how == Cut::Lists ? lists_for : 14, how); });
     if (pick(3)) {
       const double apart = 0.5 + pick(4);
-      w.at(soon(2), [&w, leader, teller, apart] {
-        w.cut_peer(leader, teller, apart, Cut::Drop);
-        w.cut_peer(teller, leader, apart, Cut::Drop);
-      });
+      w.at(soon(2), [&w, leader, teller, apart] { w.cut_apart(leader, teller, apart); });
     }
     for (int i = 0; i < 4; ++i, ++next)
       w.at(soon(4), [&w, id = ids[next], teller] { w.cancel(id, teller); });
@@ -425,7 +420,7 @@
   EXPECT_TRUE(w.broken.empty()) << all(w);
 }
 
-INSTANTIATE_TEST_SUITE_P(Random, Cancelled, ::testing::Range(1, 1 + pairs()));
+INSTANTIATE_TEST_SUITE_P(Random, Cancelled, ::testing::Range(1, 1 + seeds(16)));
 
 class Pairs : public ::testing::TestWithParam<int> {};
 
@@ -458,4 +453,4 @@
   EXPECT_TRUE(w.all_over()) << w.finished_jobs << " done, " << w.cancelled_jobs << " cancelled of " << w.accepted_jobs;
 }
 
-INSTANTIATE_TEST_SUITE_P(Random, Pairs, ::testing::Range(1, 1 + pairs()));
+INSTANTIATE_TEST_SUITE_P(Random, Pairs, ::testing::Range(1, 1 + seeds(16)));
--- a/tests/pipelines_test.cpp
+++ b/tests/pipelines_test.cpp
@@ -464,8 +464,4 @@
       << w.finished_jobs << " done, " << w.cancelled_jobs << " cancelled of " << w.accepted_jobs;
 }
 
-static int pipeline_seeds() {
-  const char *env = std::getenv("LOFTROUTER_SEEDS");
-  return env ? std::atoi(env) : 8;
-}
-INSTANTIATE_TEST_SUITE_P(Pipelines, PipelineSeeds, ::testing::Range(1, 1 + pipeline_seeds()));
+INSTANTIATE_TEST_SUITE_P(Pipelines, PipelineSeeds, ::testing::Range(1, 1 + seeds(8)));
--- a/tests/scenario.hpp
+++ b/tests/scenario.hpp
@@ -46,8 +46,7 @@
 inline std::string forgotten(World &w, int first, int last) {
   std::map<std::pair<std::string, int>, std::shared_ptr<World::Answer>> left;
   for (int i = first; i <= last; ++i) {
-    char id[16];
-    std::snprintf(id, sizeof id, "j-%06d", i);
+    const auto id = job_name(i);
     for (int node = 0; node < 3; ++node)
       if (const auto *job = w.own(id); job && job->accepted) left[{id, node}];
   }
--- a/tests/survival_test.cpp
+++ b/tests/survival_test.cpp
@@ -204,8 +204,4 @@
   EXPECT_TRUE(w.all_over()) << w.finished_jobs << " done, " << w.cancelled_jobs << " cancelled of " << w.accepted_jobs;
 }
 
-static int survival_seeds() {
-  const char *env = std::getenv("LOFTROUTER_SEEDS");
-  return env ? std::atoi(env) : 10;
-}
-INSTANTIATE_TEST_SUITE_P(Survival, SurvivalSeeds, ::testing::Range(1, 1 + survival_seeds()));
+INSTANTIATE_TEST_SUITE_P(Survival, SurvivalSeeds, ::testing::Range(1, 1 + seeds(10)));
--- a/tests/world.cpp
+++ b/tests/world.cpp
@@ -82,6 +82,11 @@
   nodes_[static_cast<std::size_t>(from)].peers[to] = {t_ + for_s, how};
 }
 
+void World::cut_apart(int a, int b, double for_s, Cut how) {
+  cut_peer(a, b, for_s, how);
+  cut_peer(b, a, for_s, how);
+}
+
 void World::cut_peers(double for_s) {
   for (int i = 0; i < o_.nodes; ++i)
     for (int k = 0; k < o_.nodes; ++k)
@@ -152,10 +157,7 @@
 void World::isolate(int i, double for_s, Cut how) {
   cut_state(i, for_s, how);
   for (int k = 0; k < o_.nodes; ++k)
-    if (k != i) {
-      cut_peer(i, k, for_s, how);
-      cut_peer(k, i, for_s, how);
-    }
+    if (k != i) cut_apart(i, k, for_s, how);
 }
 
 void World::tick(int i, int life) {
--- a/tests/world.hpp
+++ b/tests/world.hpp
@@ -3,6 +3,8 @@
 #pragma once
 
 #include <cmath>
+#include <cstdio>
+#include <cstdlib>
 #include <deque>
 #include <functional>
 #include <map>
@@ -18,6 +20,18 @@
 
 namespace loft::test {
 
+// LOFTROUTER_SEEDS=N plays N seeds, for a longer search by hand.
+inline int seeds(int by_default) {
+  const char *env = std::getenv("LOFTROUTER_SEEDS");
+  return env ? std::atoi(env) : by_default;
+}
+
+inline std::string job_name(int number) {
+  char id[16];
+  std::snprintf(id, sizeof id, "j-%06d", number);
+  return id;
+}
+
 struct WorldOptions {
   int nodes = 3;
   double lease_s = 10, report_s = 1, cancel_s = 40;
@@ -74,11 +88,12 @@
   void stall(int node, double for_s, bool within);
   void cut_workers(int node, double for_s, bool hold) { cut_workers(node, for_s, hold ? Cut::Hold : Cut::Drop); }
   void cut_workers(int node, double for_s, Cut how);
-  void cut_peer(int from, int to, double for_s, Cut how); // the connection that `from` dials
-  void cut_peers(double for_s);                           // connections between nodes
-  void cut_boxes(double share, double for_s);             // workers that reach nobody
-  void mute_boxes(double share, double for_s);            // whose reports arrive, but nothing reaches them
-  void restart_boxes(double share);                       // back at once, with nothing on them
+  void cut_peer(int from, int to, double for_s, Cut how);          // the connection that `from` dials
+  void cut_apart(int a, int b, double for_s, Cut how = Cut::Drop); // whoever dials
+  void cut_peers(double for_s);                                    // connections between nodes
+  void cut_boxes(double share, double for_s);                      // workers that reach nobody
+  void mute_boxes(double share, double for_s);                     // whose reports arrive, but nothing reaches them
+  void restart_boxes(double share);                                // back at once, with nothing on them
   // From the state service and its siblings, not from workers and users.
   void isolate(int node, double for_s, Cut how = Cut::Drop);
   void late_writes(double share) { o_.late_writes = share; }
--- a/tests/world_test.cpp
+++ b/tests/world_test.cpp
@@ -453,9 +453,4 @@
   EXPECT_EQ(w.accepted_jobs, 30);
 }
 
-// LOFTROUTER_SEEDS=N runs N seeds, for a longer search by hand.
-static int seeds() {
-  const char *env = std::getenv("LOFTROUTER_SEEDS");
-  return env ? std::atoi(env) : 12;
-}
-INSTANTIATE_TEST_SUITE_P(World, Seeds, ::testing::Range(1, 1 + seeds()));
+INSTANTIATE_TEST_SUITE_P(World, Seeds, ::testing::Range(1, 1 + seeds(12)));
--- a/tests/world_users.cpp
+++ b/tests/world_users.cpp
@@ -9,9 +9,7 @@
 
 JobSpec World::job(Shape shape, std::uint32_t tasks, double cpus, double run_s, const std::string &team) {
   JobSpec s;
-  char id[16];
-  std::snprintf(id, sizeof id, "j-%06d", next_job_++);
-  s.id = id;
+  s.id = job_name(next_job_++);
   s.job_class = shape == Shape::Gang ? "gang" : "array";
   s.team = team;
   s.shape = shape;
