Simulated world: machines, and one-way cuts named by their direction

Renames only. A machine was a box in the simulated world, which is the wire's word. What was muted was what the operators call deaf: its reports arrive and nothing reaches it, now cut_inbound; what reaches no controller while orders reach it is cut_outbound.

--- a/tests/meetings_test.cpp
+++ b/tests/meetings_test.cpp
@@ -89,7 +89,7 @@
   for (int i = 0; i < 14; ++i)
     w.at(2 + 3 * i, [&w, i] { long_job(w, i % 3 ? Shape::Array : Shape::Gang, 4, 8); });
   for (int i = 0; i < 3; ++i) {
-    w.at(22 + 12 * i + shift, [&w] { w.restart_boxes(0.3); }); // new sessions
+    w.at(22 + 12 * i + shift, [&w] { w.restart_machines(0.3); }); // new sessions
     w.at(26 + 12 * i + shift, [&w] { crash_leader(w, 0.5); });
     w.at(29 + 12 * i, [&w] { w.kill_machines(0.2); });
   }
@@ -202,7 +202,7 @@
       });
     w.run(35 + shift);
     const auto terms = w.elected_at.size();
-    deaf ? w.mute_boxes(0.5, 40) : w.cut_boxes(0.5, 0.8 * o.lease_s);
+    deaf ? w.cut_inbound(0.5, 40) : w.cut_outbound(0.5, 0.8 * o.lease_s);
     w.at(w.now() + 0.3 + shift, [&w] { crash_leader(w, 12); });
     w.run(60);
     EXPECT_GT(w.elected_at.size(), terms);
@@ -361,9 +361,9 @@
   case 5:
     return w.isolate(node, for_s, hows[pick(3)]);
   case 6:
-    return w.mute_boxes(0.4, for_s);
+    return w.cut_inbound(0.4, for_s);
   case 7:
-    return w.cut_boxes(0.4, for_s);
+    return w.cut_outbound(0.4, for_s);
   case 8:
   case 9:
     return w.cut_state(node, for_s, hows[pick(6)]);
@@ -374,7 +374,7 @@
   case 12:
     return w.upgrade(node, 0.5);
   default:
-    return w.restart_boxes(0.3);
+    return w.restart_machines(0.3);
   }
 }
 
--- a/tests/scenario.hpp
+++ b/tests/scenario.hpp
@@ -125,7 +125,7 @@
         w.cut_peers(len);
         break;
       default:
-        w.cut_boxes(0.1 * (node + 3), len);
+        w.cut_outbound(0.1 * (node + 3), len);
       }
     });
   }
--- a/tests/survival_test.cpp
+++ b/tests/survival_test.cpp
@@ -13,13 +13,13 @@
 void new_trouble(World &w, std::mt19937_64 &rng) {
   auto pick = [&](int n) { return static_cast<int>(rng() % static_cast<unsigned>(n)); };
   const int node = pick(4) ? std::max(0, w.leader()) : pick(3), kind = pick(8);
-  if (kind == 0) w.mute_boxes(0.1 * (1 + pick(5)), 5 + pick(40));
+  if (kind == 0) w.cut_inbound(0.1 * (1 + pick(5)), 5 + pick(40));
   if (kind == 1) w.isolate(node, 2 + pick(30));
   if (kind == 2 || kind == 3) w.crash(node, 0.05 + 0.1 * pick(5));
   if (kind == 3) w.at(w.now() + 0.3 + 0.2 * pick(10), [&w, node] { w.crash(node, 0.1); }); // within an election
-  if (kind == 4) w.restart_boxes(0.1 * (1 + pick(5)));
+  if (kind == 4) w.restart_machines(0.1 * (1 + pick(5)));
   if (kind == 5) w.outage(3 + pick(15));
-  if (kind == 6) w.cut_boxes(0.2, 4 + pick(14));
+  if (kind == 6) w.cut_outbound(0.2, 4 + pick(14));
   for (int n = 0; n < 3 && kind == 7; ++n)
     w.crash(n, 0.2);
 }
@@ -55,7 +55,7 @@
     if (seed % 2) o.nodes = 1; // every report reaches the leader, so that no silence gives the machine away
     World w(seed, o);
     w.at(2, [&w] { w.submit(w.job(Shape::Array, 30, 1, 20)); });
-    w.at(25, [&w] { w.mute_boxes(0.4, 400); });
+    w.at(25, [&w] { w.cut_inbound(0.4, 400); });
     for (int i = 0; i < 10; ++i)
       w.at(26 + 2 * i, [&w, i] { w.submit(w.job(i % 2 ? Shape::Array : Shape::Gang, 3, 1, 8)); });
     w.run(110);
@@ -67,7 +67,7 @@
   w.at(2, [&w] { w.submit(w.job(Shape::Array, 60, 1, 300)); });
   w.run(40);
   const int up = w.machines_up();
-  w.mute_boxes(1, 30);
+  w.cut_inbound(1, 30);
   w.run(70);
   EXPECT_EQ(w.machines_up(), up);
   w.run(120);
@@ -127,7 +127,7 @@
         if (w.leader() >= 0) w.crash(w.leader(), 0.1);
       });
       w.at(22 + 5 * i, [&w, i] { w.crash(i % 3, 0.05); });
-      w.at(23 + 10 * i, [&w] { w.restart_boxes(0.3); });
+      w.at(23 + 10 * i, [&w] { w.restart_machines(0.3); });
     }
     w.run(400);
     EXPECT_TRUE(w.broken.empty()) << all(w);
--- a/tests/world.cpp
+++ b/tests/world.cpp
@@ -104,16 +104,16 @@
 }
 
 int World::sick_machines() const {
-  return static_cast<int>(std::count_if(boxes_.begin(), boxes_.end(), [](auto &b) { return b.sick && !b.gone; }));
+  return static_cast<int>(std::count_if(machines_.begin(), machines_.end(), [](auto &b) { return b.sick && !b.gone; }));
 }
 
 void World::cut_workers(int i, double for_s, Cut how) {
   nodes_[static_cast<std::size_t>(i)].workers = {t_ + for_s, how};
 }
 
-void World::cut_boxes(double share, double for_s) {
-  for (auto &b : boxes_)
-    if (chance(share)) b.cut_until = t_ + for_s;
+void World::cut_outbound(double share, double for_s) {
+  for (auto &b : machines_)
+    if (chance(share)) b.outbound_cut_until = t_ + for_s;
 }
 
 int World::leaders() const {
@@ -135,16 +135,16 @@
 }
 
 int World::machines_up() const {
-  return static_cast<int>(std::count_if(boxes_.begin(), boxes_.end(), [](auto &b) { return b.up && !b.gone; }));
+  return static_cast<int>(std::count_if(machines_.begin(), machines_.end(), [](auto &b) { return b.up && !b.gone; }));
 }
 
-void World::mute_boxes(double share, double for_s) {
-  for (auto &b : boxes_)
-    if (chance(share)) b.mute_until = t_ + for_s;
+void World::cut_inbound(double share, double for_s) {
+  for (auto &b : machines_)
+    if (chance(share)) b.inbound_cut_until = t_ + for_s;
 }
 
-void World::restart_boxes(double share) {
-  for (auto &b : boxes_) {
+void World::restart_machines(double share) {
+  for (auto &b : machines_) {
     if (b.gone || !b.up || !chance(share)) continue;
     free_all(b);
     ++b.session;
@@ -214,21 +214,22 @@
   for (const auto &op : effects.cloud)
     cloud_op(i, op);
   for (const auto &call : effects.workers) {
-    auto found = std::find_if(boxes_.begin(), boxes_.end(), [&](const Box &b) { return b.name == call.machine; });
-    if (found == boxes_.end() || chance(o_.loss)) continue;
-    Box *box = &*found;
+    auto found =
+        std::find_if(machines_.begin(), machines_.end(), [&](const Machine &b) { return b.name == call.machine; });
+    if (found == machines_.end() || chance(o_.loss)) continue;
+    Machine *machine = &*found;
     double there = t_ + (chance(3 * o_.loss) ? uniform(0.1, 120) : uniform(0.001, 0.005)); // held up for minutes
     if (o_.held_up > 0 && chance(o_.held_up)) there += uniform(0.5, 8);
-    schedule(there, [this, box, call] {
-      if (box->gone || !box->up || t_ < box->hang_until || t_ < box->mute_until || call.token < box->token ||
-          call.session != box->session)
+    schedule(there, [this, machine, call] {
+      if (machine->gone || !machine->up || t_ < machine->hang_until || t_ < machine->inbound_cut_until ||
+          call.token < machine->token || call.session != machine->session)
         return;
-      box->token = call.token;
+      machine->token = call.token;
       for (const auto &o : call.orders) {
         if (o.verb != TaskOrder::Verb::Stop) break_rule("only orders to stop may be late");
-        for (auto &r : box->runs)
+        for (auto &r : machine->runs)
           if (r.job == o.job && r.index == o.index && r.attempt == o.attempt)
-            end_run(*box, r.serial, ExitCause::Stopped);
+            end_run(*machine, r.serial, ExitCause::Stopped);
       }
     });
   }
@@ -277,7 +278,7 @@
 
 std::vector<World::On> World::on_machines() const {
   std::vector<On> out;
-  for (const auto &b : boxes_)
+  for (const auto &b : machines_)
     for (const auto &r : b.runs)
       if (r.on) out.push_back({r.job, r.index, r.serial});
   return out;
@@ -285,7 +286,7 @@
 
 std::string World::where(const std::string &id) const {
   std::string out;
-  for (const auto &b : boxes_)
+  for (const auto &b : machines_)
     for (const auto &r : b.runs)
       if (r.job == id && r.on) out += b.name + "/" + b.zone + " ";
   return out;
--- a/tests/world.hpp
+++ b/tests/world.hpp
@@ -91,9 +91,9 @@
   void cut_peer(int from, int to, double for_s, Cut how);          // the connection that `from` dials
   void cut_apart(int a, int b, double for_s, Cut how = Cut::Drop); // whoever dials
   void cut_peers(double for_s);                                    // connections between nodes
-  void cut_boxes(double share, double for_s);                      // workers that reach nobody
-  void mute_boxes(double share, double for_s);                     // whose reports arrive, but nothing reaches them
-  void restart_boxes(double share);                                // back at once, with nothing on them
+  void cut_outbound(double share, double for_s); // of machines: what they send reaches no node, orders reach them
+  void cut_inbound(double share, double for_s);  // of machines: nothing reaches them, their reports arrive
+  void restart_machines(double share);           // back at once, with nothing on them
   // From the state service and its siblings, not from workers and users.
   void isolate(int node, double for_s, Cut how = Cut::Drop);
   void late_writes(double share) { o_.late_writes = share; }
@@ -226,10 +226,10 @@
     std::uint64_t serial;
     Told *told = nullptr; // the job, as it was when this started: another may bear its id by now
   };
-  struct Box {
+  struct Machine {
     std::string name, type, zone;
     bool spot = false, up = false, gone = false, sick = false, failed = false;
-    double rented = 0, hang_until = -1, cut_until = -1, mute_until = -1;
+    double rented = 0, hang_until = -1, outbound_cut_until = -1, inbound_cut_until = -1;
     std::uint64_t session = 1, seq = 0, token = 0;
     double lease_from = 0;
     int node = 0;
@@ -261,22 +261,22 @@
   void notify();
   void expire_leases();
   void cloud_op(int i, const core::CloudOp &op);
-  void boot(Box &b);
-  void kill_box(Box &b);
-  void free_all(Box &b); // what ran on it is gone
+  void boot(Machine &b);
+  void kill_machine(Machine &b);
+  void free_all(Machine &b); // what ran on it is gone
   void freed(const Run &r);
   void put_on(std::size_t b, Run &r);
   void take_off(const Run &r);
-  const Resources &size_of(const Box &b) const;
+  const Resources &size_of(const Machine &b) const;
   void worker_tick(std::size_t b);
   void report(std::size_t b);
-  WorkerReport make_report(Box &b);
+  WorkerReport make_report(Machine &b);
   void take_response(std::size_t b, std::uint64_t session, double sent, const nlohmann::json &body);
   void start_task(std::size_t b, const std::string &job, std::uint32_t index, std::uint64_t attempt);
   void progress(std::size_t b, std::uint64_t serial);
   void try_gang(const std::string &job, std::uint64_t attempt);
-  void end_run(Box &b, std::uint64_t serial, ExitCause cause);
-  void placed_check(const Box &b, const Run &r);
+  void end_run(Machine &b, std::uint64_t serial, ExitCause cause);
+  void placed_check(const Machine &b, const Run &r);
   void periodic_check();
   void poll(const std::string &id);
   void break_rule(std::string what) { broken.push_back("t=" + std::to_string(t_) + " " + std::move(what)); }
@@ -294,7 +294,7 @@
   std::deque<wire::Event> history_;
   std::vector<Follower> followers_;
   double outage_until_ = -1;
-  std::deque<Box> boxes_;
+  std::deque<Machine> machines_;
   std::map<std::string, std::vector<std::string>> rents_;
   std::map<std::string, Told> told_;
   int next_job_ = 1;
--- a/tests/world_cloud.cpp
+++ b/tests/world_cloud.cpp
@@ -29,7 +29,7 @@
     if (std::holds_alternative<core::CloudTypes>(op.what)) {
       r.types = o_.types;
     } else if (auto *l = std::get_if<core::CloudList>(&op.what)) {
-      for (auto &b : boxes_) {
+      for (auto &b : machines_) {
         if (b.gone || b.name <= l->from || t_ - b.rented < 3) continue;
         r.machines.push_back({b.name, "", b.type, b.zone, b.spot,
                               b.failed ? MachineStatus::Failed
@@ -39,47 +39,48 @@
       }
     } else if (auto *h = std::get_if<core::CloudRent>(&op.what)) {
       auto [it, fresh] = rents_.try_emplace(h->request);
-      auto there = std::count_if(boxes_.begin(), boxes_.end(), [](const Box &b) { return !b.gone; });
+      auto there = std::count_if(machines_.begin(), machines_.end(), [](const Machine &b) { return !b.gone; });
       const auto of_type = o_.capacity.find(h->type);
       auto left = of_type == o_.capacity.end() ? 1'000'000L : of_type->second;
       if (of_type != o_.capacity.end())
-        left -= std::count_if(boxes_.begin(), boxes_.end(), [&](const Box &b) { return !b.gone && b.type == h->type; });
+        left -= std::count_if(machines_.begin(), machines_.end(),
+                              [&](const Machine &b) { return !b.gone && b.type == h->type; });
       if (fresh)
         for (int k = 0; k < h->count && there < o_.most_machines && left > 0; ++k, ++there, --left) {
-          Box b;
+          Machine b;
           char name[16];
-          std::snprintf(name, sizeof name, "n-%06zu", boxes_.size());
+          std::snprintf(name, sizeof name, "n-%06zu", machines_.size());
           b.name = name;
           b.type = h->type;
           b.zone = h->zone;
           b.spot = h->spot;
           b.rented = t_;
           b.sick = chance(o_.sick);
-          boxes_.push_back(b);
+          machines_.push_back(b);
           it->second.push_back(b.name);
           ++rented;
-          boot(boxes_.back());
+          boot(machines_.back());
         }
       r.names = it->second;
     } else if (auto *d = std::get_if<core::CloudReturn>(&op.what)) {
-      for (auto &b : boxes_)
+      for (auto &b : machines_)
         if (std::find(d->names.begin(), d->names.end(), b.name) != d->names.end() && !b.gone) {
           ++returned;
-          kill_box(b);
+          kill_machine(b);
         }
     }
     if (!lose_answer) schedule(t_ + 0.02, [answer, r] { answer(r); });
   });
 }
 
-void World::boot(Box &b) {
-  std::size_t i = boxes_.size() - 1;
+void World::boot(Machine &b) {
+  std::size_t i = machines_.size() - 1;
   if (chance(o_.boot_fail)) return;
   double boots = uniform(o_.boot_least, o_.boot_most);
   for (const auto &t : o_.types)
     if (o_.boot_share_most > 0 && t.name == b.type) boots = t.boot_s * uniform(o_.boot_share_least, o_.boot_share_most);
   schedule(t_ + boots, [this, i] {
-    Box &x = boxes_[i];
+    Machine &x = machines_[i];
     if (x.gone || x.failed) return; // a machine that stopped while it booted stays down
     x.up = true;
     x.lease_from = t_;
@@ -88,19 +89,19 @@
   });
   if (o_.die_per_hour > 0)
     schedule(t_ + std::exponential_distribution<double>(o_.die_per_hour / 3600)(rng_), [this, i] {
-      if (boxes_[i].gone) return;
-      free_all(boxes_[i]);
-      boxes_[i].up = false;
-      boxes_[i].failed = true;
+      if (machines_[i].gone) return;
+      free_all(machines_[i]);
+      machines_[i].up = false;
+      machines_[i].failed = true;
     });
   if (o_.hang_per_hour > 0)
     schedule(t_ + std::exponential_distribution<double>(o_.hang_per_hour / 3600)(rng_),
-             [this, i] { boxes_[i].hang_until = t_ + uniform(2, 30); });
+             [this, i] { machines_[i].hang_until = t_ + uniform(2, 30); });
 }
 
 int World::kill_machines(double share) {
   int died = 0;
-  for (auto &b : boxes_) {
+  for (auto &b : machines_) {
     if (!b.up || b.gone || !chance(share)) continue;
     free_all(b);
     b.up = false;
@@ -110,7 +111,7 @@
   return died;
 }
 
-void World::kill_box(Box &b) {
+void World::kill_machine(Machine &b) {
   free_all(b);
   b.gone = true;
   b.up = false;
--- a/tests/world_test.cpp
+++ b/tests/world_test.cpp
@@ -49,7 +49,7 @@
     World w(seed, o);
     mixed_load(w, 20);
     for (int i = 0; i < 6; ++i)
-      w.at(20 + 12 * i, [&w] { w.cut_boxes(0.7, 6); });
+      w.at(20 + 12 * i, [&w] { w.cut_outbound(0.7, 6); });
     w.run(150);
     for (const auto &b : w.broken)
       caught |= b.find("ran_twice") != std::string::npos;
@@ -364,8 +364,8 @@
   w.at(3, [&] { id = w.submit(w.job(Shape::Array, 4, 1, 60)); });
   w.run(20);
   ASSERT_GT(w.starts, 0);
-  w.at(20, [&] { w.look_up(0, id); });  // the node knows it as open
-  w.at(21, [&] { w.cut_boxes(1, 5); }); // so that the job stays open for a while
+  w.at(20, [&] { w.look_up(0, id); });     // the node knows it as open
+  w.at(21, [&] { w.cut_outbound(1, 5); }); // so that the job stays open for a while
   w.at(21, [&] { w.cancel(id, 1); });
   w.run(22);
   ASSERT_EQ(w.cancelled_jobs, 1);
--- a/tests/world_workers.cpp
+++ b/tests/world_workers.cpp
@@ -10,7 +10,7 @@
 using nlohmann::json;
 
 void World::worker_tick(std::size_t i) {
-  Box &b = boxes_[i];
+  Machine &b = machines_[i];
   if (b.gone || !b.up) return;
   if (t_ - b.lease_from > o_.lease_s) { // also while it hangs: nothing runs past its lease
     lease_kills += static_cast<int>(b.runs.size());
@@ -22,7 +22,7 @@
   schedule(t_ + 0.1, [this, i] { worker_tick(i); });
 }
 
-WorkerReport World::make_report(Box &b) {
+WorkerReport World::make_report(Machine &b) {
   WorkerReport r;
   r.machine = b.name;
   r.address = "10.0.0.9:9000";
@@ -38,7 +38,7 @@
 }
 
 void World::report(std::size_t i) {
-  Box &b = boxes_[i];
+  Machine &b = machines_[i];
   b.in_flight = true;
   b.next_report = t_ + o_.report_s * uniform(0.75, 1.25);
   auto no = ++b.report_no;
@@ -47,7 +47,7 @@
   auto session = b.session;
   auto r = make_report(b);
   auto next_node = [this, i, no](int to) {
-    Box &x = boxes_[i];
+    Machine &x = machines_[i];
     if (x.report_no != no || !x.in_flight) return;
     x.in_flight = false;
     x.node = to >= 0 ? to : static_cast<int>((static_cast<std::size_t>(x.node) + 1) % nodes_.size());
@@ -57,7 +57,7 @@
   Node &n = nodes_[static_cast<std::size_t>(node)];
   double there = t_ + uniform(0.001, 0.005);
   bool lose_answer = chance(o_.loss);
-  if (t_ < b.cut_until) return;
+  if (t_ < b.outbound_cut_until) return;
   if (o_.copies > 0 && chance(o_.copies)) { // once more, late, by whatever way
     const int to = static_cast<int>(rng_() % nodes_.size());
     schedule(t_ + uniform(1, 3 * o_.lease_s), [this, to, r] {
@@ -90,7 +90,7 @@
           return core::CmdReport{q, r};
         },
         [this, i, no, sent, session, next_node, lose_answer](const core::Reply &a) {
-          if (lose_answer || t_ < boxes_[i].mute_until) return;
+          if (lose_answer || t_ < machines_[i].inbound_cut_until) return;
           auto answer = a;
           double back = t_ + uniform(0.001, 0.005);
           if (o_.held_up > 0 && chance(o_.held_up)) {
@@ -98,9 +98,9 @@
             ++held_answers;
           }
           // A machine that stands still reads it when it goes on.
-          if (back < boxes_[i].hang_until && boxes_[i].hang_until < sent + 4) back = boxes_[i].hang_until;
+          if (back < machines_[i].hang_until && machines_[i].hang_until < sent + 4) back = machines_[i].hang_until;
           schedule(back, [this, i, no, sent, session, next_node, answer] {
-            Box &x = boxes_[i];
+            Machine &x = machines_[i];
             // A response that the worker no longer waits for is dropped.
             if (x.gone || !x.up || x.report_no != no || !x.in_flight || t_ < x.hang_until) return;
             auto body = wire::decode(answer.body).value_or(json::object());
@@ -117,7 +117,7 @@
 }
 
 void World::take_response(std::size_t i, std::uint64_t session, double sent, const json &body) {
-  Box &b = boxes_[i];
+  Machine &b = machines_[i];
   std::uint64_t token = body.value("baton", 0ULL);
   if (session != b.session || token < b.token || token == 0) return;
   b.token = token;
@@ -149,7 +149,7 @@
 }
 
 void World::start_task(std::size_t i, const std::string &job, std::uint32_t index, std::uint64_t attempt) {
-  Box &b = boxes_[i];
+  Machine &b = machines_[i];
   Run r{job, index, attempt, TaskPhase::Fetching, ExitCause::None, false, t_, ++serial_};
   Told *told = known(job);
   r.told = told;
@@ -171,7 +171,7 @@
 }
 
 void World::progress(std::size_t i, std::uint64_t serial) {
-  Box &b = boxes_[i];
+  Machine &b = machines_[i];
   auto r = std::find_if(b.runs.begin(), b.runs.end(), [&](auto &x) { return x.serial == serial; });
   if (b.gone || r == b.runs.end() || r->phase == TaskPhase::Exited) return;
   if (t_ < b.hang_until) {
@@ -190,7 +190,7 @@
     b.next_report = std::min(b.next_report, t_ + 0.5);
     if (b.sick || broken_jobs_.count(r->job)) {
       schedule(t_ + 0.5, [this, i, serial] {
-        Box &x = boxes_[i];
+        Machine &x = machines_[i];
         end_run(x, serial, ExitCause::Error);
       });
       r->phase = TaskPhase::Running;
@@ -200,8 +200,9 @@
     if (spec.shape == Shape::Gang) {
       r->phase = TaskPhase::Waiting;
       schedule(t_ + kGangWait, [this, i, serial] {
-        for (const auto &x : boxes_[i].runs)
-          if (x.serial == serial && x.phase == TaskPhase::Waiting) return end_run(boxes_[i], serial, ExitCause::Alone);
+        for (const auto &x : machines_[i].runs)
+          if (x.serial == serial && x.phase == TaskPhase::Waiting)
+            return end_run(machines_[i], serial, ExitCause::Alone);
       });
       return try_gang(r->job, r->attempt);
     }
@@ -221,8 +222,8 @@
 void World::try_gang(const std::string &job, std::uint64_t attempt) {
   Told *told = nullptr;
   std::vector<std::pair<std::size_t, Run *>> members;
-  for (std::size_t i = 0; i < boxes_.size(); ++i)
-    for (auto &r : boxes_[i].runs)
+  for (std::size_t i = 0; i < machines_.size(); ++i)
+    for (auto &r : machines_[i].runs)
       if (r.job == job && r.attempt == attempt && r.phase == TaskPhase::Waiting) {
         members.emplace_back(i, &r);
         told = r.told;
@@ -238,20 +239,20 @@
   schedule(end, [this, told, who] {
     bool whole = true;
     for (auto [i, serial] : who) {
-      auto &runs = boxes_[i].runs;
+      auto &runs = machines_[i].runs;
       whole &= std::any_of(runs.begin(), runs.end(),
                            [&](auto &r) { return r.serial == serial && r.phase == TaskPhase::Running; });
     }
     for (auto [i, serial] : who) {
       if (whole)
-        for (auto &r : boxes_[i].runs)
+        for (auto &r : machines_[i].runs)
           if (r.serial == serial) told->finished[r.index] = 1;
-      end_run(boxes_[i], serial, whole ? ExitCause::Done : ExitCause::Peers);
+      end_run(machines_[i], serial, whole ? ExitCause::Done : ExitCause::Peers);
     }
   });
 }
 
-const Resources &World::size_of(const Box &b) const {
+const Resources &World::size_of(const Machine &b) const {
   for (const auto &t : o_.types)
     if (t.name == b.type) return t.size;
   return o_.types.front().size;
@@ -276,7 +277,7 @@
     if (r.told) r.told->held_s += t_ - r.from;
 }
 
-void World::free_all(Box &b) {
+void World::free_all(Machine &b) {
   for (const auto &r : b.runs) {
     freed(r);
     take_off(r);
@@ -284,7 +285,7 @@
   b.runs.clear();
 }
 
-void World::end_run(Box &b, std::uint64_t serial, ExitCause cause) {
+void World::end_run(Machine &b, std::uint64_t serial, ExitCause cause) {
   for (auto &r : b.runs)
     if (r.serial == serial && r.phase != TaskPhase::Exited) {
       freed(r);
@@ -296,14 +297,14 @@
     }
 }
 
-void World::placed_check(const Box &b, const Run &r) {
+void World::placed_check(const Machine &b, const Run &r) {
   const Told &told = *r.told;
   const JobSpec &spec = told.spec;
   std::map<std::string, int> zones;
   zones[b.zone] = 1;
   if (const auto others = on_.find(r.job); others != on_.end())
-    for (const auto &[serial, box] : others->second) {
-      const Box &x = boxes_[box];
+    for (const auto &[serial, machine] : others->second) {
+      const Machine &x = machines_[machine];
       for (const auto &y : x.runs)
         if (y.serial == serial && y.index == r.index) break_rule("ran_twice " + r.job + "/" + std::to_string(r.index));
       ++zones[x.zone];
@@ -332,7 +333,7 @@
 }
 
 void World::periodic_check() {
-  for (const auto &x : boxes_)
+  for (const auto &x : machines_)
     for (const auto &y : x.runs) {
       if (!y.on) continue;
       const Told &told = *y.told;
