--- a/include/loftrouter/core/users.hpp
+++ b/include/loftrouter/core/users.hpp
@@ -83,6 +83,8 @@
   void check_names(std::shared_ptr<Submission> s);
   void names_checked(const std::shared_ptr<Submission> &s);
   void accept(const Question &q, OpenRecord record);
+  void refuse_for_ever(const Question &q, const JobSpec &spec, const std::string &why);
+  void abort(const Question &q);
   std::size_t most_guards() const { return static_cast<std::size_t>(4 * settings_.state_txn_ops); } // of a comparison
   std::optional<Compared> compare(Question q, StoreCommit &commit);
   std::string cancelled_name(const std::string &id);
--- a/src/core/users.cpp
+++ b/src/core/users.cpp
@@ -18,7 +18,8 @@
 constexpr std::size_t kKeptBody = 4096; // of a description that may be passed on a second time
 // At once: nothing that this node could ask would answer in time.
 constexpr std::string_view kCutOff = "this node reaches neither the state service nor a sibling that does";
-constexpr double kWordLife = 1.2; // s, of a sibling's word that the state service answers it
+constexpr double kAbortAgain = 1.5; // s, from when it was asked, that a cancellation which has lost a race begins anew
+constexpr double kWordLife = 1.2;   // s, of a sibling's word that the state service answers it
 } // namespace
 
 UserDesk::Verdict UserDesk::judge(const JobSpec &spec, std::string &why) const {
@@ -155,13 +156,14 @@
 // ---- submissions ----
 
 void UserDesk::take(CmdSubmit &&cmd) {
-  if (const auto *end = ended_.find(cmd.spec.id)) return answer_end(cmd.req, cmd.spec.id, *end, true);
   const Question q{cmd.req, cmd.spec.id, true, port_.now()};
+  // Known, so accepted before: whatever would be said of it now, it stays so, and its state costs no write.
+  if (ended_.find(q.id) || known_open(q.id)) return answer_state(q);
   const bool waits = !cmd.spec.waits_for.empty();
   std::string why;
   switch (judge(cmd.spec, why)) {
   case Verdict::Never:
-    return port_.reply(cmd.req, 422, wire::encode_error(why));
+    return refuse_for_ever(q, cmd.spec, why);
   case Verdict::Unknown:
     return no_answer(q, Verb::Submit, "machine types are not known yet", wire::encode(wire::to_json(cmd.spec)), waits);
   case Verdict::Ok:
@@ -169,7 +171,7 @@
   }
   OpenRecord record{std::move(cmd.spec), port_.wall(), false, {}};
   if (!budget_.fits(wire::to_json(record), StoreBudget::kRoomForMark))
-    return port_.reply(q.req, 422, wire::encode_error("the job's description is too long to be kept"));
+    return refuse_for_ever(q, record.spec, "the job's description is too long to be kept");
   // An earlier version would start it at once, whether it leads or has it passed on.
   if (waits && siblings_.earlier_version())
     return port_.refuse(q.req, "jobs that wait for others are accepted once all nodes have this version", 2);
@@ -178,6 +180,19 @@
   check_names(std::make_shared<Submission>(Submission{q, std::move(record)}));
 }
 
+// Guards against an accepted job being called impossible when its submission is repeated: limits, types and sizes may
+// have been others when it was accepted. That nobody has accepted it, only reads made since can tell.
+void UserDesk::refuse_for_ever(const Question &q, const JobSpec &spec, const std::string &why) {
+  auto body = wire::encode(wire::to_json(spec));
+  const bool waits = !spec.waits_for.empty();
+  if (siblings_.cut_off()) return no_answer(q, Verb::Submit, kCutOff, std::move(body), waits);
+  learn(q.id, [this, q, why, body = std::move(body), waits](Named found) {
+    if (found == Named::Never) return port_.reply(q.req, 422, wire::encode_error(why));
+    if (found != Named::Unknown) return answer_state(q);
+    no_answer(q, Verb::Submit, "whether this job was accepted before cannot be told at present", body, waits);
+  });
+}
+
 void UserDesk::accept(const Question &q, OpenRecord record) {
   if (under_way_ >= kMaxUserOps || !budget_.take_write(port_.now()))
     return port_.refuse(q.req, "too many submissions at once");
@@ -223,10 +238,9 @@
     return no_answer(s->q, Verb::Submit, "whether the jobs that it waits for exist cannot be told at present",
                      wire::encode(wire::to_json(s->record.spec)), true);
   if (!s->never.empty())
-    return port_.reply(s->q.req, 422, wire::encode_error(fmt::format("no job {} was ever accepted", s->never)));
+    return refuse_for_ever(s->q, s->record.spec, fmt::format("no job {} was ever accepted", s->never));
   if (!s->service.empty())
-    return port_.reply(s->q.req, 422,
-                       wire::encode_error(fmt::format("job {} is a service, which is never done", s->service)));
+    return refuse_for_ever(s->q, s->record.spec, fmt::format("job {} is a service, which is never done", s->service));
   s->record.cancelled = s->cancelled;
   accept(s->q, std::move(s->record));
 }
@@ -508,11 +522,15 @@
   if (!wire::valid_job_id(id)) return port_.reply(cmd.req, 404, wire::encode_error("no such job"));
   if (const auto *end = ended_.find(id)) return answer_end(cmd.req, id, *end, true);
   const Question q{cmd.req, id, false, port_.now()};
+  abort(q);
+}
+
+void UserDesk::abort(const Question &q) {
   if (siblings_.cut_off()) return no_answer(q, Verb::Abort, kCutOff);
   if (under_way_ >= kMaxUserOps || !budget_.take_write(port_.now()))
-    return port_.refuse(cmd.req, "too many requests at once");
+    return port_.refuse(q.req, "too many requests at once");
   ++under_way_;
-  port_.store(StoreGet{"open/" + id}, kUserDeadline / 2, [this, q](const wire::StoreReply &r) {
+  port_.store(StoreGet{"open/" + q.id}, kUserDeadline / 2, [this, q](const wire::StoreReply &r) {
     --under_way_;
     if (r.status == 404) return read_end(q, true);
     if (auto end = r.entries.size() == 1 ? wire::final_from_json(r.entries[0].value) : std::nullopt) {
@@ -542,7 +560,9 @@
                     note_open(record, c.revision, true);
                     return port_.reply(q.req, 200, wire::encode_accepted(q.id, JobState::Cancelled));
                   }
-                  if (c.status == 409) return port_.refuse(q.req, "the job has just changed; ask again");
+                  // Its end, or another cancellation, came first: that is what the user is told.
+                  if (c.status == 409 && port_.now() - q.asked < kAbortAgain) return abort(q);
+                  if (c.status == 409) return port_.refuse(q.req, "the job keeps changing; ask again");
                   no_answer(q, Verb::Abort, "the state service did not confirm the cancellation");
                 });
   });
--- a/tests/world.cpp
+++ b/tests/world.cpp
@@ -12,19 +12,21 @@
     start_node(i);
   }
   schedule(0.5, [this] { periodic_check(); });
+  schedule(1, [this] { waiting_check(); });
 }
 
 void World::start_node(int i) {
   Settings s;
   s.node = "node-" + std::to_string(i);
-  s.zone = "a";
+  auto zone_of = [this](int k) { return o_.node_zones.empty() ? "a" : o_.node_zones[static_cast<std::size_t>(k)]; };
+  s.zone = zone_of(i);
   for (int k = 0; k < o_.nodes; ++k)
-    if (k != i) s.siblings.push_back({"node-" + std::to_string(k), "a", ""});
+    if (k != i) s.siblings.push_back({"node-" + std::to_string(k), zone_of(k), ""});
   s.zones = {"a", "b"};
-  s.teams = o_.teams;
+  s.teams = o_.core_teams.empty() ? o_.teams : o_.core_teams;
   s.lease_s = o_.core_lease_s > 0 ? o_.core_lease_s : o_.lease_s;
   s.report_s = o_.report_s;
-  s.cancel_s = o_.cancel_s;
+  s.cancel_s = o_.core_cancel_s > 0 ? o_.core_cancel_s : o_.cancel_s;
   s.cpu_share = o_.cpu_share;
   s.accounts = o_.accounts;
   s.cells = o_.cells;
@@ -36,6 +38,7 @@
   s.state_write_rps = o_.state_write_rps;
   Node &n = nodes_[static_cast<std::size_t>(i)];
   ++n.life;
+  n.zone = s.zone;
   n.queue.clear();
   n.waiting.clear();
   n.answers.clear();
@@ -116,6 +119,48 @@
     if (chance(share)) b.outbound_cut_until = t_ + for_s;
 }
 
+// The services outside are regional: a zone that is cut off has lost them too.
+void World::cut_zone(const std::string &zone, double for_s, Cut how) {
+  zone_cuts_[zone] = {t_ + for_s, how};
+  for (int i = 0; i < o_.nodes; ++i) {
+    if (nodes_[static_cast<std::size_t>(i)].zone != zone) continue;
+    cut_state(i, for_s, how);
+    cut_cloud(i, for_s, how);
+    cut_users(i, for_s);
+    for (int k = 0; k < o_.nodes; ++k)
+      if (nodes_[static_cast<std::size_t>(k)].zone != zone) cut_apart(i, k, for_s, how);
+  }
+}
+
+const World::Link *World::between(const std::string &zone, const std::string &other) const {
+  if (zone == other) return nullptr;
+  for (const auto *z : {&zone, &other})
+    if (const auto it = zone_cuts_.find(*z); it != zone_cuts_.end() && it->second.cut(t_)) return &it->second;
+  return nullptr;
+}
+
+int World::hang(const std::string &id, double for_s) {
+  int n = 0;
+  for (auto &b : machines_)
+    if (std::any_of(b.runs.begin(), b.runs.end(), [&](const Run &r) { return r.job == id && r.on; })) {
+      b.hang_until = std::max(b.hang_until, t_ + for_s);
+      ++n;
+    }
+  return n;
+}
+
+int World::deliver_held_back(int node) {
+  auto held = std::exchange(held_back_, {});
+  for (const auto &r : held)
+    ask(
+        node,
+        [r](core::RequestId q) {
+          return core::CmdReport{q, r};
+        },
+        [](const core::Reply &) {});
+  return static_cast<int>(held.size());
+}
+
 int World::leaders() const {
   int n = 0;
   for (const auto &x : nodes_)
@@ -220,16 +265,22 @@
     Machine *machine = &*found;
     double there = t_ + (chance(3 * o_.loss) ? uniform(0.1, 120) : uniform(0.001, 0.005)); // held up for minutes
     if (o_.held_up > 0 && chance(o_.held_up)) there += uniform(0.5, 8);
-    schedule(there, [this, machine, call] {
-      if (machine->gone || !machine->up || t_ < machine->hang_until || t_ < machine->inbound_cut_until ||
-          call.token < machine->token || call.session != machine->session)
+    if (const Link *l = between(n.zone, machine->zone)) {
+      if (l->how != Cut::Hold) continue;
+      there = l->cut_until + uniform(0, 0.01);
+    }
+    const auto index = static_cast<std::size_t>(found - machines_.begin());
+    schedule(there, [this, index, call] {
+      Machine &b = machines_[index];
+      if (b.gone || !b.up || t_ < b.hang_until || t_ < b.inbound_cut_until || call.token < b.token ||
+          call.session != b.session)
         return;
-      machine->token = call.token;
+      b.token = call.token;
+      ++direct_commands;
       for (const auto &o : call.orders) {
         if (o.verb != TaskOrder::Verb::Stop) break_rule("only orders to stop may be late");
-        for (auto &r : machine->runs)
-          if (r.job == o.job && r.index == o.index && r.attempt == o.attempt)
-            end_run(*machine, r.serial, ExitCause::Stopped);
+        for (auto &r : b.runs)
+          if (r.job == o.job && r.index == o.index && r.attempt == o.attempt) stop_run(index, r.serial, o.grace_s);
       }
     });
   }
@@ -254,6 +305,11 @@
   }
 }
 
+void World::ask_as_user(int i, std::function<core::Command(core::RequestId)> make,
+                        std::function<void(const core::Reply &)> fn) {
+  if (!nodes_[static_cast<std::size_t>(i)].users.cut(t_)) ask(i, std::move(make), std::move(fn));
+}
+
 void World::ask(int i, std::function<core::Command(core::RequestId)> make,
                 std::function<void(const core::Reply &)> fn) {
   Node &n = nodes_[static_cast<std::size_t>(i)];
--- a/tests/world.hpp
+++ b/tests/world.hpp
@@ -35,13 +35,15 @@
 struct WorldOptions {
   int nodes = 3;
   double lease_s = 10, report_s = 1, cancel_s = 40;
-  double cpu_share = 1;    // decides how many reports a leader takes itself
-  double core_lease_s = 0; // what the cores believe, if not 0: a bug to be caught
-  double loss = 0;         // of requests, answers, or late by minutes
-  double copies = 0;       // of reports that arrive once more, 1 s to three leases later, at any node
-  double late_writes = 0;  // of commits that get no answer and are carried out 2 to 12 s later
-  double held_up = 0;      // of answers to workers and orders to them that take 0.5 to 8 s
-  double sick = 0;         // share of machines that fail every task
+  double cpu_share = 1; // decides how many reports a leader takes itself
+  // What the cores believe, if it is set: bugs to be caught.
+  double core_lease_s = 0, core_cancel_s = 0;
+  std::vector<Team> core_teams;
+  double loss = 0;        // of requests, answers, or late by minutes
+  double copies = 0;      // of reports that arrive once more, 1 s to three leases later, at any node
+  double late_writes = 0; // of commits that get no answer and are carried out 2 to 12 s later
+  double held_up = 0;     // of answers to workers and orders to them that take 0.5 to 8 s
+  double sick = 0;        // share of machines that fail every task
   double boot_fail = 0;
   double die_per_hour = 0; // machines
   double hang_per_hour = 0;
@@ -63,7 +65,10 @@
   bool told_once = false;     // who has been told that a job is cancelled asks no more, so that no node reads it again
   int page = 20;              // records and machines that a list shows at a time
   CellSettings cells;
-  int first_job = 1; // number of the first
+  int first_job = 1;                        // number of the first
+  std::vector<std::string> node_zones;      // all in the first zone where nothing is said
+  double fetch_least = 0.2, fetch_most = 3; // s, of an image
+  double gang_peer_s = 4;                   // for the orderly stop of a gang
   std::vector<Team> teams{{"red", 0, 0, 0, 0}, {"blue", 0, 12, 0, 0}};
 };
 
@@ -94,6 +99,15 @@
   void cut_outbound(double share, double for_s); // of machines: what they send reaches no node, orders reach them
   void cut_inbound(double share, double for_s);  // of machines: nothing reaches them, their reports arrive
   void restart_machines(double share);           // back at once, with nothing on them
+  int hang(const std::string &id, double for_s); // machines with tasks of this job; how many
+  // Machines and nodes of a zone from all that is not in it. Drop, or Hold: delivered once it is over.
+  void cut_zone(const std::string &zone, double for_s, Cut how = Cut::Drop);
+  void cut_users(int node, double for_s) { nodes_[static_cast<std::size_t>(node)].users = {t_ + for_s, Cut::Drop}; }
+  // That share of the machines' reports is held back on the way, until all are delivered at one node; how many.
+  void hold_back_reports(double share) { hold_back_ = share; }
+  int deliver_held_back(int node);
+  // From now on all troubles are over: no job may wait for long where there is room for it.
+  void calm() { calm_ = true; }
   // From the state service and its siblings, not from workers and users.
   void isolate(int node, double for_s, Cut how = Cut::Drop);
   void late_writes(double share) { o_.late_writes = share; }
@@ -122,6 +136,8 @@
     JobSpec spec;
     std::vector<char> finished;
     double held_s = 0;
+    std::vector<double> saved_s; // progress, by task; of a gang the first counts
+    std::map<std::uint64_t, std::pair<double, std::set<std::uint32_t>>> stopped; // of a gang, by attempt: first told
   };
   std::function<Told *(const std::string &job)> foreign;
   Told *own(const std::string &job) {
@@ -137,19 +153,26 @@
   std::function<void(const On &)> started, stopped;
   std::uint64_t revision() const { return epoch_; } // changes of the state service
 
+  std::function<void(const std::string &job)> last_task_done; // at that moment, before any node can know
+
   std::vector<std::string> broken;        // rules broken, in words
+  std::vector<double> late_starts;        // of tasks whose cancellation was confirmed: so many seconds later
+  int gangs_saved = 0, gangs_spoilt = 0;  // orderly stops that saved, or did not
   bool lose_watches = false;              // watches of the state service get no answer
   double lost_events = 0;                 // share of changes that a watch leaves out without a word
   int relayed = 0;                        // reports passed on from node to node
   int lease_kills = 0;                    // tasks ended because their worker's lease ran out
   int late_commits = 0, late_applied = 0; // commits carried out late; those of them that found their guards true
   int copies_taken = 0;                   // copies of reports that a node was given
+  int direct_commands = 0;                // carried out
   int held_answers = 0;                   // to workers, that took more than half a second
   int rented = 0;                         // machines
   std::vector<double> started_at;         // of each start
   std::vector<double> elected_at;         // of each term that was begun
   int starts = 0, finished_jobs = 0, accepted_jobs = 0, cancelled_jobs = 0;
   double now() const { return t_; }
+  // By the published rules: whether it is to be refused for ever.
+  bool never_runs(const JobSpec &spec) const;
   // What a node answers now, status and body; the status stays 0 until it does.
   struct Answer {
     int status = 0;
@@ -159,7 +182,11 @@
   std::shared_ptr<Answer> look_up(int node, const std::string &id);
   std::shared_ptr<Answer> abort_at(int node, const std::string &id); // once
   std::shared_ptr<Answer> up(int node);
-  int kill_machines(double share); // at once, with all on them; how many
+  int kill_machines(double share, const std::string &zone = ""); // at once, with all on them; how many
+  void limit_zone(const std::string &zone, long machines) { zone_most_[zone] = machines; } // that may be up at a time
+  const std::string &zone(int node) const { return nodes_[static_cast<std::size_t>(node)].zone; }
+  void believe(std::vector<Team> teams) { o_.core_teams = std::move(teams); } // of processes that start from now on
+  int failed_commits = 0;                                                     // transactions with writes
   std::shared_ptr<Answer> admin(int node, const std::string &method, const std::string &target,
                                 const std::string &body = "");
   int starts_of(const std::string &id) const { return starts_by_job_.count(id) ? starts_by_job_.at(id) : 0; }
@@ -199,7 +226,8 @@
     std::uint64_t term = 0; // that it leads, as last seen
     std::vector<core::Command> queue;
     bool scheduled = false;
-    Link state, cloud, workers;
+    Link state, cloud, workers, users;
+    std::string zone;
     std::map<int, Link> peers;                   // dialled, by whom they go to
     double stalled_until = -1, stall_within = 0; // the latter: how long, from its next decision on
     std::map<core::OpId, bool> waiting;
@@ -225,6 +253,8 @@
     double from = 0; // when its start came
     std::uint64_t serial;
     Told *told = nullptr; // the job, as it was when this started: another may bear its id by now
+    double ran_from = -1;
+    bool saved = false;
   };
   struct Machine {
     std::string name, type, zone;
@@ -255,6 +285,14 @@
   void carry_out(int i, core::Effects effects);
   template <class Cmd> std::shared_ptr<Answer> ask_once(int node, const Cmd &cmd);
   void ask(int i, std::function<core::Command(core::RequestId)> make, std::function<void(const core::Reply &)> fn);
+  void ask_as_user(int i, std::function<core::Command(core::RequestId)> make,
+                   std::function<void(const core::Reply &)> fn);
+  const Link *between(const std::string &zone, const std::string &other) const; // a cut zone's, or null
+  void judge_answer(const JobSpec &spec, bool accepted_before, int status);
+  void stop_run(std::size_t b, std::uint64_t serial, double grace_s);
+  void saved(std::size_t b, std::uint64_t serial);
+  void waiting_check();
+  bool could_start(const std::string &id, const Told &told) const;
   void store_op(int i, const core::StoreOp &op);
   wire::StoreReply execute(const core::StoreOp &op);
   void change(const std::string &key, std::optional<nlohmann::json> value, std::uint64_t lease);
@@ -294,6 +332,12 @@
   std::deque<wire::Event> history_;
   std::vector<Follower> followers_;
   double outage_until_ = -1;
+  std::map<std::string, Link> zone_cuts_;
+  std::map<std::string, long> zone_most_;
+  double hold_back_ = 0;
+  std::vector<WorkerReport> held_back_;
+  bool calm_ = false;
+  std::map<std::string, double> could_since_; // jobs that wait where there is room, since when
   std::deque<Machine> machines_;
   std::map<std::string, std::vector<std::string>> rents_;
   std::map<std::string, Told> told_;
--- a/tests/world_cloud.cpp
+++ b/tests/world_cloud.cpp
@@ -45,6 +45,10 @@
       if (of_type != o_.capacity.end())
         left -= std::count_if(machines_.begin(), machines_.end(),
                               [&](const Machine &b) { return !b.gone && b.type == h->type; });
+      if (const auto zone = zone_most_.find(h->zone); zone != zone_most_.end())
+        left = std::min(left, zone->second - std::count_if(machines_.begin(), machines_.end(), [&](const Machine &b) {
+                                return !b.gone && b.zone == h->zone;
+                              }));
       if (fresh)
         for (int k = 0; k < h->count && there < o_.most_machines && left > 0; ++k, ++there, --left) {
           Machine b;
@@ -99,9 +103,10 @@
              [this, i] { machines_[i].hang_until = t_ + uniform(2, 30); });
 }
 
-int World::kill_machines(double share) {
+int World::kill_machines(double share, const std::string &zone) {
   int died = 0;
   for (auto &b : machines_) {
+    if (!zone.empty() && b.zone != zone) continue;
     if (!b.up || b.gone || !chance(share)) continue;
     free_all(b);
     b.up = false;
--- a/tests/world_state.cpp
+++ b/tests/world_state.cpp
@@ -79,6 +79,7 @@
     for (auto &w : c->writes)
       if (w.lease && !leases_.count(w.lease)) r.status = 400;
     if (r.status == 200 && !r.failed.empty()) r.status = 409;
+    failed_commits += r.status == 409 && !c->writes.empty();
     if (r.status == 200 && !c->writes.empty()) {
       r.revision = ++epoch_;
       for (auto &w : c->writes)
--- a/tests/world_users.cpp
+++ b/tests/world_users.cpp
@@ -35,12 +35,13 @@
     *settled = true;
     submit(spec);
   };
-  ask(
+  ask_as_user(
       node,
       [spec](core::RequestId q) {
         return core::CmdSubmit{q, spec};
       },
       [this, spec, settled, retry](const core::Reply &r) {
+        judge_answer(spec, told_[spec.id].accepted, r.status);
         if (*settled) return;
         Told &x = told_[spec.id];
         if (r.status == 201 || r.status == 200) {
@@ -51,7 +52,6 @@
             schedule(t_ + 2, [this, id = spec.id] { poll(id); });
           }
         } else {
-          if (r.status == 400 || r.status == 422) break_rule("forgotten: refused " + spec.id);
           schedule(t_ + 1, retry);
         }
       });
@@ -64,7 +64,7 @@
   if (x.done || (x.cancelled && o_.told_once)) return;
   schedule(t_ + (o_.users_at_once ? 1 : 5), [this, id] { poll(id); });
   bool was_cancelled = x.cancelled;
-  ask(
+  ask_as_user(
       static_cast<int>(rng_() % nodes_.size()),
       [id](core::RequestId q) {
         return core::CmdLookup{q, id};
@@ -112,6 +112,28 @@
   return false;
 }
 
+bool World::never_runs(const JobSpec &spec) const {
+  const auto team = std::find_if(o_.teams.begin(), o_.teams.end(), [&](const Team &t) { return t.name == spec.team; });
+  if (team == o_.teams.end()) return true;
+  const double times = spec.shape == Shape::Array ? 1 : spec.tasks;
+  if ((team->cpus_max > 0 && spec.need.cpus * times > team->cpus_max + 1e-6) ||
+      (team->gpus_max > 0 && spec.need.gpus * times > team->gpus_max + 1e-6))
+    return true;
+  return std::none_of(o_.types.begin(), o_.types.end(), [&](const MachineType &t) {
+    return spec.need.fits(t.size) &&
+           (!spec.types || std::find(spec.types->begin(), spec.types->end(), t.name) != spec.types->end()) &&
+           (!spec.zone || std::find(t.zones.begin(), t.zones.end(), *spec.zone) != t.zones.end());
+  });
+}
+
+// By the published rules alone, whatever the node believes.
+void World::judge_answer(const JobSpec &spec, bool accepted_before, int status) {
+  const bool refused = status >= 400 && status < 500 && status != 429;
+  if (refused && (accepted_before || told_[spec.id].accepted)) break_rule("forgotten: refused " + spec.id);
+  if (refused && !never_runs(spec) && spec.waits_for.empty()) break_rule("refused though it can run " + spec.id);
+  if (status == 201 && never_runs(spec)) break_rule("accepted though it cannot run " + spec.id);
+}
+
 template <class Cmd> std::shared_ptr<World::Answer> World::ask_once(int node, const Cmd &cmd) {
   auto out = std::make_shared<Answer>();
   ask(
@@ -121,16 +143,28 @@
         mine.req = q;
         return mine;
       },
-      [out](const core::Reply &r) {
+      [this, out, cmd](const core::Reply &r) {
         *out = {r.status, wire::decode(r.body).value_or(json())};
+        if constexpr (std::is_same_v<Cmd, core::CmdAbort>)
+          if (Told &y = told_[cmd.id]; r.status == 200 && out->body["status"] == "aborted" && !y.cancelled) {
+            y.cancelled = true;
+            y.cancelled_at = t_;
+            ++cancelled_jobs;
+          }
+        if constexpr (requires { cmd.spec; }) {
+          judge_answer(cmd.spec, told_[cmd.spec.id].accepted, r.status);
+          if (r.status == 201) told_[cmd.spec.id].accepted = true;
+        }
       });
   return out;
 }
 
 std::shared_ptr<World::Answer> World::submit_at(int node, const JobSpec &spec) {
   auto &told = told_[spec.id];
-  told.spec = spec;
-  told.finished.assign(spec.tasks, 0);
+  if (told.finished.empty()) { // not again
+    told.spec = spec;
+    told.finished.assign(spec.tasks, 0);
+  }
   return ask_once(node, core::CmdSubmit{0, spec});
 }
 
@@ -176,7 +210,7 @@
     *settled = true;
     cancel(id);
   };
-  ask(
+  ask_as_user(
       node >= 0 ? node : static_cast<int>(rng_() % nodes_.size()),
       [id](core::RequestId q) {
         return core::CmdAbort{q, id};
--- a/tests/world_workers.cpp
+++ b/tests/world_workers.cpp
@@ -33,7 +33,7 @@
   r.seq = ++b.seq;
   r.token = b.token;
   for (auto &x : b.runs)
-    r.tasks.push_back({x.job, x.index, x.attempt, x.phase, x.cause, false});
+    r.tasks.push_back({x.job, x.index, x.attempt, x.phase, x.cause, x.saved});
   return r;
 }
 
@@ -58,6 +58,10 @@
   double there = t_ + uniform(0.001, 0.005);
   bool lose_answer = chance(o_.loss);
   if (t_ < b.outbound_cut_until) return;
+  if (hold_back_ > 0 && chance(hold_back_)) {
+    held_back_.push_back(r);
+    return;
+  }
   if (o_.copies > 0 && chance(o_.copies)) { // once more, late, by whatever way
     const int to = static_cast<int>(rng_() % nodes_.size());
     schedule(t_ + uniform(1, 3 * o_.lease_s), [this, to, r] {
@@ -79,6 +83,9 @@
     if (n.workers.how == Cut::Hold) there = n.workers.cut_until;
     if (n.workers.how == Cut::Slow) there = t_ + uniform(0.3, 1.5);
     lose_answer |= n.workers.how == Cut::NoAnswers;
+  } else if (const Link *l = between(b.zone, n.zone)) {
+    if (l->how != Cut::Hold) return;
+    there = l->cut_until + uniform(0, 0.01);
   } else if (chance(o_.loss)) {
     there = t_ + uniform(0.1, 60); // late, when the worker has long given up
   }
@@ -89,8 +96,9 @@
         [r](core::RequestId q) {
           return core::CmdReport{q, r};
         },
-        [this, i, no, sent, session, next_node, lose_answer](const core::Reply &a) {
+        [this, i, node, no, sent, session, next_node, lose_answer](const core::Reply &a) {
           if (lose_answer || t_ < machines_[i].inbound_cut_until) return;
+          if (between(machines_[i].zone, nodes_[static_cast<std::size_t>(node)].zone)) return; // given up by its end
           auto answer = a;
           double back = t_ + uniform(0.001, 0.005);
           if (o_.held_up > 0 && chance(o_.held_up)) {
@@ -134,7 +142,7 @@
     } else if (same == b.runs.end()) {
       continue;
     } else if (o["verb"] == "kill") {
-      if (same->phase != TaskPhase::Exited) end_run(b, same->serial, ExitCause::Stopped);
+      stop_run(i, same->serial, o.value("leeway_s", 0.0));
     } else if (same->phase == TaskPhase::Exited) {
       b.runs.erase(same);
     }
@@ -143,7 +151,7 @@
   // The rule in its plain form: what this answer lets run on is over, by the lease alone, when its cancellation's time
   // is, if a user had been told before the answer came.
   for (const auto &r : b.runs)
-    if (r.phase != TaskPhase::Exited && r.told && r.told->cancelled_at >= 0 &&
+    if (r.phase != TaskPhase::Exited && r.told && r.told->cancelled_at >= 0 && // saving counts as being on it
         b.lease_from + o_.lease_s > r.told->cancelled_at + o_.cancel_s)
       break_rule("ran_cancelled: kept alive too long " + r.job);
 }
@@ -166,7 +174,7 @@
     if (x.job == job && x.index == index && x.phase != TaskPhase::Exited) return refuse(ExitCause::Busy);
   if (!told->spec.need.fits(free)) return refuse(ExitCause::NoRoom);
   b.runs.push_back(r);
-  double fetch = b.images.count(told->spec.image) ? 0.01 : uniform(0.2, 3);
+  double fetch = b.images.count(told->spec.image) ? 0.01 : uniform(o_.fetch_least, o_.fetch_most);
   schedule(t_ + fetch, [this, i, serial = r.serial] { progress(i, serial); });
 }
 
@@ -187,6 +195,8 @@
     ++starts;
     started_at.push_back(t_);
     ++starts_by_job_[r->job];
+    could_since_.erase(r->job);
+    if (told.cancelled_at >= 0) late_starts.push_back(t_ - told.cancelled_at);
     b.next_report = std::min(b.next_report, t_ + 0.5);
     if (b.sick || broken_jobs_.count(r->job)) {
       schedule(t_ + 0.5, [this, i, serial] {
@@ -207,16 +217,70 @@
       return try_gang(r->job, r->attempt);
     }
     r->phase = TaskPhase::Running;
+    r->ran_from = t_;
     if (spec.shape == Shape::Service) return;
     double takes = spec.estimate_s * uniform(0.5, 1.5);
     if (const auto it = run_s_.find(r->job); it != run_s_.end()) takes = it->second.at(r->index);
+    if (!told.saved_s.empty()) takes = std::max(0.1, takes - told.saved_s[r->index]);
     schedule(t_ + takes, [this, i, serial] { progress(i, serial); });
     return;
   }
   if (r->phase == TaskPhase::Running) {
     told.finished[r->index] = 1;
+    const std::string job = r->job;
     end_run(b, serial, ExitCause::Done);
+    if (last_task_done && std::all_of(told.finished.begin(), told.finished.end(), [](char f) { return f; }))
+      last_task_done(job);
+  }
+}
+
+// One that can save does so first, if it is given the time; it makes no progress meanwhile. A second order with none
+// ends that.
+void World::stop_run(std::size_t i, std::uint64_t serial, double grace_s) {
+  Machine &b = machines_[i];
+  auto r = std::find_if(b.runs.begin(), b.runs.end(), [&](auto &x) { return x.serial == serial; });
+  if (r == b.runs.end() || r->phase == TaskPhase::Exited) return;
+  const JobSpec &spec = r->told->spec;
+  const bool saves = spec.checkpoint_s > 0 && grace_s >= spec.save_s;
+  if (r->phase == TaskPhase::Saving && saves) return;
+  if (r->phase != TaskPhase::Running || !saves) return end_run(b, serial, ExitCause::Stopped);
+  r->phase = TaskPhase::Saving;
+  b.next_report = std::min(b.next_report, t_ + 0.5);
+  Told &told = *r->told;
+  if (spec.shape != Shape::Gang) {
+    if (told.saved_s.empty()) told.saved_s.assign(spec.tasks, 0);
+    told.saved_s[r->index] += t_ - r->ran_from;
+    return schedule(t_ + spec.save_s, [this, i, serial] { saved(i, serial); });
   }
+  auto &[first, who] = told.stopped[r->attempt];
+  if (who.empty()) {
+    first = t_;
+    // Those that have not been told by then notice that the others have gone, and nothing is saved.
+    schedule(t_ + o_.gang_peer_s, [this, job = r->job, attempt = r->attempt, told = &told, ran = t_ - r->ran_from] {
+      const bool whole = told->stopped[attempt].second.size() == told->spec.tasks;
+      ++(whole ? gangs_saved : gangs_spoilt);
+      if (whole) {
+        if (told->saved_s.empty()) told->saved_s.assign(told->spec.tasks, 0);
+        told->saved_s[0] += ran;
+      }
+      for (std::size_t k = 0; k < machines_.size(); ++k) {
+        std::vector<std::uint64_t> serials;
+        for (const auto &x : machines_[k].runs)
+          if (x.job == job && x.attempt == attempt && x.phase != TaskPhase::Exited) serials.push_back(x.serial);
+        for (auto x : serials)
+          whole ? saved(k, x) : end_run(machines_[k], x, ExitCause::Peers);
+      }
+    });
+  }
+  who.insert(r->index);
+}
+
+void World::saved(std::size_t i, std::uint64_t serial) {
+  for (auto &r : machines_[i].runs)
+    if (r.serial == serial && r.phase == TaskPhase::Saving) {
+      r.saved = true;
+      return end_run(machines_[i], serial, ExitCause::Stopped);
+    }
 }
 
 void World::try_gang(const std::string &job, std::uint64_t attempt) {
@@ -230,13 +294,14 @@
       }
   if (members.empty() || members.size() < told->spec.tasks) return;
   const JobSpec &spec = told->spec;
-  double end = t_ + spec.estimate_s;
+  double end = t_ + std::max(0.1, spec.estimate_s - (told->saved_s.empty() ? 0 : told->saved_s[0]));
   std::vector<std::pair<std::size_t, std::uint64_t>> who;
   for (auto [i, r] : members) {
     r->phase = TaskPhase::Running;
+    r->ran_from = t_;
     who.emplace_back(i, r->serial);
   }
-  schedule(end, [this, told, who] {
+  schedule(end, [this, job, told, who] {
     bool whole = true;
     for (auto [i, serial] : who) {
       auto &runs = machines_[i].runs;
@@ -244,11 +309,15 @@
                            [&](auto &r) { return r.serial == serial && r.phase == TaskPhase::Running; });
     }
     for (auto [i, serial] : who) {
-      if (whole)
-        for (auto &r : machines_[i].runs)
-          if (r.serial == serial) told->finished[r.index] = 1;
-      end_run(machines_[i], serial, whole ? ExitCause::Done : ExitCause::Peers);
+      bool saving = false;
+      for (auto &r : machines_[i].runs)
+        if (r.serial == serial) {
+          if (whole) told->finished[r.index] = 1;
+          saving = r.phase == TaskPhase::Saving;
+        }
+      if (!saving) end_run(machines_[i], serial, whole ? ExitCause::Done : ExitCause::Peers);
     }
+    if (whole && last_task_done) last_task_done(job);
   });
 }
 
@@ -332,6 +401,79 @@
   }
 }
 
+// By what is on the machines, whatever the cores believe: room on one that works and that the job may use, for all of a
+// gang at once, within its team's limit.
+bool World::could_start(const std::string &id, const Told &told) const {
+  const JobSpec &spec = told.spec;
+  if (!told.accepted || told.done || told.cancel_asked || broken_jobs_.contains(id) || never_runs(spec)) return false;
+  for (const auto &name : spec.waits_for) {
+    const auto named = told_.find(name);
+    if (named == told_.end() ||
+        std::count(named->second.finished.begin(), named->second.finished.end(), 1) != named->second.spec.tasks)
+      return false;
+  }
+  std::set<std::uint32_t> there;
+  std::map<std::string, int> by_zone;
+  double team_cpus = 0;
+  std::map<std::string, std::vector<Resources>> room; // by zone, of machines that it may use
+  for (const auto &b : machines_) {
+    Resources free = size_of(b);
+    for (const auto &r : b.runs) {
+      if (r.phase == TaskPhase::Exited || !r.told) continue;
+      free.add(r.told->spec.need, -1);
+      if (r.told->spec.team == spec.team) team_cpus += r.told->spec.need.cpus;
+      if (r.job != id) continue;
+      there.insert(r.index);
+      ++by_zone[b.zone];
+    }
+    if (!b.up || b.gone || b.failed || b.sick || t_ < b.hang_until) continue;
+    if ((b.spot && !spec.spot) || (spec.zone && *spec.zone != b.zone)) continue;
+    if (spec.types && std::find(spec.types->begin(), spec.types->end(), b.type) == spec.types->end()) continue;
+    room[b.zone].push_back(free);
+  }
+  std::uint32_t waiting = 0;
+  for (std::uint32_t i = 0; i < spec.tasks; ++i)
+    waiting += !told.finished[i] && !there.contains(i);
+  if (spec.shape == Shape::Gang && !there.empty()) return false; // an attempt is under way
+  for (const auto &team : o_.teams)
+    if (team.name == spec.team && team.cpus_max > 0 &&
+        team_cpus + spec.need.cpus * (spec.shape == Shape::Gang ? spec.tasks : 1) > team.cpus_max + 1e-6)
+      return false;
+  auto places = [&](const std::vector<Resources> &all) {
+    std::uint32_t n = 0;
+    for (auto free : all)
+      for (; n < waiting && spec.need.fits(free); ++n)
+        free.add(spec.need, -1);
+    return n;
+  };
+  std::uint32_t all = 0, most = 0;
+  for (const auto &[zone, free] : room) {
+    std::uint32_t n = places(free);
+    if (spec.spread)
+      n = std::min(n, static_cast<std::uint32_t>(std::max(0, static_cast<int>((spec.tasks + 1) / 2) - by_zone[zone])));
+    if (spec.one_zone && !by_zone.empty() && !by_zone.contains(zone)) n = 0;
+    all += n;
+    most = std::max(most, n);
+  }
+  const std::uint32_t fit = spec.one_zone ? most : all;
+  return waiting > 0 && fit >= (spec.shape == Shape::Gang ? waiting : 1U);
+}
+
+void World::waiting_check() {
+  schedule(t_ + 1, [this] { waiting_check(); });
+  if (!calm_) return;
+  for (const auto &[id, told] : told_) {
+    if (!could_start(id, told)) {
+      could_since_.erase(id);
+      continue;
+    }
+    const double since = could_since_.try_emplace(id, t_).first->second;
+    if (t_ - since <= 90) continue;
+    break_rule("left_waiting " + id);
+    could_since_[id] = 1e18; // once
+  }
+}
+
 void World::periodic_check() {
   for (const auto &x : machines_)
     for (const auto &y : x.runs) {
