What came up in an outage is used when it is over, not given back at once

The moment that the leader could act again, the scaler, which comes before the placer, gave back all that had been idle for long, 16 of 21 machines with 79 tasks waiting, and rented the like anew.

Change: no time counts as idle in which this leader could place nothing, and nothing is rented before the first round.

AfterAnOutage.WhatCameUpInItIsUsed failed for all seeds without the second half of it.

--- a/include/loftrouter/core/scaler.hpp
+++ b/include/loftrouter/core/scaler.hpp
@@ -59,6 +59,8 @@
   TokenBucket calls_;
   bool types_loading_ = false, listing_ = false, returning_ = false;
   double next_types_ = 0, next_probe_ = 0, next_list_ = 0, next_scale_ = 0, listed_once_at_ = -1;
+  double nothing_placed_until_ =
+      -1e9; // up to then this leader could place nothing: no machine was idle for want of work
   std::uint64_t rents_ = 0;
   std::map<MachineKind, int> rents_open_;
   std::map<MachineKind, double> no_capacity_until_;
--- a/src/core/scaler.cpp
+++ b/src/core/scaler.cpp
@@ -9,7 +9,7 @@
 namespace loft::core {
 
 namespace {
-constexpr double kScaleEvery = 1.0;
+constexpr double kScaleEvery = 1.0, kFirstScale = 1.0; // the latter: after it could place nothing
 constexpr double kListEvery = 3.0;
 constexpr double kTypesEvery = 60.0;
 constexpr double kProbeEvery = 5.0;
@@ -38,7 +38,7 @@
 
 void Scaler::on(const TermBegun &) {
   next_list_ = port_.now();
-  next_scale_ = port_.now() + 1.0;
+  next_scale_ = port_.now() + kFirstScale;
   listed_once_at_ = -1;
 }
 
@@ -99,7 +99,11 @@
 
 void Scaler::tick() {
   if (!types_loading_ && port_.now() >= next_types_ && (!catalogue_.known() || lead_.leading())) load_types();
-  if (!lead_.active()) return;
+  if (!lead_.active()) {
+    nothing_placed_until_ = port_.now();
+    next_scale_ = port_.now() + kFirstScale; // once what waits has been placed on what is up
+    return;
+  }
   if (!listing_ && port_.now() >= next_list_ && calls_.take(port_.now())) {
     listing_ = true;
     next_list_ = port_.now() + kListEvery;
@@ -170,7 +174,8 @@
         hold *= std::min(1.0, cheapest / Catalogue::cpu_price(catalogue_.type(n.type), n.spot));
       if (n.draining) hold = std::min(hold, 3.0);
       if (n.order) hold = *n.order == wire::MachineOrder::Drain ? 0 : 1e9;
-      go |= now - n.idle_since > hold;
+      // Guards against what has come up, or has become free, in an outage being given back the moment that it is over.
+      go |= now - std::max(n.idle_since, nothing_placed_until_) > hold;
     }
     // One that hears nothing is replaced once its tasks are over by its lease; where many hear nothing it is the
     // network, and they are waited for as silent ones are.
--- a/tests/survival_test.cpp
+++ b/tests/survival_test.cpp
@@ -150,6 +150,30 @@
   EXPECT_TRUE(w.all_over()) << w.finished_jobs << " of " << w.accepted_jobs;
 }
 
+// Machines come up in an outage, in which nothing can be started: they are there for what waits when it is over.
+TEST(AfterAnOutage, WhatCameUpInItIsUsed) {
+  for (std::uint64_t seed = 1; seed <= 4; ++seed) {
+    WorldOptions o;
+    o.boot_least = 6;
+    o.boot_most = 12;
+    World w(seed, o);
+    w.at(2, [&w] { w.submit(w.job(Shape::Array, 40, 1, 30)); });
+    w.run(6);
+    ASSERT_GT(w.rented, 1);
+    w.outage(100);
+    w.run(105);
+    const int up = w.machines_up(), rented = w.rented;
+    ASSERT_GT(up, 1);
+    w.run(116);
+    EXPECT_EQ(w.machines_up(), up) << "seed " << seed;
+    EXPECT_EQ(w.rented, rented) << "no others had to be";
+    EXPECT_EQ(w.on_machines().size(), 40U);
+    w.run(240);
+    EXPECT_TRUE(w.broken.empty()) << all(w);
+    EXPECT_TRUE(w.all_over());
+  }
+}
+
 // The largest of a class begin within four minutes, whatever floods of small work come beside them and whoever leads.
 TEST(Largest, BeginWithinFourMinutesBesideAFlood) {
   for (std::uint64_t seed = 1; seed <= 3; ++seed) {
