Work that is passed over for a minute takes any room that there is

Cause, by reading: small work that nobody wants at a certain time keeps off dear machines for up to half an hour, and off those kept for whole-machine work, also where they are up and have room.

Change: a job none of whose tasks has been placed for 60 s while rounds went on may have whatever has room. What is rented does not follow, and its waiting tasks count against draining.

LeftWaiting.PatientWorkTakesRoomOnDearMachinesInTheEnd fails without it (left waiting).

--- a/include/loftrouter/core/placer.hpp
+++ b/include/loftrouter/core/placer.hpp
@@ -47,6 +47,7 @@
   // included.
   std::vector<Resources> team_room() const;
   bool patient(int j) const;
+  bool passed_over(int j) const; // none of its waiting tasks has got a place for long
   double age(int j) const { return port_.wall() - dependencies_.ready_wall(j); } // since it could start
   double up_cpus() const { return up_cpus_; }                                    // at the last round
   const Kept *kept(int type, double within_s) const;                             // wanted within so many seconds
@@ -63,7 +64,12 @@
     double until = -1;
     bool open_to_small = false; // at the last round over all machines: not reserved for large work
   };
+  struct Wait { // of a job with tasks to place
+    std::uint64_t serial = 0;
+    double since = 0, seen = -1e9; // it came, or one of them was placed; the last round
+  };
   struct Offer;
+  PlaceJob candidate(int j) const;
   bool wanted() const { return room_ || jobs_.arrivals() != seen_; }
   void seen() {
     room_ = false;
@@ -100,6 +106,7 @@
   std::uint64_t seen_ = 0, attempts_ = 0;
   std::vector<PlaceJob> line_; // jobs with tasks to place at the last round, oldest first
   std::vector<std::uint64_t> line_serials_;
+  std::vector<Wait> waits_;            // by job
   std::vector<Hold> holds_;            // by machine
   std::unordered_map<int, Kept> kept_; // by type
 };
--- a/src/core/placer.cpp
+++ b/src/core/placer.cpp
@@ -11,6 +11,7 @@
 constexpr double kImageWorth = 2.0;   // a fetch spared, against the CPU seconds of work lost
 constexpr double kHoldForJob = 15.0;  // s, that a machine emptied for a job stays free for it
 constexpr double kHoldReserved = 1.0; // s, the same for one that has waited too long; said again in each round
+constexpr double kPassedOver = 60.0;  // s, without a place, after which a job may have whatever has room
 constexpr double kKeptFor = 600.0;    // s, that a machine type is kept after a job has wanted it whole
 constexpr double kAheadEvery = 0.25;
 constexpr double kAheadShare = 0.15; // of the fleet's CPUs: tasks recorded ahead of their placement
@@ -24,6 +25,7 @@
 void Placer::on(const TermEnded &) {
   line_.clear();
   line_serials_.clear();
+  waits_.clear();
   holds_.clear();
 }
 
@@ -187,6 +189,23 @@
   return p;
 }
 
+bool Placer::passed_over(int j) const {
+  if (static_cast<std::size_t>(j) >= waits_.size()) return false;
+  const Wait &w = waits_[static_cast<std::size_t>(j)];
+  return w.serial == jobs_[j].serial && w.seen - w.since > kPassedOver;
+}
+
+// What keeps work off places that have room for it (the price of small work, machines kept for work that needs them
+// whole) puts it off and no more. Guards against a job that waits beside room for it, for as long as those that the
+// machine is up for run. What is rented does not follow: places that are there anyhow cost nothing.
+PlaceJob Placer::candidate(int j) const {
+  PlaceJob p = place_job(j);
+  if (!passed_over(j)) return p;
+  p.most_dear = 1;
+  p.small = false;
+  return p;
+}
+
 std::vector<Resources> Placer::team_room() const {
   std::vector<Resources> room;
   bool limits = false;
@@ -234,7 +253,7 @@
       continue;
     if (p.gang || p.one_zone || p.zone_cap >= 0 || judge_.failed_lately(p.self)) {
       const bool guaranteed = p.guaranteed;
-      p = place_job(p.self);
+      p = candidate(p.self);
       p.guaranteed = guaranteed;
     } else {
       p.ready = p.limit = n->pending();
@@ -276,6 +295,7 @@
   recorder_.start(j, i);
   jobs_.place(j, i, m, fleet_[m].zone);
   fleet_.put(m, j, i, attempt);
+  grown(waits_, j).since = port_.now();
   if (!recorder_.recorded(j, i)) jobs_.changed(j, true);
   if (n.placed == 1 && port_.shows(LogLevel::Debug))
     port_.log(LogLevel::Debug, "job_first_placed",
@@ -308,7 +328,10 @@
   std::sort(order.begin(), order.end(), [this](int a, int b) { return jobs_[a].submit_wall < jobs_[b].submit_wall; });
   for (int j : order) {
     const Job &n = jobs_[j];
-    PlaceJob p = place_job(j);
+    Wait &wait = grown(waits_, j);
+    if (wait.serial != n.serial || port_.now() - wait.seen > 4 * kRound) wait = {n.serial, port_.now(), port_.now()};
+    wait.seen = port_.now();
+    PlaceJob p = candidate(j);
     const Team &t = settings_.teams[static_cast<std::size_t>(n.team)];
     auto &w = wanted[static_cast<std::size_t>(n.team)];
     w.add(n.spec.need, n.spec.tasks - n.done);
--- a/src/core/scaler.cpp
+++ b/src/core/scaler.cpp
@@ -320,7 +320,7 @@
       if (std::any_of(up.begin(), up.end(), [&](const auto &m) { return allowed(p, m) && p.need.fits(m.size); }))
         continue;
     }
-    if (!placer_.patient(j)) pending += p.ready * p.need.cpus;
+    if (!placer_.patient(j) || placer_.passed_over(j)) pending += p.ready * p.need.cpus;
     const bool low = p.urgency == Urgency::Low;
     const double est = std::max(8.0, n.spec.estimate_s);
     const double due = wishes_.due_after(n.spec, dependencies_.deadline(j), placer_.age(j)), left = due - p.wait_s;
--- a/tests/survival_test.cpp
+++ b/tests/survival_test.cpp
@@ -174,6 +174,29 @@
   }
 }
 
+// Small work that nobody wants at a certain time keeps off dear machines, but does not wait for ever beside one that
+// has room for it and is up for other work anyhow.
+TEST(LeftWaiting, PatientWorkTakesRoomOnDearMachinesInTheEnd) {
+  WorldOptions o;
+  o.capacity = {{"small", 0}, {"big", 1}};
+  World w(3, o);
+  auto dear = w.job(Shape::Array, 1, 9, 600);
+  dear.spot = false;
+  w.at(2, [&w, &dear] { w.submit(dear); });
+  w.run(30);
+  ASSERT_EQ(w.on_machines().size(), 1U);
+  auto patient = w.job(Shape::Array, 3, 1, 5);
+  patient.spot = true;
+  patient.urgency = Urgency::Low;
+  w.submit(patient);
+  w.run(60);
+  EXPECT_EQ(w.starts_of(patient.id), 0) << "it waits for a cheap place at first";
+  w.calm();
+  w.run(200);
+  EXPECT_EQ(w.starts_of(patient.id), 3);
+  EXPECT_TRUE(w.broken.empty()) << all(w);
+}
+
 // The largest of a class begin within four minutes, whatever floods of small work come beside them and whoever leads.
 TEST(Largest, BeginWithinFourMinutesBesideAFlood) {
   for (std::uint64_t seed = 1; seed <= 3; ++seed) {
