Stops sent straight to workers reach tasks whose start has not been seen yet

Cause: a task that fetches its image when its job is cancelled was told with the answer to its worker's next report alone, and could start meanwhile: up to half a second after its user had been told.

Change: the order that goes straight to the worker names it too. If the start has not arrived, the order says nothing.

--- a/src/core/fleet.cpp
+++ b/src/core/fleet.cpp
@@ -451,7 +451,9 @@
 }
 
 // The worker learns at once what the answer to its next report would tell it. When its tasks have stopped it reports
-// by itself, and the answer to that can start their successors: a report interval is won.
+// by itself, and the answer to that can start their successors: a report interval is won. Also of tasks whose start has
+// been sent and not been seen: what fetches its image when its job is cancelled never starts, and where the start has
+// not arrived the order says nothing (its attempt's number is not used again).
 void Fleet::send_stops() {
   for (int m : std::exchange(stops_news_, {})) {
     const auto &p = machines_[static_cast<std::size_t>(m)];
@@ -460,7 +462,7 @@
     if (!lead_.active() || p->lost || p->address.empty()) continue;
     WorkerCall call{p->address, lead_.term(), p->session, p->name, {}};
     for (const auto &slot : p->slots)
-      if (slot.stop && slot.seen && slot.phase != TaskPhase::Exited && call.orders.size() < kMostOrders)
+      if (slot.stop && slot.sent && slot.phase != TaskPhase::Exited && call.orders.size() < kMostOrders)
         call.orders.push_back({TaskOrder::Verb::Stop, slot.job_id, slot.index, slot.attempt, slot.grace_s});
     if (!call.orders.empty()) port_.call(std::move(call));
   }
--- a/tests/meetings_test.cpp
+++ b/tests/meetings_test.cpp
@@ -677,6 +677,32 @@
   }
 }
 
+// Jobs are cancelled while their tasks are being started, through every node. The leader hears of it at once by its
+// watch, or with the next answer to a ping; what starts before that is all that starts.
+TEST_P(Later, StartsAfterAConfirmedCancellation) {
+  for (bool by_watch : {true, false}) {
+    World w(seed(), o);
+    for (int i = 0; i < 40; ++i)
+      w.at(10 + 2 * i + shift, [&w, i, by_watch] {
+        const auto id = long_job(w, Shape::Array, 6, 60);
+        w.at(w.now() + 0.05 * i, [&w, id, i, by_watch] {
+          if (!by_watch && w.leader() >= 0) w.cut_state(w.leader(), 1, Cut::Lists);
+          w.cancel(id, i % 3);
+        });
+      });
+    w.run(9);
+    ASSERT_GE(w.leader(), 0);
+    w.run(100);
+    double latest = 0;
+    for (double s : w.late_starts)
+      latest = std::max(latest, s);
+    EXPECT_LT(latest, by_watch ? 0.1 : 1.0) << w.late_starts.size() << " after " << w.cancelled_jobs;
+    EXPECT_GT(w.cancelled_jobs, 30);
+    RecordProperty(by_watch ? "late_starts" : "late_starts_without_watch", static_cast<int>(w.late_starts.size()));
+    expect_good(w, 40, w.now() + 100);
+  }
+}
+
 // Submissions are repeated after what they are judged by has changed: values have become smaller, their team's limit
 // lower. What was accepted is known, at every node; what never was is refused for ever only once that is certain.
 TEST_P(Later, SubmissionsRepeatedAfterLimitsFell) {
