--- a/src/core/users.cpp
+++ b/src/core/users.cpp
@@ -1,6 +1,7 @@
 #include "loftrouter/core/users.hpp"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 #include <fmt/format.h>
@@ -37,13 +38,23 @@
     return Verdict::Never;
   }
   if (!catalogue_.known()) return Verdict::Unknown;
+  std::set<std::string_view> zones; // in which a task of it may ever be
   for (const auto &type : catalogue_.types()) {
     if (spec.types && std::find(spec.types->begin(), spec.types->end(), type.name) == spec.types->end()) continue;
-    if (spec.zone && std::find(type.zones.begin(), type.zones.end(), *spec.zone) == type.zones.end()) continue;
-    if (spec.need.fits(type.size)) return Verdict::Ok;
+    if (!spec.need.fits(type.size)) continue;
+    for (const auto &zone : type.zones)
+      if (!spec.zone || zone == *spec.zone) zones.insert(zone);
   }
-  why = "a task fits no machine type that the job allows";
-  return Verdict::Never;
+  if (zones.empty()) {
+    why = "a task fits no machine type that the job allows";
+    return Verdict::Never;
+  }
+  // An array may run a part at a time.
+  if (spec.spread && spec.shape != Shape::Array && spec.tasks > 1 && (spec.one_zone || zones.size() < 2)) {
+    why = "at most half of its tasks may be in one zone, and all of them have to be";
+    return Verdict::Never;
+  }
+  return Verdict::Ok;
 }
 
 // ---- by way of siblings ----
--- a/tests/meetings_test.cpp
+++ b/tests/meetings_test.cpp
@@ -589,6 +589,13 @@
     std::vector<std::string> ids;
     for (int i = 0; i < 8; ++i)
       w.at(2 + i, [&w, &ids] { ids.push_back(w.submit(w.job(Shape::Array, 3, 1, 120, "blue"))); }); // twice its limit
+    w.at(10, [&w] { // and there is room, where another team's work has just ended
+      const auto id = w.submit(w.job(Shape::Array, 16, 1, 20));
+      std::vector<double> ends;
+      for (int i = 0; i < 16; ++i)
+        ends.push_back(34 - w.now() - 3);
+      w.run_times(id, ends);
+    });
     steady(w, 35 + shift);
     EXPECT_GT(w.on_machines().size(), 10U) << "of 12";
     inbound ? w.cut_inbound(0.5, 1.2 * o.lease_s) : w.cut_outbound(0.5, 1.2 * o.lease_s);
@@ -598,13 +605,40 @@
     w.at(w.now() + 1 + 2 * shift, [&w, &ids] {
       w.cancel(ids[0]);
       w.cancel(ids[2]);
+      ids.push_back(w.submit(w.job(Shape::Array, 9, 1, 20, "blue"))); // of which nothing was ever recorded
     });
     w.run(w.now() + 1.3 * o.lease_s + 5);
     expect_elected(w, terms);
-    expect_good(w, 8, 700);
+    expect_good(w, 10, 700);
   }
 }
 
+// The same for jobs bound to one zone with more tasks than it has room for: where those are that cannot be asked for is
+// not known, and the other zone has room.
+TEST_P(Later, BoundJobsWhenTheLeaderChangesAndMachinesCannotBeAsked) {
+  o.capacity = {{"big", 0}};
+  World w(seed(), o);
+  w.limit_zone("a", 4);
+  w.limit_zone("b", 4);
+  JobSpec job = bound(w, Shape::Array, 40, 60), beside = bound(w, Shape::Array, 16, 20);
+  job.zone = "a"; // as long as it is told so, it begins there
+  w.at(2, [&] { w.submit(job); });
+  JobSpec free = bound(w, Shape::Array, 40, 60);
+  w.at(3, [&] { w.submit(free); });
+  beside.zone = "b";
+  w.at(4, [&] { w.submit(beside); });
+  steady(w, 30 + shift);
+  for (int i = 0; i < 4; ++i) {
+    const auto terms = w.elected_at.size();
+    w.cut_outbound(1, 0.8 * o.lease_s, i % 2 ? "b" : "a");
+    w.run(w.now() + 0.3);
+    crash_leader(w, 6);
+    w.run(w.now() + o.lease_s + 8);
+    expect_elected(w, terms);
+  }
+  expect_good(w, 3, 1500);
+}
+
 // A cancellation, a question and a repeated submission meet the end of a job's last task, with no other trouble, at
 // each node, moved by a few milliseconds. Whatever came first is what all are told from then on, at once.
 TEST_P(Later, RequestsMeetTheEndOfAJobsLastTask) {
@@ -769,6 +803,18 @@
       if (i % 4 == 1) s.need.cpus = 999;
       if (i % 4 == 2) s.team = "nobody";
       if (i % 4 == 3) s.zone = "elsewhere";
+      if (i % 12 == 3) { // all at the same time, in one zone, and not
+        s.shape = i % 8 == 3 ? Shape::Gang : Shape::Service;
+        s.tasks = 2;
+        s.spread = true;
+        s.zone = "a";
+      }
+      if (i % 12 == 7) {
+        s.shape = Shape::Gang;
+        s.tasks = 5;
+        s.spread = s.one_zone = true;
+        s.zone.reset();
+      }
       answers.emplace_back(422, w.submit_at(node, s));
     });
   w.at(30 + shift, [&w] { crash_leader(w, 2); });
@@ -969,12 +1015,21 @@
   o.next_value_kb = seed % 3 ? 0 : 4;
   o.told_once = seed % 4 > 1;
   if (seed % 5 > 1) o.node_zones = {"a", "b", seed % 5 == 2 ? "a" : "b"};
+  if (seed % 7 == 3) o.most_machines = 7; // more work than room
   World w(seed, o);
   auto rng = std::make_shared<std::mt19937_64>(seed * 977 + 3);
   constexpr int kJobs = 24;
   for (int i = 0; i < kJobs; ++i)
     w.at(2 + 6 * i, [&w, i, rng] {
-      const auto id = long_job(w, i % 3 ? Shape::Array : Shape::Gang, 2 + i % 4, i % 4 ? 8 : 60);
+      const double run_s = i % 4 ? 8 : 60;
+      auto s = i % 3 ? w.job(Shape::Array, 2 + static_cast<std::uint32_t>(i) % 4, 1, run_s, i % 5 ? "red" : "blue")
+                     : bound(w, Shape::Gang, 2 + static_cast<std::uint32_t>(i) % 4, run_s);
+      if (i % 7 == 1) s.one_zone = true;
+      if (i % 7 == 2) s.spread = true;
+      if (i % 6 == 4) s.urgency = Urgency::Low;
+      if (i % 8 == 5) s.urgency = Urgency::High;
+      if (i % 4 == 0) s.checkpoint_s = s.save_s = 3;
+      const auto id = w.submit(s);
       if (i % 2) w.at(w.now() + static_cast<double>((*rng)() % 40), [&w, id] { w.cancel(id); });
     });
   for (double t = 20; t < 170; t += 24)
--- a/tests/world.cpp
+++ b/tests/world.cpp
@@ -114,9 +114,9 @@
   nodes_[static_cast<std::size_t>(i)].workers = {t_ + for_s, how};
 }
 
-void World::cut_outbound(double share, double for_s) {
+void World::cut_outbound(double share, double for_s, const std::string &zone) {
   for (auto &b : machines_)
-    if (chance(share)) b.outbound_cut_until = t_ + for_s;
+    if ((zone.empty() || b.zone == zone) && chance(share)) b.outbound_cut_until = t_ + for_s;
 }
 
 // The services outside are regional: a zone that is cut off has lost them too.
--- a/tests/world.hpp
+++ b/tests/world.hpp
@@ -96,7 +96,8 @@
   void cut_peer(int from, int to, double for_s, Cut how);          // the connection that `from` dials
   void cut_apart(int a, int b, double for_s, Cut how = Cut::Drop); // whoever dials
   void cut_peers(double for_s);                                    // connections between nodes
-  void cut_outbound(double share, double for_s); // of machines: what they send reaches no node, orders reach them
+  // Of machines, in one zone or in all: what they send reaches no node, orders reach them.
+  void cut_outbound(double share, double for_s, const std::string &zone = "");
   void cut_inbound(double share, double for_s);  // of machines: nothing reaches them, their reports arrive
   void restart_machines(double share);           // back at once, with nothing on them
   int hang(const std::string &id, double for_s); // machines with tasks of this job; how many
--- a/tests/world_users.cpp
+++ b/tests/world_users.cpp
@@ -119,11 +119,17 @@
   if ((team->cpus_max > 0 && spec.need.cpus * times > team->cpus_max + 1e-6) ||
       (team->gpus_max > 0 && spec.need.gpus * times > team->gpus_max + 1e-6))
     return true;
-  return std::none_of(o_.types.begin(), o_.types.end(), [&](const MachineType &t) {
-    return spec.need.fits(t.size) &&
-           (!spec.types || std::find(spec.types->begin(), spec.types->end(), t.name) != spec.types->end()) &&
-           (!spec.zone || std::find(t.zones.begin(), t.zones.end(), *spec.zone) != t.zones.end());
-  });
+  auto fits_in = [&](const std::string &zone) {
+    return (!spec.zone || *spec.zone == zone) && std::any_of(o_.types.begin(), o_.types.end(), [&](const auto &t) {
+             return spec.need.fits(t.size) && std::find(t.zones.begin(), t.zones.end(), zone) != t.zones.end() &&
+                    (!spec.types || std::find(spec.types->begin(), spec.types->end(), t.name) != spec.types->end());
+           });
+  };
+  const int zones = fits_in("a") + fits_in("b"),
+            at_once = spec.shape == Shape::Array ? 1 : static_cast<int>(spec.tasks);
+  // Of those that run at the same time at most half, rounded up, may be in each zone that they may be in.
+  const int room = !spec.spread ? at_once : (spec.one_zone ? std::min(1, zones) : zones) * ((at_once + 1) / 2);
+  return zones == 0 || room < at_once;
 }
 
 // By the published rules alone, whatever the node believes.
