After reading the change again: one way to note a confirmed cancellation in the simulated world, and no state that nobody reads

The same four lines stood in three places; judge_answer was handed what it looked up itself; the moment at which a gang's first task was told to stop was kept and never read.

--- a/tests/world.hpp
+++ b/tests/world.hpp
@@ -137,8 +137,8 @@
     JobSpec spec;
     std::vector<char> finished;
     double held_s = 0;
-    std::vector<double> saved_s; // progress, by task; of a gang the first counts
-    std::map<std::uint64_t, std::pair<double, std::set<std::uint32_t>>> stopped; // of a gang, by attempt: first told
+    std::vector<double> saved_s;                              // progress, by task; of a gang the first counts
+    std::map<std::uint64_t, std::set<std::uint32_t>> stopped; // of a gang, by attempt: its tasks that were told
   };
   std::function<Told *(const std::string &job)> foreign;
   Told *own(const std::string &job) {
@@ -289,7 +289,8 @@
   void ask_as_user(int i, std::function<core::Command(core::RequestId)> make,
                    std::function<void(const core::Reply &)> fn);
   const Link *between(const std::string &zone, const std::string &other) const; // a cut zone's, or null
-  void judge_answer(const JobSpec &spec, bool accepted_before, int status);
+  void judge_answer(const JobSpec &spec, int status);
+  void confirm_cancelled(Told &told); // its user has been told
   void stop_run(std::size_t b, std::uint64_t serial, double grace_s);
   void saved(std::size_t b, std::uint64_t serial);
   void waiting_check();
--- a/tests/world_users.cpp
+++ b/tests/world_users.cpp
@@ -41,7 +41,7 @@
         return core::CmdSubmit{q, spec};
       },
       [this, spec, settled, retry](const core::Reply &r) {
-        judge_answer(spec, told_[spec.id].accepted, r.status);
+        judge_answer(spec, r.status);
         if (*settled) return;
         Told &x = told_[spec.id];
         if (r.status == 201 || r.status == 200) {
@@ -59,6 +59,13 @@
   return spec.id;
 }
 
+void World::confirm_cancelled(Told &told) {
+  if (told.cancelled) return;
+  told.cancelled = true;
+  told.cancelled_at = t_;
+  ++cancelled_jobs;
+}
+
 void World::poll(const std::string &id) {
   Told &x = told_[id];
   if (x.done || (x.cancelled && o_.told_once)) return;
@@ -83,11 +90,7 @@
         } else if (state == "aborted") {
           const bool needs = needs_cancelled(id, -1);
           if (!y.cancel_asked && !needs) break_rule("went_back: cancelled by nobody " + id);
-          if (needs && !y.cancelled) { // told so for the first time
-            y.cancelled = true;
-            y.cancelled_at = t_;
-            ++cancelled_jobs;
-          }
+          if (needs) confirm_cancelled(y);
         } else if (was_cancelled) {
           break_rule("went_back " + id + " " + state);
         } else if (t_ > o_.cancel_s && needs_cancelled(id, t_ - o_.cancel_s)) {
@@ -133,9 +136,9 @@
 }
 
 // By the published rules alone, whatever the node believes.
-void World::judge_answer(const JobSpec &spec, bool accepted_before, int status) {
+void World::judge_answer(const JobSpec &spec, int status) {
   const bool refused = status >= 400 && status < 500 && status != 429;
-  if (refused && (accepted_before || told_[spec.id].accepted)) break_rule("forgotten: refused " + spec.id);
+  if (refused && told_[spec.id].accepted) break_rule("forgotten: refused " + spec.id);
   if (refused && !never_runs(spec) && spec.waits_for.empty()) break_rule("refused though it can run " + spec.id);
   if (status == 201 && never_runs(spec)) break_rule("accepted though it cannot run " + spec.id);
 }
@@ -152,13 +155,9 @@
       [this, out, cmd](const core::Reply &r) {
         *out = {r.status, wire::decode(r.body).value_or(json())};
         if constexpr (std::is_same_v<Cmd, core::CmdAbort>)
-          if (Told &y = told_[cmd.id]; r.status == 200 && out->body["status"] == "aborted" && !y.cancelled) {
-            y.cancelled = true;
-            y.cancelled_at = t_;
-            ++cancelled_jobs;
-          }
+          if (r.status == 200 && out->body["status"] == "aborted") confirm_cancelled(told_[cmd.id]);
         if constexpr (requires { cmd.spec; }) {
-          judge_answer(cmd.spec, told_[cmd.spec.id].accepted, r.status);
+          judge_answer(cmd.spec, r.status);
           if (r.status == 201) told_[cmd.spec.id].accepted = true;
         }
       });
@@ -223,18 +222,13 @@
       },
       [this, id, settled, retry](const core::Reply &r) {
         if (*settled) return;
-        Told &y = told_[id];
         if (r.status != 200) {
           schedule(t_ + 1, retry);
           return;
         }
         *settled = true;
         auto state = wire::decode(r.body).value()["status"].get<std::string>();
-        if (state == "aborted" && !y.cancelled) {
-          y.cancelled = true;
-          y.cancelled_at = t_;
-          ++cancelled_jobs;
-        }
+        if (state == "aborted") confirm_cancelled(told_[id]);
       });
   schedule(t_ + 5, retry);
 }
--- a/tests/world_workers.cpp
+++ b/tests/world_workers.cpp
@@ -252,12 +252,11 @@
     told.saved_s[r->index] += t_ - r->ran_from;
     return schedule(t_ + spec.save_s, [this, i, serial] { saved(i, serial); });
   }
-  auto &[first, who] = told.stopped[r->attempt];
+  auto &who = told.stopped[r->attempt];
   if (who.empty()) {
-    first = t_;
     // Those that have not been told by then notice that the others have gone, and nothing is saved.
     schedule(t_ + o_.gang_peer_s, [this, job = r->job, attempt = r->attempt, told = &told, ran = t_ - r->ran_from] {
-      const bool whole = told->stopped[attempt].second.size() == told->spec.tasks;
+      const bool whole = told->stopped[attempt].size() == told->spec.tasks;
       if (whole) {
         if (told->saved_s.empty()) told->saved_s.assign(told->spec.tasks, 0);
         told->saved_s[0] += ran;
