A submission without an answer is passed on in one way, and encoded only where it is

The same encoding and the same flag stood at five places; a submission that seems impossible was encoded before it was known whether anybody would be asked.

--- a/include/loftrouter/core/users.hpp
+++ b/include/loftrouter/core/users.hpp
@@ -96,6 +96,7 @@
                std::uint64_t tried = 0, bool waits = false);
   // The state service has not answered: somebody else may.
   void no_answer(const Question &q, Verb verb, std::string_view why, std::string body = {}, bool waits = false);
+  void no_answer(const Question &q, const JobSpec &spec, std::string_view why); // to its submission
 
   Port &port_;
   const Settings &settings_;
--- a/src/core/users.cpp
+++ b/src/core/users.cpp
@@ -101,6 +101,10 @@
   if (!pass_on(q.req, verb, q.id, q.asked, std::move(body), 0, waits)) port_.refuse(q.req, why);
 }
 
+void UserDesk::no_answer(const Question &q, const JobSpec &spec, std::string_view why) {
+  no_answer(q, Verb::Submit, why, wire::encode(wire::to_json(spec)), !spec.waits_for.empty());
+}
+
 void UserDesk::take_asked(const CmdPeer &cmd) {
   const auto &m = cmd.message;
   if (siblings_.by_sender(m.sender) < 0) return; // not from a node of these settings
@@ -176,7 +180,7 @@
   case Verdict::Never:
     return refuse_for_ever(q, cmd.spec, why);
   case Verdict::Unknown:
-    return no_answer(q, Verb::Submit, "machine types are not known yet", wire::encode(wire::to_json(cmd.spec)), waits);
+    return no_answer(q, cmd.spec, "machine types are not known yet");
   case Verdict::Ok:
     break;
   }
@@ -186,7 +190,7 @@
   // An earlier version would start it at once, whether it leads or has it passed on.
   if (waits && siblings_.earlier_version())
     return port_.refuse(q.req, "jobs that wait for others are accepted once all nodes have this version", 2);
-  if (siblings_.cut_off()) return no_answer(q, Verb::Submit, kCutOff, wire::encode(wire::to_json(record.spec)), waits);
+  if (siblings_.cut_off()) return no_answer(q, record.spec, kCutOff);
   if (!waits) return accept(q, std::move(record));
   check_names(std::make_shared<Submission>(Submission{q, std::move(record)}));
 }
@@ -194,13 +198,11 @@
 // Guards against an accepted job being called impossible when its submission is repeated: limits, types and sizes may
 // have been others when it was accepted. That nobody has accepted it, only reads made since can tell.
 void UserDesk::refuse_for_ever(const Question &q, const JobSpec &spec, const std::string &why) {
-  auto body = wire::encode(wire::to_json(spec));
-  const bool waits = !spec.waits_for.empty();
-  if (siblings_.cut_off()) return no_answer(q, Verb::Submit, kCutOff, std::move(body), waits);
-  learn(q.id, [this, q, why, body = std::move(body), waits](Named found) {
+  if (siblings_.cut_off()) return no_answer(q, spec, kCutOff);
+  learn(q.id, [this, q, spec, why](Named found) {
     if (found == Named::Never) return port_.reply(q.req, 422, wire::encode_error(why));
     if (found != Named::Unknown) return answer_state(q);
-    no_answer(q, Verb::Submit, "whether this job was accepted before cannot be told at present", body, waits);
+    no_answer(q, spec, "whether this job was accepted before cannot be told at present");
   });
 }
 
@@ -220,8 +222,7 @@
                 }
                 if (r.status == 409) return answer_state(q);
                 // It may have been carried out, or may be yet: the same again is the same job.
-                no_answer(q, Verb::Submit, "the state service did not confirm the submission",
-                          wire::encode(wire::to_json(record.spec)), !record.spec.waits_for.empty());
+                no_answer(q, record.spec, "the state service did not confirm the submission");
               });
 }
 
@@ -246,8 +247,7 @@
 
 void UserDesk::names_checked(const std::shared_ptr<Submission> &s) {
   if (s->unknown)
-    return no_answer(s->q, Verb::Submit, "whether the jobs that it waits for exist cannot be told at present",
-                     wire::encode(wire::to_json(s->record.spec)), true);
+    return no_answer(s->q, s->record.spec, "whether the jobs that it waits for exist cannot be told at present");
   if (!s->never.empty())
     return refuse_for_ever(s->q, s->record.spec, fmt::format("no job {} was ever accepted", s->never));
   if (!s->service.empty())
