Scale run: real controllers under hollow workers and users, at the size that the design is for

Cause: what a controller needs at 11,000 workers was known from simulated machines of two sites and from a load bench without sockets; nothing showed three cells, 230 teams and 1,000 starts a second together.

Change: bench/scale starts 3 cells of 2 loftrouterd, a state service and a cloud each (stand-ins with their limits enforced, which the daemon test now uses too), hollow workers that keep the whole protocol, one of them alone in its process, users over a balancer, and links that can be cut.

--- a/tests/daemon_test.cpp
+++ b/tests/daemon_test.cpp
@@ -12,12 +12,13 @@
 #include <mutex>
 #include <thread>
 
-#include <arpa/inet.h>
 #include <spawn.h>
-#include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include "../bench/scale/stand_in_cloud.hpp"
+#include "../bench/scale/stand_in_state.hpp"
+#include "free_port.hpp"
 #include "loftrouter/net/client.hpp"
 #include "loftrouter/net/server.hpp"
 #include "loftrouter/wire/cbor.hpp"
@@ -25,39 +26,28 @@
 extern char **environ;
 
 using namespace loft;
+using loft::test::free_port;
 using nlohmann::json;
 
 namespace {
 
-int free_port() {
-  int fd = ::socket(AF_INET, SOCK_STREAM, 0);
-  sockaddr_in sa{};
-  sa.sin_family = AF_INET;
-  sa.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  socklen_t len = sizeof sa;
-  int port = 0;
-  if (::bind(fd, reinterpret_cast<sockaddr *>(&sa), sizeof sa) == 0 &&
-      ::getsockname(fd, reinterpret_cast<sockaddr *>(&sa), &len) == 0)
-    port = ntohs(sa.sin_port);
-  ::close(fd);
-  return port;
-}
-
 std::string local(int port) {
   return "127.0.0.1:" + std::to_string(port);
 }
 
-// The state service and the cloud in a thread of their own, no more of either than the daemons ask for.
+std::vector<MachineType> one_type() {
+  return {{"big", {8, 0, 32}, 50, 1, 1, 0.5, 10, {"a"}}};
+}
+
+// The state service and the cloud in a thread of their own. The cloud has no machines to give.
 class StandIns {
 public:
   const int state_port = free_port(), cloud_port = free_port();
 
-  StandIns() {
-    std::string error;
-    state_ = serve(state_port, [this](net::ConnId id, net::HttpMessage &&m) { state(id, m); });
-    cloud_ = serve(cloud_port, [this](net::ConnId id, net::HttpMessage &&m) { cloud(id, m); });
-    tick_ = std::make_unique<net::Timer>(loop_, [this] { tick(); });
-    tick_->once(0.02);
+  StandIns()
+      : state_(loop_, local(state_port), {}), cloud_(loop_, local(cloud_port), {}, one_type(), [](auto &&...) {}),
+        watch_stop_(loop_, [this] { watch_stop(); }) {
+    watch_stop();
     thread_ = std::thread([this] { loop_.run(); });
   }
   ~StandIns() {
@@ -66,154 +56,17 @@
   }
 
 private:
-  struct Key {
-    json value;
-    std::uint64_t stamp, lease;
-  };
-  struct Watch {
-    net::ConnId id;
-    std::string prefix;
-    std::uint64_t from;
-    double until;
-  };
-
-  std::unique_ptr<net::HttpServer> serve(int port, net::HttpServer::Handler handler) {
-    std::string error;
-    auto fd = net::listen_on(*net::parse_address(local(port)), error);
-    return std::make_unique<net::HttpServer>(loop_, std::move(fd), net::HttpServer::Options{}, std::move(handler));
-  }
-  void answer(net::ConnId id, int status, const json &body) { state_->respond(id, status, wire::encode(body)); }
-
-  static std::string query(const std::string &target, const std::string &name) {
-    auto at = target.find(name + "=");
-    if (at == std::string::npos) return {};
-    at += name.size() + 1;
-    return target.substr(at, target.find('&', at) - at);
-  }
-
-  void tick() {
+  void watch_stop() {
     if (stop_) return loop_.stop();
-    tick_->once(0.02);
-    const double now = net::mono_now();
-    for (auto it = leases_.begin(); it != leases_.end();) {
-      if (now < it->second.second) {
-        ++it;
-        continue;
-      }
-      drop_lease(it->first);
-      it = leases_.erase(it);
-    }
-    std::erase_if(watches_, [&](const Watch &w) {
-      json events = json::array();
-      for (const auto &[stamp, e] : history_)
-        if (stamp > w.from && e.value("set", e.value("drop", "")).rfind(w.prefix, 0) == 0) events.push_back(e);
-      if (events.empty() && now < w.until) return false;
-      answer(w.id, 200, {{"epoch", epoch_}, {"events", events}});
-      return true;
-    });
-  }
-
-  void set(const std::string &key, const json *value, std::uint64_t lease) {
-    json e;
-    if (value) {
-      keys_[key] = {*value, epoch_, lease};
-      e = {{"set", key}, {"v", *value}, {"stamp", epoch_}};
-    } else {
-      keys_.erase(key);
-      e = {{"drop", key}, {"stamp", epoch_}};
-    }
-    history_.emplace_back(epoch_, e);
-  }
-
-  void drop_lease(std::uint64_t id) {
-    ++epoch_;
-    std::vector<std::string> gone;
-    for (const auto &[k, v] : keys_)
-      if (v.lease == id) gone.push_back(k);
-    for (const auto &k : gone)
-      set(k, nullptr, 0);
-  }
-
-  void state(net::ConnId id, const net::HttpMessage &m) {
-    auto path = m.target.substr(0, m.target.find('?'));
-    auto body = wire::decode(m.body).value_or(json::object());
-    if (path == "/store") {
-      json entries = json::array();
-      auto prefix = query(m.target, "under"), from = query(m.target, "from");
-      for (const auto &[k, v] : keys_)
-        if (k.rfind(prefix, 0) == 0 && k > from) entries.push_back({{"k", k}, {"v", v.value}, {"stamp", v.stamp}});
-      return answer(id, 200, {{"entries", entries}, {"truncated", false}, {"epoch", epoch_}});
-    }
-    if (path.rfind("/store/", 0) == 0) {
-      auto it = keys_.find(path.substr(7));
-      if (it == keys_.end()) return answer(id, 404, {{"epoch", epoch_}});
-      return answer(id, 200, {{"k", it->first}, {"v", it->second.value}, {"stamp", it->second.stamp}});
-    }
-    if (path == "/commit") {
-      json failed = json::array();
-      for (const auto &g : body["guards"]) {
-        auto it = keys_.find(g["k"]);
-        if ((it == keys_.end() ? 0 : it->second.stamp) != g["stamp"]) failed.push_back(g["k"]);
-      }
-      if (!failed.empty()) return answer(id, 409, {{"failed", failed}, {"epoch", epoch_}});
-      for (const auto &w : body["writes"])
-        if (w.contains("permit") && !leases_.count(w["permit"])) return answer(id, 400, {{"error", "no such lease"}});
-      if (!body["writes"].empty()) ++epoch_;
-      for (const auto &w : body["writes"])
-        if (w.contains("set"))
-          set(w["set"], &w["v"], w.value("permit", 0ULL));
-        else
-          set(w["drop"], nullptr, 0);
-      return answer(id, 200, {{"epoch", epoch_}});
-    }
-    if (path == "/follow") {
-      watches_.push_back({id, query(m.target, "under"), std::stoull(query(m.target, "from")),
-                          net::mono_now() + std::stod(query(m.target, "hold_ms")) / 1000});
-      return;
-    }
-    if (path == "/leases") {
-      const double ttl = body["ttl_ms"].get<double>() / 1000;
-      leases_[++next_lease_] = {ttl, net::mono_now() + ttl};
-      return answer(id, 200, {{"permit", next_lease_}});
-    }
-    auto lease = leases_.find(std::stoull(path.substr(8)));
-    if (lease == leases_.end()) return answer(id, 404, json::object());
-    if (m.method == "DELETE") {
-      drop_lease(lease->first);
-      leases_.erase(lease);
-    } else {
-      lease->second.second = net::mono_now() + lease->second.first;
-    }
-    answer(id, 200, json::object());
-  }
-
-  void cloud(net::ConnId id, const net::HttpMessage &m) {
-    json out = {{"boxes", json::array()}, {"truncated", false}};
-    if (m.target == "/machine_types")
-      out = {{"hulls",
-              {{{"sku", "big"},
-                {"cores", 8.0},
-                {"cards", 0.0},
-                {"ram_gb", 32.0},
-                {"local_gb", 50.0},
-                {"pull_gb_per_s", 1.0},
-                {"rate", 1.0},
-                {"spot_price", 0.5},
-                {"startup_s", 10.0},
-                {"yards", {"a"}}}}}};
-    cloud_->respond(id, 200, wire::encode(out));
+    watch_stop_.once(0.02);
   }
 
   net::Loop loop_;
-  std::unique_ptr<net::HttpServer> state_, cloud_;
-  std::unique_ptr<net::Timer> tick_;
+  scale::StateStandIn state_;
+  scale::CloudStandIn cloud_;
+  net::Timer watch_stop_;
   std::atomic<bool> stop_{false};
   std::thread thread_;
-  std::map<std::string, Key> keys_;
-  std::map<std::uint64_t, std::pair<double, double>> leases_;
-  std::vector<std::pair<std::uint64_t, json>> history_;
-  std::vector<Watch> watches_;
-  std::uint64_t epoch_ = 1, next_lease_ = 0;
 };
 
 struct Answer {
