--- a/bench/scale/layout.cpp
+++ b/bench/scale/layout.cpp
@@ -91,7 +91,8 @@
 }
 
 std::string Layout::features(const Scenario &s, int region) const {
-  std::string out = fmt::format("[accounts]\nenabled = true\n[cells]\nname = \"{}\"\n", region_name(region));
+  std::string out = fmt::format("[accounts]\nenabled = true\n[configuration]\nenabled = true\n[cells]\nname = \"{}\"\n",
+                                region_name(region));
   for (int other = 0; other < s.regions; ++other) {
     if (other == region) continue;
     out += fmt::format("[[cells.other]]\nname = \"{}\"\nnodes = [", region_name(other));
--- a/include/loftrouter/app/features.hpp
+++ b/include/loftrouter/app/features.hpp
@@ -9,8 +9,9 @@
 namespace loft::app {
 
 struct Features {
-  bool accounts = false; // what teams use is kept, and their budgets are held
-  CellSettings cells;    // that work as one fleet with this one
+  bool accounts = false;      // what teams use is kept, and their budgets are held
+  bool configuration = false; // it is watched, a record for each thing, and quotas change while the service runs
+  CellSettings cells;         // that work as one fleet with this one
 };
 // Or what is wrong, with line and column. Unknown tables and keys are refused.
 std::variant<Features, std::string> parse_features(const std::string &text);
--- a/include/loftrouter/client/render.hpp
+++ b/include/loftrouter/client/render.hpp
@@ -17,6 +17,9 @@
 Table teams_table(const nlohmann::json &statement); // of /admin/v1/statement
 Table used_table(const nlohmann::json &statement);  // its jobs
 Table budgets_table(const nlohmann::json &budgets);
+Table quotas_table(const nlohmann::json &quotas);               // of /admin/v1/quotas
+Table configuration_table(const nlohmann::json &configuration); // of /admin/v1/configuration
+Table history_table(const nlohmann::json &history);             // of /admin/v1/configuration/history/quota/<team>
 
 std::string to_text(const Table &t); // columns in line; control characters shown as such
 std::string to_csv(const Table &t);  // quoted where needed; what a spreadsheet would take for a formula is not one
--- a/include/loftrouter/client/verbs.hpp
+++ b/include/loftrouter/client/verbs.hpp
@@ -1,15 +1,28 @@
 // What loft does, apart from reading its command line.
 #pragma once
 
+#include <cstdint>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace loft::client {
 
 enum Exit { kGood = 0, kRefused = 1, kUsage = 2, kUnreachable = 3 };
 
 struct Verb {
-  enum class Kind { Status, Jobs, Statement, BudgetGet, BudgetSet, Report } kind = Kind::Status;
+  enum class Kind {
+    Status,
+    Jobs,
+    Statement,
+    BudgetGet,
+    BudgetSet,
+    Report,
+    QuotaShow,
+    QuotaSet,
+    ConfigStatus,
+    ConfigHistory
+  } kind = Kind::Status;
   std::string servers = "127.0.0.1:8080", output = "table"; // table, json or csv
   double timeout_s = 20;
   std::string team, period, html;
@@ -18,6 +31,10 @@
   std::optional<double> cpu_hours, warn_share;
   std::string when_spent, every, starts, utc_offset;
   bool none = false;
+  // QuotaSet
+  std::optional<double> cpus, cpus_max, gpus, gpus_max;
+  std::optional<std::uint64_t> version;
+  std::vector<std::string> shares; // cell=CPUs
 };
 
 // Writes to standard output, and what went wrong to standard error; an `Exit`.
--- a/include/loftrouter/core/cells.hpp
+++ b/include/loftrouter/core/cells.hpp
@@ -9,6 +9,7 @@
 #pragma once
 
 #include <deque>
+#include <functional>
 #include <map>
 #include <optional>
 #include <set>
@@ -41,7 +42,7 @@
   Cells(Port &port, Events &events, const Settings &settings, const Catalogue &catalogue, const Operators &operators,
         const Leadership &lead, const Cancellations &cancellations, StoreBudget &budget, JobTable &jobs,
         const FailureJudge &judge, Ledger &ledger, Recorder &recorder, Fleet &fleet, Siblings &siblings,
-        const Placer &placer, const Scaler &scaler, const Wishes &wishes);
+        const Quotas &quotas, const Scaler &scaler, const Wishes &wishes);
 
   bool on() const { return !settings_.cells.name.empty(); }
   void expire(); // before anything else of a batch: what is not confirmed any more stops
@@ -52,6 +53,14 @@
   // The worker holds borrowed work of which this leader does not know yet whether it is confirmed.
   bool unsure_of(const WorkerReport &r) const;
   bool may_leave(const JobSpec &spec) const; // by the operators' settings
+  // Frames about quotas are for another part, which sends its own the same way.
+  using TakeQuota = std::function<void(int cell, wire::CellMessage &&m)>;
+  void take_quotas(TakeQuota take) { take_quota_ = std::move(take); }
+  wire::CellMessage message(wire::CellMessage::Kind kind, int cell) const;
+  bool tell_quota(int cell, wire::CellMessage m); // false: that cell is not reached now, or does not know them
+  int count() const { return static_cast<int>(cells_.size()); } // other cells
+  const std::string &name(int cell) const { return cells_[static_cast<std::size_t>(cell)].name; }
+  int by_name(const std::string &cell) const; // -1: none
   std::vector<State> states() const;
 
   void on(const LoanRecorded &e);
@@ -95,6 +104,7 @@
     std::map<std::uint64_t, std::pair<double, std::vector<std::uint64_t>>> renewals; // asked when, about what
     double next_summary = 0, next_renew = 0;
     bool told_no_room = false;
+    bool knows_quotas = false;
   };
   struct Wanted { // room asked for
     int job, cell;
@@ -110,8 +120,6 @@
     bool refused = false;
   };
 
-  int by_name(const std::string &cell) const;
-  wire::CellMessage message(wire::CellMessage::Kind kind, int cell) const;
   bool send(int cell, wire::CellMessage m);
   void reply(const Route &to, wire::CellMessage m);
   void handle(const Route &from, int node, wire::CellMessage &&m);
@@ -154,7 +162,7 @@
   Recorder &recorder_;
   Fleet &fleet_;
   Siblings &siblings_;
-  const Placer &placer_;
+  const Quotas &quotas_;
   const Scaler &scaler_;
   const Wishes &wishes_;
   std::vector<Cell> cells_;
@@ -176,6 +184,7 @@
   std::uint64_t numbers_, loans_made_ = 0;
   double next_tick_ = 0, next_decision_ = 0;
   std::string told_wrong_;
+  TakeQuota take_quota_;
 };
 
 } // namespace loft::core
--- a/include/loftrouter/core/core.hpp
+++ b/include/loftrouter/core/core.hpp
@@ -7,9 +7,11 @@
 #pragma once
 
 #include "loftrouter/core/administration.hpp"
+#include "loftrouter/core/applied.hpp"
 #include "loftrouter/core/cells.hpp"
 #include "loftrouter/core/chronicle.hpp"
 #include "loftrouter/core/insight.hpp"
+#include "loftrouter/core/quota_exchange.hpp"
 #include "loftrouter/core/reports.hpp"
 #include "loftrouter/core/served.hpp"
 #include "loftrouter/core/users.hpp"
@@ -50,6 +52,7 @@
   Events events_;
   Wishes wishes_;
   Catalogue catalogue_;
+  Configuration configuration_;
   Operators operators_;
   StoreBudget budget_;
   Leadership lead_;
@@ -63,6 +66,7 @@
   Cancellations cancellations_;
   RecordWatch watch_;
   Fleet fleet_;
+  Quotas quotas_;
   Silence silence_;
   Siblings siblings_;
   Reach reach_;
@@ -70,6 +74,10 @@
   Placer placer_;
   Scaler scaler_;
   Cells cells_;
+  QuotaChanges quota_changes_;
+  QuotaExchange quota_exchange_;
+  AppliedConfiguration applied_;
+  ConfigurationDesk configuration_desk_;
   Served served_;
   Insight insight_;
   UserDesk users_;
--- a/include/loftrouter/core/events.hpp
+++ b/include/loftrouter/core/events.hpp
@@ -130,10 +130,15 @@
 };
 struct OrdersChanged {}; // operators' orders about machines
 
+// ---- configuration ----
+struct ConfigurationChanged { // a record or document of it, in this node's copy
+  std::string key;
+};
+
 using Event = std::variant<TermElected, TermBegun, TermEnded, JobAccepted, JobCancelled, JobChanged, JobSuspected,
                            JobOver, EndLearnt, TaskHeld, TaskFreed, TaskRuns, TaskExited, TaskRetried, TaskLost,
                            TaskPreempted, TasksStoppedByBudget, TasksGivenUp, LoanRecorded, LoanDropped, MachineUp,
-                           MachineLost, MachineCondemned, MachineReturned, OrdersChanged>;
+                           MachineLost, MachineCondemned, MachineReturned, OrdersChanged, ConfigurationChanged>;
 
 class Events {
 public:
--- a/include/loftrouter/core/insight.hpp
+++ b/include/loftrouter/core/insight.hpp
@@ -20,11 +20,12 @@
   Insight(Port &port, const Settings &settings, const Catalogue &catalogue, const Operators &operators,
           const Leadership &lead, const Cancellations &cancellations, const JobTable &jobs, const EndedJobs &ended,
           const Dependencies &dependencies, const FailureJudge &judge, const Reasons &reasons, const Fleet &fleet,
-          const Placer &placer, const Scaler &scaler, const Wishes &wishes, const Ledger &ledger, Siblings &siblings)
+          const Placer &placer, const Quotas &quotas, const Scaler &scaler, const Wishes &wishes, const Ledger &ledger,
+          Siblings &siblings)
       : port_(port), settings_(settings), catalogue_(catalogue), operators_(operators), lead_(lead),
         cancellations_(cancellations), jobs_(jobs), ended_(ended), dependencies_(dependencies), judge_(judge),
-        reasons_(reasons), fleet_(fleet), placer_(placer), scaler_(scaler), wishes_(wishes), ledger_(ledger),
-        siblings_(siblings) {}
+        reasons_(reasons), fleet_(fleet), placer_(placer), quotas_(quotas), scaler_(scaler), wishes_(wishes),
+        ledger_(ledger), siblings_(siblings) {}
 
   // What a user is shown of a job that the state service has just said is open.
   JobView view(const std::string &id, bool cancelled) const;
@@ -61,6 +62,7 @@
   std::string why(int j, const Supplies &supply) const;
   std::string why_waiting(int j, const Supplies &supply) const;
   std::string why_held(const Job &n) const;
+  std::string why_limited(const Job &n) const; // by its team's limit; empty: it is not
   std::string why_not_ready(int j) const;
   bool any_running(int j) const;
 
@@ -77,6 +79,7 @@
   const Reasons &reasons_;
   const Fleet &fleet_;
   const Placer &placer_;
+  const Quotas &quotas_;
   const Scaler &scaler_;
   const Wishes &wishes_;
   const Ledger &ledger_;
--- a/include/loftrouter/core/operators.hpp
+++ b/include/loftrouter/core/operators.hpp
@@ -1,14 +1,15 @@
-// Operators' own settings and their orders about machines, as the state service has them.
+// Operators' own settings, budgets and orders about machines, as this node's copy of the configuration has them.
 //
-// Owns both. They are read again every few seconds on every node; a record that cannot be read changes nothing.
+// Owns what is in force of them. A record that cannot be read changes nothing. Budgets and orders stand in records of
+// their own and, as far as they fit, in the documents that the production version knows; which of the two counts is
+// decided in one place, `entries` (docs/configuration.md, "Side by side").
 #pragma once
 
 #include <optional>
 #include <string>
 #include <vector>
 
-#include "loftrouter/core/events.hpp"
-#include "loftrouter/core/port.hpp"
+#include "loftrouter/core/configuration.hpp"
 #include "loftrouter/wire/admin.hpp"
 
 namespace loft::core {
@@ -18,10 +19,10 @@
   static constexpr const char *kTunablesKey = "conf/operator", *kOrdersKey = "conf/machines",
                               *kBudgetsKey = "conf/budgets", *kCellsKey = "conf/cells";
 
-  Operators(Port &port, Events &events) : port_(port), events_(events) {}
+  Operators(Port &port, Events &events, const Configuration &configuration)
+      : port_(port), events_(events), configuration_(configuration) {}
 
-  void tick();
-  void take(const std::vector<wire::Entry> &entries);
+  void on(const ConfigurationChanged &e);
   const wire::Tunables &tunables() const { return tunables_; }
   const wire::Budgets &budgets() const { return budgets_; }
   const wire::CellRules &cell_rules() const { return cell_rules_; }
@@ -29,14 +30,21 @@
   std::optional<wire::MachineOrder> order(const std::string &machine) const;
 
 private:
+  // Of the records under `prefix` and the document's entries: those that count, by name.
+  std::map<std::string, wire::Json> entries(std::string_view prefix, const wire::Json &document,
+                                            std::uint64_t document_revision) const;
+  void read_tunables();
+  void read_budgets();
+  void read_cell_rules();
+  void read_orders();
+
   Port &port_;
   Events &events_;
+  const Configuration &configuration_;
   wire::Tunables tunables_;
   wire::MachineOrders orders_;
   wire::Budgets budgets_;
   wire::CellRules cell_rules_;
-  bool loading_ = false;
-  double next_ = 0;
 };
 
 } // namespace loft::core
--- a/include/loftrouter/core/placer.hpp
+++ b/include/loftrouter/core/placer.hpp
@@ -14,6 +14,7 @@
 #include "loftrouter/core/fleet.hpp"
 #include "loftrouter/core/judge.hpp"
 #include "loftrouter/core/placement.hpp"
+#include "loftrouter/core/quotas.hpp"
 #include "loftrouter/core/wishes.hpp"
 
 namespace loft::core {
@@ -26,10 +27,10 @@
   };
   Placer(Port &port, Events &events, const Settings &settings, const Catalogue &catalogue, const Operators &operators,
          const Leadership &lead, JobTable &jobs, const Dependencies &dependencies, const FailureJudge &judge,
-         Recorder &recorder, Fleet &fleet, const Wishes &wishes, const Ledger &ledger)
+         Recorder &recorder, Fleet &fleet, const Wishes &wishes, const Ledger &ledger, const Quotas &quotas)
       : port_(port), events_(events), settings_(settings), catalogue_(catalogue), operators_(operators), lead_(lead),
         jobs_(jobs), dependencies_(dependencies), judge_(judge), recorder_(recorder), fleet_(fleet), wishes_(wishes),
-        ledger_(ledger) {}
+        ledger_(ledger), quotas_(quotas) {}
 
   void tick();   // a round if one is due
   void settle(); // a round if something has come up, at the end of each batch
@@ -43,9 +44,6 @@
   // present and of which it holds.
   std::vector<PlaceMachine> snapshot(std::vector<int> &index, int only,
                                      const std::function<bool(int)> &silent_too = {}) const;
-  // What each team may still use. Everything that may be on a machine counts against the limit, unaccounted tasks
-  // included.
-  std::vector<Resources> team_room() const;
   bool patient(int j) const;
   bool passed_over(int j) const; // none of its waiting tasks has got a place for long
   double age(int j) const { return port_.wall() - dependencies_.ready_wall(j); } // since it could start
@@ -101,6 +99,7 @@
   Fleet &fleet_;
   const Wishes &wishes_;
   const Ledger &ledger_;
+  const Quotas &quotas_;
   double next_round_ = 0, next_ahead_ = 0, up_cpus_ = 0;
   bool room_ = false; // a task has exited since the last round
   std::uint64_t seen_ = 0, attempts_ = 0;
--- a/include/loftrouter/core/served.hpp
+++ b/include/loftrouter/core/served.hpp
@@ -29,7 +29,7 @@
   void on(const TermEnded &);
 
 private:
-  static constexpr int kMostNames = 64; // classes, and teams
+  static constexpr int kMostNames = 64;   // classes, and teams
   static constexpr double kLargest = 0.5; // of the most CPUs that a job of its class has asked for
   struct Count {
     std::uint64_t accepted = 0, begun = 0, done = 0, cancelled = 0;
--- a/include/loftrouter/core/settings.hpp
+++ b/include/loftrouter/core/settings.hpp
@@ -46,7 +46,8 @@
   int fd_limit = 1024;
   double clock_bound_ms = 10;
   CellSettings cells;
-  bool accounts = false; // what teams use is kept and budgets are held; switched on in the features file
+  bool configuration = false; // records of what operators configure are watched, and quotas change while it runs
+  bool accounts = false;      // what teams use is kept and budgets are held; switched on in the features file
 };
 
 } // namespace loft
--- a/include/loftrouter/core/users.hpp
+++ b/include/loftrouter/core/users.hpp
@@ -22,9 +22,9 @@
 public:
   UserDesk(Port &port, const Settings &settings, const Catalogue &catalogue, StoreBudget &budget,
            const Leadership &lead, JobTable &jobs, EndedJobs &ended, Siblings &siblings, Cancellations &cancellations,
-           const Insight &insight)
+           const Quotas &quotas, const Insight &insight)
       : port_(port), settings_(settings), catalogue_(catalogue), budget_(budget), lead_(lead), jobs_(jobs),
-        ended_(ended), siblings_(siblings), cancellations_(cancellations), insight_(insight),
+        ended_(ended), siblings_(siblings), cancellations_(cancellations), quotas_(quotas), insight_(insight),
         passed_(kMostPassed, port.nonce()) {}
 
   void take(CmdSubmit &&cmd);
@@ -107,6 +107,7 @@
   EndedJobs &ended_;
   Siblings &siblings_;
   Cancellations &cancellations_;
+  const Quotas &quotas_;
   const Insight &insight_;
   int under_way_ = 0; // operations for users
   std::deque<Question> questions_;
--- a/include/loftrouter/wire/admin.hpp
+++ b/include/loftrouter/wire/admin.hpp
@@ -14,6 +14,7 @@
 #include "loftrouter/accounts/period.hpp"
 #include "loftrouter/core/types.hpp"
 #include "loftrouter/wire/cbor.hpp"
+#include "loftrouter/wire/configuration.hpp"
 
 namespace loft::wire {
 
@@ -57,7 +58,11 @@
     ChangeBudgets,
     Statement,
     Cells,
-    ChangeCells
+    ChangeCells,
+    Quotas,
+    ChangeQuota,
+    Configuration,
+    QuotaHistory
   } kind = Kind::Status;
   std::string team, from;                                            // jobs, report: only this team's; after this job
   double period_s = 86400;                                           // report
@@ -65,6 +70,7 @@
   std::string period;                                                // statement: by name; empty: the present one
   std::string machine;                                               // machine order
   std::optional<MachineOrder> order;                                 // nothing: release
+  std::optional<QuotaChange> quota;                                  // ChangeQuota
   double round_p50 = 0, round_p99 = 0, queue_p50 = 0, queue_p99 = 0; // ms, measured by the program around the core
   double cpu_s = 0; // the same: processor time that this process has used
 };
@@ -85,8 +91,10 @@
 Json to_json(const CellRules &r);
 std::optional<std::string> apply_cell_rules(const Json &j, CellRules &r);
 std::string encode_cell_rules(const CellRules &r);
+Json to_json(MachineOrder order);
 Json to_json(const MachineOrders &orders);
 MachineOrders machine_orders_from_json(const Json &j);
+std::optional<MachineOrder> machine_order_from_json(const Json &j);
 
 struct AdminStatus {
   std::string node, role, leader;
--- a/include/loftrouter/wire/cell.hpp
+++ b/include/loftrouter/wire/cell.hpp
@@ -26,6 +26,8 @@
   // Summary: what the sender has, answered by Summaries (the same of the other). Want: room for so many tasks, answered
   // by Room. Offer: a loan, answered by Taken or not. Renew: whether loans go on, answered by Renewed. Told: how a loan
   // gets on, or that it has ended, answered by Settled once home has recorded that. Recall: a loan is to be given back.
+  // Quota: a team's record, from the cell that owns it, answered by QuotaApplied. QuotaChange: an operator's, to the
+  // owner, answered by QuotaOutcome. These four only go to cells whose summaries say that they know them.
   enum class Kind : std::uint16_t {
     Summary = 1,
     Summaries,
@@ -37,7 +39,11 @@
     Renewed,
     Told,
     Settled,
-    Recall
+    Recall,
+    Quota,
+    QuotaApplied,
+    QuotaChange,
+    QuotaOutcome
   } kind = Kind::Summary;
   std::string from, to;     // cells
   std::uint64_t term = 0;   // of the leader that sends it
@@ -54,17 +60,19 @@
   bool spot = false, whole = false;
   // Offer, Taken, Told, Settled, Recall.
   std::uint64_t generation = 0;
-  std::string body;             // Offer: the job's description; Taken: why not
+  std::string body;             // Offer: the job's description; Taken: why not; Quota..: what it is about
   Ranges ranges;                // Offer: the tasks; Told: those done
-  bool yes = false;             // Taken; Told: it has ended
+  bool yes = false;             // Taken; Told: it has ended; QuotaApplied: the team can use no more than its cap there
   std::uint64_t other_term = 0; // Told: of the home leader that it is meant for
-  std::uint32_t running = 0;
-  accounts::Usage usage; // Told: so far
+  std::uint32_t running = 0;    // Told: tasks; QuotaOutcome: an HTTP status
+  accounts::Usage usage;        // Told: so far
   // Renew: loans that are asked about. Renewed: those of them that are over; the others go on for `grant_s`.
   std::vector<std::uint64_t> generations;
   double grant_s = 0;
 };
 
+// In the number of a Summary: its cell takes part in the exchange of quotas. Earlier versions leave it out.
+constexpr std::uint64_t kKnowsQuotas = 1ULL << 63;
 constexpr std::size_t kCellMaxBody = 64 * 1024, kCellMaxKinds = 64, kCellMaxGenerations = 400, kCellMaxRanges = 400;
 
 std::string encode_cell(const CellMessage &m);
--- a/src/app/features.cpp
+++ b/src/app/features.cpp
@@ -27,11 +27,11 @@
   throw Bad{at(node.source(), fmt::format("{}: must be a table", name))};
 }
 
-void read_accounts(const toml::table &part, Features &out) {
+void read_switch(const toml::table &part, std::string_view name, bool &out) {
   for (const auto &[key, value] : part) {
-    if (key.str() != "enabled") throw Bad{at(key.source(), fmt::format("accounts.{}: no such key", key.str()))};
-    if (!value.is_boolean()) throw Bad{at(value.source(), "accounts.enabled: true or false is wanted")};
-    out.accounts = value.as_boolean()->get();
+    if (key.str() != "enabled") throw Bad{at(key.source(), fmt::format("{}.{}: no such key", name, key.str()))};
+    if (!value.is_boolean()) throw Bad{at(value.source(), fmt::format("{}.enabled: true or false is wanted", name))};
+    out = value.as_boolean()->get();
   }
 }
 
@@ -94,7 +94,9 @@
     const toml::table file = toml::parse(text);
     for (const auto &[name, node] : file) {
       if (name.str() == "accounts")
-        read_accounts(table(node, name.str()), out);
+        read_switch(table(node, name.str()), name.str(), out.accounts);
+      else if (name.str() == "configuration")
+        read_switch(table(node, name.str()), name.str(), out.configuration);
       else if (name.str() == "cells")
         read_cells(table(node, name.str()), out);
       else
@@ -117,6 +119,7 @@
       if (own) return fmt::format("cells.other: {} is an address of this cell", node);
     }
   settings.accounts = features.accounts;
+  settings.configuration = features.configuration;
   settings.cells = features.cells;
   return {};
 }
--- a/src/client/main.cpp
+++ b/src/client/main.cpp
@@ -42,6 +42,25 @@
   set->add_option("--utc-offset", v.utc_offset, "local time minus UTC, +05:30");
   set->footer("loft budget set backoffice --cpu-hours 120 --when-spent stop\n"
               "loft budget set --starts 20:00 --utc-offset +05:30");
+  auto *quota = app.add_subcommand("quota", "what teams may use at a time");
+  quota->require_subcommand(1);
+  auto *quota_show = quota->add_subcommand("show", "guarantees and limits in force, and each cell's share");
+  for_team(quota_show);
+  auto *quota_set = quota->add_subcommand("set", "change a team's guarantee, limit or shares");
+  quota_set->add_option("team", v.team, "the team")->required();
+  quota_set->add_option("--cpus", v.cpus, "guaranteed CPUs");
+  quota_set->add_option("--cpus-max", v.cpus_max, "most CPUs, up to the settings file's limit");
+  quota_set->add_option("--gpus", v.gpus, "guaranteed GPUs");
+  quota_set->add_option("--gpus-max", v.gpus_max, "most GPUs");
+  quota_set->add_option("--share", v.shares, "CPUs of a cell, cell=CPUs; the others divide the rest evenly");
+  quota_set->add_flag("--none", v.none, "the settings file's limits again");
+  quota_set->add_option("--if-version", v.version, "only if the quota's version is still this one");
+  quota_set->footer("loft quota set backoffice --cpus-max 400 --share north=300");
+  auto *config = app.add_subcommand("config", "what is configured, and where it is in force");
+  config->require_subcommand(1);
+  auto *config_status = config->add_subcommand("status", "each record, and on which nodes it is in force since when");
+  auto *config_history = config->add_subcommand("history", "the last changes of a team's quota");
+  config_history->add_option("team", v.team, "the team")->required();
   auto *report = app.add_subcommand("report", "the morning statement as one HTML file that opens offline");
   report->add_option("--html", v.html, "file to write")->required();
   report->add_option("--period", v.period, "date of its beginning; the present one if left out");
@@ -53,11 +72,15 @@
     return app.exit(e) == 0 ? kGood : kUsage;
   }
   using Kind = Verb::Kind;
-  v.kind = *jobs        ? Kind::Jobs
-           : *statement ? Kind::Statement
-           : *get       ? Kind::BudgetGet
-           : *set       ? Kind::BudgetSet
-           : *report    ? Kind::Report
-                        : Kind::Status;
+  v.kind = *jobs             ? Kind::Jobs
+           : *statement      ? Kind::Statement
+           : *get            ? Kind::BudgetGet
+           : *set            ? Kind::BudgetSet
+           : *report         ? Kind::Report
+           : *quota_show     ? Kind::QuotaShow
+           : *quota_set      ? Kind::QuotaSet
+           : *config_status  ? Kind::ConfigStatus
+           : *config_history ? Kind::ConfigHistory
+                             : Kind::Status;
   return run(v);
 }
--- a/src/client/render.cpp
+++ b/src/client/render.cpp
@@ -130,6 +130,43 @@
   return t;
 }
 
+Table quotas_table(const Json &quotas) {
+  Table t{{"team", "cpus", "cpus_max", "here_cpus_max", "gpus", "gpus_max", "version", "owner", "held_by_cells"}, {}};
+  const Json teams = quotas.is_object() ? quotas.value("teams", Json::object()) : Json::object();
+  for (const auto &[name, x] : teams.items()) {
+    const Json here = x.value("here", Json::object());
+    std::string held;
+    for (const auto &[cell, amounts] : x.value("held", Json::object()).items())
+      held += fmt::format("{}{}={}", held.empty() ? "" : " ", cell, text(amounts, "cpus"));
+    t.rows.push_back({name, text(x, "cpus"), text(x, "cpus_max"), text(here, "cpus_max"), text(x, "gpus"),
+                      text(x, "gpus_max"), text(x, "version"), text(x, "owner"), held});
+  }
+  return t;
+}
+
+Table configuration_table(const Json &configuration) {
+  Table t{{"record", "revision", "in_force_at", "not_in_force_at"}, {}};
+  for (const auto &x : list(configuration, "records")) {
+    std::string in_force, missing;
+    for (const auto &[node, since] : x.value("in_force_since", Json::object()).items())
+      in_force += fmt::format("{}{} since {}", in_force.empty() ? "" : ", ", node, since.get<std::string>());
+    for (const auto &node : list(x, "not_in_force_at"))
+      missing += fmt::format("{}{}", missing.empty() ? "" : ", ", node.get<std::string>());
+    t.rows.push_back({text(x, "record"), text(x, "revision"), in_force, missing});
+  }
+  return t;
+}
+
+Table history_table(const Json &history) {
+  Table t{{"at", "cpus", "cpus_max", "gpus", "gpus_max"}, {}};
+  for (const auto &x : list(history, "changes")) {
+    const Json guaranteed = x.value("guaranteed", Json::object()), most = x.value("most", Json::object());
+    t.rows.push_back(
+        {text(x, "at"), text(guaranteed, "cpus"), text(most, "cpus"), text(guaranteed, "gpus"), text(most, "gpus")});
+  }
+  return t;
+}
+
 std::string to_text(const Table &t) {
   std::vector<std::size_t> wide(t.head.size());
   auto measure = [&](const std::vector<std::string> &row) {
--- a/src/client/verbs.cpp
+++ b/src/client/verbs.cpp
@@ -52,6 +52,40 @@
   }
 }
 
+json quota_change(const Verb &v) {
+  json change = json::object();
+  auto put = [&change](const char *name, const std::optional<double> &value) {
+    if (value) change[name] = *value;
+  };
+  put("cpus", v.cpus);
+  put("cpus_max", v.cpus_max);
+  put("gpus", v.gpus);
+  put("gpus_max", v.gpus_max);
+  if (v.none) change = {{"cpus_max", nullptr}, {"gpus_max", nullptr}, {"shares", nullptr}};
+  for (const auto &share : v.shares) {
+    const auto equals = share.find('=');
+    std::size_t read = 0;
+    double cpus = 0;
+    try {
+      cpus = equals == std::string::npos ? 0 : std::stod(share.substr(equals + 1), &read);
+    } catch (const std::exception &) {
+      read = 0;
+    }
+    if (read == 0 || equals + 1 + read != share.size()) throw Stop{kUsage, "--share: cell=CPUs is wanted"};
+    change["shares"][share.substr(0, equals)] = {{"cpus", cpus}};
+  }
+  if (change.empty()) throw Stop{kUsage, "nothing to set; see loft quota set --help"};
+  if (v.version) change["version"] = *v.version;
+  return change;
+}
+
+// Of one team alone, if it is named.
+json only_team(json quotas, const std::string &team) {
+  if (team.empty()) return quotas;
+  if (!quotas["teams"].contains(team)) throw Stop{kRefused, "there is no such team"};
+  return {{"teams", {{team, quotas["teams"][team]}}}};
+}
+
 } // namespace
 
 int run(const Verb &v) {
@@ -97,6 +131,18 @@
       if (change.empty()) throw Stop{kUsage, "nothing to set; see loft budget set --help"};
       const auto all = ask(service, "PUT", "/admin/v1/budgets", change);
       show(all, budgets_table(all));
+    } else if (v.kind == Kind::QuotaShow) {
+      const auto all = only_team(ask(service, "GET", "/admin/v1/quotas"), v.team);
+      show(all, quotas_table(all));
+    } else if (v.kind == Kind::QuotaSet) {
+      const auto all = only_team(ask(service, "PUT", "/admin/v1/quotas/" + v.team, quota_change(v)), v.team);
+      show(all, quotas_table(all));
+    } else if (v.kind == Kind::ConfigStatus) {
+      const auto all = ask(service, "GET", "/admin/v1/configuration");
+      show(all, configuration_table(all));
+    } else if (v.kind == Kind::ConfigHistory) {
+      const auto all = ask(service, "GET", "/admin/v1/configuration/history/quota/" + v.team);
+      show(all, history_table(all));
     } else if (v.kind == Kind::Report) {
       const auto all = pages(service, "/admin/v1/statement", of_period);
       const auto plot = plot_by_hour(all);
--- a/src/core/administration.cpp
+++ b/src/core/administration.cpp
@@ -46,19 +46,10 @@
     return jobs(cmd.req, ask, ask.kind == Kind::Foreseen);
   case Kind::Report:
     return report(cmd.req, ask);
-  case Kind::Settings:
-    return port_.reply_json(cmd.req, 200, wire::encode_settings(operators_.tunables(), operators_.orders()));
-  case Kind::Change:
-  case Kind::ChangeBudgets:
-  case Kind::ChangeCells:
-  case Kind::Machine:
-    return change(cmd.req, ask);
-  case Kind::Budgets:
-    return port_.reply_json(cmd.req, 200, wire::encode_budgets(operators_.budgets()));
-  case Kind::Cells:
-    return port_.reply_json(cmd.req, 200, wire::encode_cell_rules(operators_.cell_rules()));
   case Kind::Statement:
     return statement(cmd.req, ask);
+  default:
+    return configuration_.take(cmd.req, ask);
   }
 }
 
@@ -237,67 +228,6 @@
               });
 }
 
-// Settings and orders about machines go straight to the state service; the leader reads them every few seconds.
-void Administration::change(RequestId req, const wire::AdminRequest &ask) {
-  const bool settings = ask.kind == wire::AdminRequest::Kind::Change;
-  const bool budgets = ask.kind == wire::AdminRequest::Kind::ChangeBudgets;
-  const bool cells = ask.kind == wire::AdminRequest::Kind::ChangeCells;
-  if (budgets && !ledger_.on()) return fail(req, 409, kNoAccounts);
-  if (budgets && ask.change.contains("teams"))
-    for (const auto &[team, b] : ask.change["teams"].items())
-      if (jobs_.find_team(team) < 0) return fail(req, 422, "teams: there is no such team");
-  const std::string key = cells      ? Operators::kCellsKey
-                          : budgets  ? Operators::kBudgetsKey
-                          : settings ? Operators::kTunablesKey
-                                     : Operators::kOrdersKey;
-  if (!budget_.take_write(port_.now())) return fail(req, 503, "too many requests at once");
-  port_.store(
-      StoreGet{key}, kAdminDeadline / 2, [this, req, ask, settings, budgets, cells, key](const wire::StoreReply &r) {
-        if (r.status != 200 && r.status != 404) return fail(req, 503, "the state service did not answer");
-        const auto stamp = r.status == 200 && !r.entries.empty() ? r.entries[0].stamp : 0;
-        const wire::Json before = stamp ? r.entries[0].value : wire::Json::object();
-        wire::Json after;
-        if (cells) {
-          wire::CellRules rules;
-          (void)wire::apply_cell_rules(before, rules);
-          (void)wire::apply_cell_rules(ask.change, rules); // checked at the door
-          after = wire::to_json(rules);
-        } else if (budgets) {
-          wire::Budgets b;
-          (void)wire::apply_budgets(before, b);
-          (void)wire::apply_budgets(ask.change, b); // checked at the door
-          after = wire::to_json(b);
-        } else if (settings) {
-          wire::Tunables t;
-          (void)wire::apply_tunables(before, t);
-          (void)wire::apply_tunables(ask.change, t); // checked at the door
-          after = wire::to_json(t);
-        } else {
-          auto orders = wire::machine_orders_from_json(before);
-          if (!ask.order)
-            orders.erase(ask.machine);
-          else if (orders.size() < wire::kMostMachineOrders || orders.contains(ask.machine))
-            orders[ask.machine] = *ask.order;
-          else
-            return fail(req, 409, "too many machines are under an order; release some first");
-          after = wire::to_json(orders);
-        }
-        if (!budget_.fits(after))
-          return fail(req, 409,
-                      "that is more than one record of the state service holds, now or after its limits fall");
-        port_.store(StoreCommit{{{key, stamp}}, {{key, after, 0}}}, kAdminDeadline / 2,
-                    [this, req, key, after, budgets, cells](const wire::StoreReply &c) {
-                      if (c.status == 409) return fail(req, 409, "somebody else has just changed it; ask again");
-                      if (c.status != 200) return fail(req, 503, "the state service did not confirm the change");
-                      operators_.take({{key, after, c.revision, 0}});
-                      port_.reply_json(req, 200,
-                                       cells     ? wire::encode_cell_rules(operators_.cell_rules())
-                                       : budgets ? wire::encode_budgets(operators_.budgets())
-                                                 : wire::encode_settings(operators_.tunables(), operators_.orders()));
-                    });
-      });
-}
-
 // What each team has used in a period, from the records, so that any node can tell it; then the jobs that ended in it,
 // a page at a time. The records follow what happens within a second or two.
 void Administration::statement(RequestId req, const wire::AdminRequest &ask) {
--- a/src/core/cells.cpp
+++ b/src/core/cells.cpp
@@ -37,10 +37,10 @@
 Cells::Cells(Port &port, Events &events, const Settings &settings, const Catalogue &catalogue,
              const Operators &operators, const Leadership &lead, const Cancellations &cancellations,
              StoreBudget &budget, JobTable &jobs, const FailureJudge &judge, Ledger &ledger, Recorder &recorder,
-             Fleet &fleet, Siblings &siblings, const Placer &placer, const Scaler &scaler, const Wishes &wishes)
+             Fleet &fleet, Siblings &siblings, const Quotas &quotas, const Scaler &scaler, const Wishes &wishes)
     : port_(port), events_(events), settings_(settings), catalogue_(catalogue), operators_(operators), lead_(lead),
       cancellations_(cancellations), budget_(budget), jobs_(jobs), judge_(judge), ledger_(ledger), recorder_(recorder),
-      fleet_(fleet), siblings_(siblings), placer_(placer), scaler_(scaler), wishes_(wishes), passed_(256, port.nonce()),
+      fleet_(fleet), siblings_(siblings), quotas_(quotas), scaler_(scaler), wishes_(wishes), passed_(256, port.nonce()),
       numbers_(port.nonce()) {
   for (const auto &c : settings_.cells.others) {
     std::vector<int> nodes;
@@ -158,6 +158,7 @@
     c.view.kinds = std::move(m.kinds);
     c.view.wait_s = std::move(m.wait_s);
     if (m.kind == Kind::Summary) {
+      c.knows_quotas = m.number & wire::kKnowsQuotas;
       auto r = message(Kind::Summaries, cell);
       r.number = m.number;
       summarize(r);
@@ -242,9 +243,19 @@
     if (Debt *d = debt(m.generation, cell, j)) close(j, *d);
     return;
   }
+  case Kind::Quota:
+  case Kind::QuotaApplied:
+  case Kind::QuotaChange:
+  case Kind::QuotaOutcome:
+    if (take_quota_) take_quota_(cell, std::move(m));
+    return;
   }
 }
 
+bool Cells::tell_quota(int cell, wire::CellMessage m) {
+  return cells_[static_cast<std::size_t>(cell)].knows_quotas && send(cell, std::move(m));
+}
+
 // ---- what is told of this cell ----
 
 // Machines by kind, with what they still have to do and what waits for them, job after job in the order of their turns:
@@ -480,7 +491,7 @@
 // How many more of a job's tasks its team's limit allows, all that may be on a machine anywhere counted.
 std::uint32_t Cells::team_allows(int j) const {
   const Job &n = jobs_[j];
-  const auto room = placer_.team_room()[static_cast<std::size_t>(n.team)];
+  const auto room = quotas_.room()[static_cast<std::size_t>(n.team)];
   double most = 1e6;
   if (room.cpus >= 0 && n.spec.need.cpus > 0) most = std::min(most, std::floor(room.cpus / n.spec.need.cpus + 1e-9));
   if (room.gpus >= 0 && n.spec.need.gpus > 0) most = std::min(most, std::floor(room.gpus / n.spec.need.gpus + 1e-9));
@@ -880,7 +891,7 @@
     if (port_.now() >= cell.next_summary) {
       cell.next_summary = port_.now() + kSummaryEvery;
       auto m = message(Kind::Summary, c);
-      m.number = ++numbers_;
+      m.number = ++numbers_ | (settings_.configuration ? wire::kKnowsQuotas : 0);
       summarize(m);
       send(c, std::move(m));
     }
--- /dev/null
+++ b/src/core/configuration_desk.cpp
@@ -0,0 +1,253 @@
+#include "loftrouter/core/configuration_desk.hpp"
+
+#include <algorithm>
+
+#include "loftrouter/wire/admin_configuration.hpp"
+
+namespace loft::core {
+
+namespace {
+using Kind = wire::AdminRequest::Kind;
+constexpr double kReadWithin = 1.0, kCommitWithin = 1.0; // s
+constexpr std::size_t kMostInDocument = 100;             // entries that the production version takes
+
+// Whatever stands beside the entries of budgets in their document: the clock of the periods.
+constexpr const char *kTeams = "teams";
+
+wire::Json &entries_in(wire::Json &document, const std::string &key) {
+  if (key != Operators::kBudgetsKey) return document;
+  if (!document.contains(kTeams)) document[kTeams] = wire::Json::object();
+  return document[kTeams];
+}
+} // namespace
+
+void ConfigurationDesk::fail(RequestId req, int status, std::string_view text) const {
+  port_.reply_json(req, status, wire::encode_admin_error(text), status == 503 ? std::optional(1) : std::nullopt);
+}
+
+void ConfigurationDesk::take(RequestId req, const wire::AdminRequest &ask) {
+  switch (ask.kind) {
+  case Kind::Quotas:
+    return quotas(req);
+  case Kind::ChangeQuota:
+    return change_quota(req, *ask.quota);
+  case Kind::Configuration:
+    return status(req);
+  case Kind::QuotaHistory:
+    return history(req, ask.team);
+  case Kind::Settings:
+  case Kind::Budgets:
+  case Kind::Cells:
+    return answer(req, ask.kind);
+  default:
+    return change(req, ask);
+  }
+}
+
+void ConfigurationDesk::answer(RequestId req, Kind kind) const {
+  switch (kind) {
+  case Kind::Budgets:
+  case Kind::ChangeBudgets:
+    return port_.reply_json(req, 200, wire::encode_budgets(operators_.budgets()));
+  case Kind::Cells:
+  case Kind::ChangeCells:
+    return port_.reply_json(req, 200, wire::encode_cell_rules(operators_.cell_rules()));
+  default:
+    return port_.reply_json(req, 200, wire::encode_settings(operators_.tunables(), operators_.orders()));
+  }
+}
+
+// ---- quotas ----
+
+void ConfigurationDesk::quotas(RequestId req) const {
+  std::vector<wire::AdminQuota> out;
+  const bool alone = quotas_.cells().size() == 1;
+  for (int team = 0; team < static_cast<int>(settings_.teams.size()); ++team) {
+    const auto &name = settings_.teams[static_cast<std::size_t>(team)].name;
+    if (name.starts_with('@')) continue; // stands for another cell
+    wire::AdminQuota q{quotas_.here(team), quotas_.over_all_cells(team), 0, "", {}, {}};
+    if (const auto record = quotas_.record(name)) {
+      q.version = record->version;
+      q.caps = record->caps;
+      q.held = record->held;
+    }
+    if (!alone) q.owner = changes_.owner(name);
+    out.push_back(std::move(q));
+  }
+  port_.reply_json(req, 200, wire::encode_quotas(out));
+}
+
+void ConfigurationDesk::change_quota(RequestId req, const wire::QuotaChange &change) {
+  changes_.request(change, [this, req](const QuotaChanges::Outcome &o) {
+    if (o.status != 200) return fail(req, o.status, o.text);
+    quotas(req);
+  });
+}
+
+void ConfigurationDesk::history(RequestId req, const std::string &team) const {
+  const auto record = quotas_.record(team);
+  if (!record) return fail(req, 404, "this team's quota was never changed");
+  port_.reply_json(req, 200, wire::encode_quota_history(team, record->history));
+}
+
+void ConfigurationDesk::status(RequestId req) const {
+  wire::AdminConfiguration out;
+  out.node = settings_.node;
+  out.revision = configuration_.revision();
+  out.watches = configuration_.watches();
+  out.current_s = configuration_.current_at() < -1e8 ? -1 : port_.now() - configuration_.current_at();
+  out.nodes.push_back(settings_.node);
+  for (const auto &s : settings_.siblings)
+    out.nodes.push_back(s.node);
+  std::map<std::string, wire::AppliedRecord> applied;
+  configuration_.each(wire::kConfigApplied, [&applied](std::string_view node, const Configuration::Record &r) {
+    if (const auto a = wire::applied_from_json(r.value)) applied[std::string(node)] = *a;
+  });
+  configuration_.each(wire::kConfigRecords, [&](std::string_view key, const Configuration::Record &r) {
+    wire::AdminConfigRecord record{std::string(key), r.revision, {}, {}};
+    for (const auto &node : out.nodes)
+      if (const auto it = applied.find(node); it != applied.end() && it->second.revision >= r.revision)
+        record.in_force[node] = it->second.wall;
+    const auto team = key.starts_with("quota/") ? std::string(key.substr(6)) : std::string();
+    const auto quota = wire::quota_from_json(r.value);
+    for (const auto &[cell, said] : exchange_.acknowledged(team))
+      if (quota && said.version == quota->version) record.acknowledged_cells[cell] = said.wall;
+    out.records.push_back(std::move(record));
+  });
+  port_.reply_json(req, 200, wire::encode_configuration(out));
+}
+
+// ---- documents, and records for their entries ----
+
+void ConfigurationDesk::change(RequestId req, const wire::AdminRequest &ask) {
+  Change change{req, ask, "", "", {}};
+  switch (ask.kind) {
+  case Kind::ChangeBudgets:
+    if (!settings_.accounts) return fail(req, 409, "accounts are not kept here: switch them on in the features file");
+    change.document = Operators::kBudgetsKey;
+    change.prefix = wire::kConfigBudget;
+    if (ask.change.contains(kTeams))
+      for (const auto &[team, budget] : ask.change[kTeams].items()) {
+        if (quotas_.find_team(team) < 0) return fail(req, 422, "teams: there is no such team");
+        change.left[team] = budget.is_null() ? std::nullopt : std::optional(budget);
+      }
+    break;
+  case Kind::ChangeCells:
+    change.document = Operators::kCellsKey;
+    break;
+  case Kind::Machine:
+    change.document = Operators::kOrdersKey;
+    change.prefix = wire::kConfigMachine;
+    change.left[ask.machine] = ask.order ? std::optional(wire::to_json(*ask.order)) : std::nullopt;
+    break;
+  default:
+    change.document = Operators::kTunablesKey;
+    break;
+  }
+  write(std::move(change));
+}
+
+void ConfigurationDesk::write(Change change) {
+  if (!budget_.take_write(port_.now())) return fail(change.req, 503, "too many requests at once");
+  const auto key = change.document;
+  port_.store(StoreGet{key}, kReadWithin, [this, change = std::move(change)](const wire::StoreReply &r) mutable {
+    if (r.status != 200 && r.status != 404) return fail(change.req, 503, "the state service did not answer");
+    const bool found = r.status == 200 && !r.entries.empty();
+    const auto after = edited(change, found ? r.entries[0].value : wire::Json::object());
+    if (after) commit(std::move(change), *after, found ? r.entries[0].stamp : 0);
+  });
+}
+
+// Fields of the document itself. Entries that have records of their own come with `commit`.
+std::optional<wire::Json> ConfigurationDesk::edited(const Change &change, const wire::Json &before) const {
+  const auto &ask = change.ask;
+  wire::Json after;
+  if (ask.kind == Kind::ChangeCells) {
+    wire::CellRules rules;
+    (void)wire::apply_cell_rules(before, rules);
+    (void)wire::apply_cell_rules(ask.change, rules); // checked at the door
+    after = wire::to_json(rules);
+  } else if (ask.kind == Kind::Change) {
+    wire::Tunables t;
+    (void)wire::apply_tunables(before, t);
+    (void)wire::apply_tunables(ask.change, t); // checked at the door
+    after = wire::to_json(t);
+  } else if (ask.kind == Kind::ChangeBudgets) {
+    wire::Budgets b;
+    (void)wire::apply_budgets(before, b);
+    auto fields = ask.change;
+    if (settings_.configuration) fields.erase(kTeams);
+    (void)wire::apply_budgets(fields, b); // checked at the door
+    after = wire::to_json(b);
+  } else {
+    auto orders = wire::machine_orders_from_json(before);
+    if (!settings_.configuration) {
+      if (!ask.order)
+        orders.erase(ask.machine);
+      else if (orders.size() < wire::kMostMachineOrders || orders.contains(ask.machine))
+        orders[ask.machine] = *ask.order;
+      else
+        return fail(change.req, 409, "too many machines are under an order; release some first"), std::nullopt;
+    }
+    after = wire::to_json(orders);
+  }
+  if (budget_.fits(after)) return after;
+  fail(change.req, 409, "that is more than one record of the state service holds, now or after its limits fall");
+  return std::nullopt;
+}
+
+// Whether an entry may stand in the document as well, for the production version to read.
+bool ConfigurationDesk::takes_entry(const Change &change, const wire::Json &document, const std::string &name) const {
+  wire::Json copy = document;
+  const auto &entries = entries_in(copy, change.document);
+  return (entries.size() < kMostInDocument || entries.contains(name)) && budget_.fits(document, 2 * name.size() + 200);
+}
+
+void ConfigurationDesk::commit(Change change, const wire::Json &document, std::uint64_t revision) {
+  StoreCommit transaction{{{change.document, revision}}, {}};
+  wire::Json after = document;
+  const auto most = static_cast<std::size_t>(std::max(1, settings_.state_txn_ops - 1));
+  while (settings_.configuration && !change.left.empty() && transaction.writes.size() < most) {
+    auto [name, value] = *change.left.begin();
+    change.left.erase(change.left.begin());
+    const auto key = change.prefix + name;
+    const auto *known = configuration_.find(key);
+    if (!known && value && configuration_.count(change.prefix) >= wire::kMostConfigRecords)
+      return fail(change.req, 409, "too many records of this kind; release some first");
+    const bool fits = takes_entry(change, after, name);
+    auto &entries = entries_in(after, change.document);
+    if (value && change.ask.kind == Kind::ChangeBudgets) { // fields that are not named stay as they are
+      wire::Budgets one;
+      if (const auto it = operators_.budgets().teams.find(name); it != operators_.budgets().teams.end())
+        one.teams[name] = it->second;
+      (void)wire::apply_budgets({{kTeams, {{name, *value}}}}, one);
+      value = wire::to_json(one)[kTeams][name];
+    }
+    if (value && fits)
+      entries[name] = *value;
+    else
+      entries.erase(name);
+    transaction.guards.push_back({key, known ? known->revision : 0});
+    if (value)
+      transaction.writes.push_back({key, wire::Json{{"value", *value}, {"in_document", fits}}, 0});
+    else if (known)
+      transaction.writes.push_back({key, std::nullopt, 0});
+  }
+  if (!settings_.configuration) change.left.clear();
+  transaction.writes.push_back({change.document, after, 0});
+  const auto writes = transaction.writes;
+  port_.store(std::move(transaction), kCommitWithin,
+              [this, change = std::move(change), writes](const wire::StoreReply &r) mutable {
+                if (r.status == 409) return fail(change.req, 409, "somebody else has just changed it; ask again");
+                if (r.status != 200) return fail(change.req, 503, "the state service did not confirm the change");
+                for (const auto &w : writes) {
+                  configuration_.learn(w.key, w.value, r.revision);
+                  operators_.on(ConfigurationChanged{w.key}); // so that the answer has it
+                }
+                if (change.left.empty()) return answer(change.req, change.ask.kind);
+                change.ask.change = wire::Json::object(); // the document's own fields are written
+                write(std::move(change));
+              });
+}
+
+} // namespace loft::core
--- a/src/core/core.cpp
+++ b/src/core/core.cpp
@@ -6,30 +6,37 @@
 
 Core::Core(Settings settings, std::uint64_t seed)
     : settings_(with_cell_teams(std::move(settings))), port_(seed), wishes_(settings_), catalogue_(settings_.zones),
-      operators_(port_, events_), budget_(settings_), lead_(port_, events_, settings_, catalogue_),
-      jobs_(port_, events_, settings_), ended_(events_), dependencies_(port_, settings_, budget_, lead_, jobs_, ended_),
-      judge_(port_, events_, jobs_, operators_), reasons_(port_, jobs_, dependencies_, judge_, wishes_),
-      ledger_(port_, settings_, catalogue_, jobs_, operators_),
+      configuration_(port_, events_, settings_), operators_(port_, events_, configuration_), budget_(settings_),
+      lead_(port_, events_, settings_, catalogue_), jobs_(port_, events_, settings_), ended_(events_),
+      dependencies_(port_, settings_, budget_, lead_, jobs_, ended_), judge_(port_, events_, jobs_, operators_),
+      reasons_(port_, jobs_, dependencies_, judge_, wishes_), ledger_(port_, settings_, catalogue_, jobs_, operators_),
       recorder_(port_, events_, settings_, lead_, budget_, jobs_, ended_, dependencies_, judge_, reasons_, wishes_,
                 ledger_),
       cancellations_(port_, settings_, lead_, jobs_), watch_(port_, settings_, lead_, recorder_, cancellations_),
       fleet_(port_, events_, settings_, catalogue_, operators_, lead_, jobs_, recorder_),
+      quotas_(port_, events_, settings_, configuration_, lead_, jobs_, fleet_),
       silence_(port_, settings_, catalogue_, lead_, fleet_),
       siblings_(port_, settings_, lead_, budget_, cancellations_),
       reach_(port_, settings_, catalogue_, lead_, siblings_, fleet_, silence_),
       reports_(port_, settings_, lead_, siblings_, reach_, silence_, fleet_),
       placer_(port_, events_, settings_, catalogue_, operators_, lead_, jobs_, dependencies_, judge_, recorder_, fleet_,
-              wishes_, ledger_),
+              wishes_, ledger_, quotas_),
       scaler_(port_, settings_, catalogue_, operators_, lead_, jobs_, dependencies_, judge_, fleet_, silence_, placer_,
               wishes_),
       cells_(port_, events_, settings_, catalogue_, operators_, lead_, cancellations_, budget_, jobs_, judge_, ledger_,
-             recorder_, fleet_, siblings_, placer_, scaler_, wishes_),
+             recorder_, fleet_, siblings_, quotas_, scaler_, wishes_),
+      quota_changes_(port_, settings_, configuration_, quotas_, budget_),
+      quota_exchange_(port_, settings_, configuration_, lead_, quotas_, quota_changes_, budget_, cells_),
+      applied_(port_, settings_, configuration_, budget_),
+      configuration_desk_(port_, settings_, configuration_, operators_, quotas_, quota_changes_, quota_exchange_,
+                          budget_),
       served_(port_, jobs_, ended_, dependencies_),
       insight_(port_, settings_, catalogue_, operators_, lead_, cancellations_, jobs_, ended_, dependencies_, judge_,
-               reasons_, fleet_, placer_, scaler_, wishes_, ledger_, siblings_),
-      users_(port_, settings_, catalogue_, budget_, lead_, jobs_, ended_, siblings_, cancellations_, insight_),
+               reasons_, fleet_, placer_, quotas_, scaler_, wishes_, ledger_, siblings_),
+      users_(port_, settings_, catalogue_, budget_, lead_, jobs_, ended_, siblings_, cancellations_, quotas_, insight_),
       administration_(port_, settings_, catalogue_, operators_, budget_, lead_, cancellations_, jobs_, dependencies_,
-                      judge_, fleet_, scaler_, siblings_, reach_, cells_, reports_, served_, insight_, ledger_),
+                      judge_, fleet_, scaler_, siblings_, reach_, cells_, reports_, served_, insight_, ledger_,
+                      configuration_desk_),
       chronicle_(port_, jobs_, fleet_) {
   reports_.refuse_while([this](const WorkerReport &r) { return cells_.unsure_of(r); });
 }
@@ -63,8 +70,9 @@
       };
       (one(parts), ...);
     };
-    hand(chronicle_, cancellations_, dependencies_, judge_, fleet_, silence_, ledger_, recorder_, watch_, reports_,
-         placer_, scaler_, cells_, served_, reasons_, insight_, users_, jobs_);
+    hand(chronicle_, configuration_, operators_, quotas_, quota_changes_, quota_exchange_, cancellations_,
+         dependencies_, judge_, fleet_, silence_, ledger_, recorder_, watch_, reports_, placer_, scaler_, cells_,
+         served_, reasons_, insight_, users_, jobs_);
   });
 }
 
@@ -87,7 +95,10 @@
   step([this] { scaler_.tick(); });
   if (reach_.probe_wanted()) scaler_.probe();
   step([this] { cells_.tick(); });
-  step([this] { operators_.tick(); });
+  step([this] { configuration_.tick(); });
+  step([this] { quota_changes_.tick(); });
+  step([this] { quota_exchange_.tick(); });
+  applied_.tick();
   if (!lead_.leading()) return;
   step([this] {
     for (int j : jobs_.age())
@@ -97,6 +108,7 @@
   insight_.log_summary();
   served_.tick();
   step([this] { fleet_.tick(); });
+  step([this] { quotas_.tick(); });
   ledger_.tick();
   step([this] { placer_.tick(); });
   insight_.tell_siblings();
--- a/src/core/insight.cpp
+++ b/src/core/insight.cpp
@@ -99,9 +99,26 @@
                      n.pending() == 1 ? "waits" : "wait", wire::clock_time(clock.end(port_.wall())));
 }
 
+std::string Insight::why_limited(const Job &n) const {
+  if (n.team < 0) return "";
+  const Team &here = quotas_.here(n.team);
+  if (here.cpus_max <= 0) return "";
+  const bool shared = quotas_.cells().size() > 1;
+  const std::string limit =
+      fmt::format("{} of {:g} CPUs{}", shared ? "share" : "limit", here.cpus_max, shared ? " in this cell" : "");
+  const double at_once = n.spec.need.cpus * (n.spec.shape == Shape::Array ? 1 : n.spec.tasks);
+  if (at_once > here.cpus_max) {
+    const double largest = quotas_.largest_share(n.team);
+    const bool nowhere = shared && at_once > largest;
+    return fmt::format("its {:g} CPUs at once are more than team {}'s {}{}", at_once, n.spec.team, limit,
+                       nowhere ? fmt::format("; no cell has a larger share than {:g}", largest) : "");
+  }
+  if (quotas_.room()[static_cast<std::size_t>(n.team)].cpus >= n.spec.need.cpus) return "";
+  return fmt::format("team {} uses all of its {}", n.spec.team, limit);
+}
+
 std::string Insight::why_waiting(int j, const Supplies &supply) const {
   const Job &n = jobs_[j];
-  const Team *team = n.team >= 0 ? &settings_.teams[static_cast<std::size_t>(n.team)] : nullptr;
   int up = 0, starting = 0;
   bool refused = true;
   PlaceJob p = placer_.place_job(j);
@@ -125,8 +142,8 @@
   const std::string what = fmt::format("{:g} CPUs and {:g} GB{}", n.spec.need.cpus, n.spec.need.memory,
                                        n.spec.zone ? " in " + *n.spec.zone : "");
   std::string wait;
-  if (team && team->cpus_max > 0 && placer_.team_room()[static_cast<std::size_t>(n.team)].cpus < n.spec.need.cpus)
-    wait = fmt::format("team {} uses all of its limit of {:g} CPUs", n.spec.team, team->cpus_max);
+  if (const auto limited = why_limited(n); !limited.empty())
+    wait = limited;
   else if (p.gang && n.placed)
     wait = "the tasks of its earlier attempt have to stop first";
   else if (up == 0 && starting == 0)
--- a/src/core/placer.cpp
+++ b/src/core/placer.cpp
@@ -206,24 +206,6 @@
   return p;
 }
 
-std::vector<Resources> Placer::team_room() const {
-  std::vector<Resources> room;
-  bool limits = false;
-  for (const auto &t : settings_.teams) {
-    room.push_back({t.cpus_max > 0 ? t.cpus_max : -1, t.gpus_max > 0 ? t.gpus_max : -1, -1});
-    limits |= t.cpus_max > 0 || t.gpus_max > 0;
-  }
-  if (!limits) return room;
-  jobs_.each([&](int, const Job &n) {
-    if (n.team < 0) return;
-    auto &left = room[static_cast<std::size_t>(n.team)];
-    const double on = n.placed + n.unaccounted + n.lent; // the limit holds over all cells together
-    if (left.cpus >= 0) left.cpus = std::max(0.0, left.cpus - on * n.spec.need.cpus);
-    if (left.gpus >= 0) left.gpus = std::max(0.0, left.gpus - on * n.spec.need.gpus);
-  });
-  return room;
-}
-
 // ---- rounds ----
 
 void Placer::tick() {
@@ -239,7 +221,8 @@
 }
 
 void Placer::offer(int m) {
-  if (!wanted() || fleet_[m].returning || !fleet_[m].hears() || !lead_.active() || line_.empty()) return;
+  if (!wanted() || fleet_[m].returning || !fleet_[m].hears() || !lead_.active() || !quotas_.ready() || line_.empty())
+    return;
   std::vector<int> index;
   auto machines = snapshot(index, m);
   if (machines.empty()) return;
@@ -263,7 +246,7 @@
     order.push_back(p.self);
   }
   if (jobs.empty()) return;
-  carry_out(place_round(std::move(machines), jobs, team_room(), options()), order, index);
+  carry_out(place_round(std::move(machines), jobs, quotas_.room(), options()), order, index);
 }
 
 // How many tasks of each job were placed.
@@ -311,7 +294,7 @@
   seen();
   line_.clear();
   line_serials_.clear();
-  if (!lead_.active()) return;
+  if (!lead_.active() || !quotas_.ready()) return;
   std::vector<int> index;
   auto machines = snapshot(index, -1);
   up_cpus_ = 0;
@@ -332,7 +315,7 @@
     if (wait.serial != n.serial || port_.now() - wait.seen > 4 * kRound) wait = {n.serial, port_.now(), port_.now()};
     wait.seen = port_.now();
     PlaceJob p = candidate(j);
-    const Team &t = settings_.teams[static_cast<std::size_t>(n.team)];
+    const Team &t = quotas_.here(n.team);
     auto &w = wanted[static_cast<std::size_t>(n.team)];
     w.add(n.spec.need, n.spec.tasks - n.done);
     p.guaranteed = (t.cpus > 0 || t.gpus > 0) && w.cpus <= t.cpus + 1e-6 && w.gpus <= t.gpus + 1e-6;
@@ -342,7 +325,7 @@
   if (line_.empty()) return;
   std::vector<Reservation> reserved;
   const auto placed =
-      carry_out(place_round(std::move(machines), line_, team_room(), options(), &reserved), order, index);
+      carry_out(place_round(std::move(machines), line_, quotas_.room(), options(), &reserved), order, index);
   // Guards against a machine kept for a job that has waited too long being filled, place by place as places come free,
   // between two rounds over all machines.
   for (const auto &r : reserved) {
@@ -485,7 +468,7 @@
   for (int j : starved) {
     const Job &n = jobs_[j];
     const PlaceJob p = place_job(j);
-    const Team &team = settings_.teams[static_cast<std::size_t>(p.team)];
+    const Team &team = quotas_.here(p.team);
     std::vector<int> zones{-1};
     if (p.one_zone) {
       zones.clear();
--- a/src/core/users.cpp
+++ b/src/core/users.cpp
@@ -29,7 +29,7 @@
     why = fmt::format("unknown team {}", spec.team);
     return Verdict::Never;
   }
-  const Team &t = settings_.teams[static_cast<std::size_t>(team)];
+  const Team &t = quotas_.over_all_cells(team);
   double times = spec.shape == Shape::Array ? 1 : spec.tasks;
   constexpr double eps = 1e-6;
   if ((t.cpus_max > 0 && spec.need.cpus * times > t.cpus_max + eps) ||
--- a/src/wire/admin.cpp
+++ b/src/wire/admin.cpp
@@ -70,16 +70,52 @@
   return std::nullopt;
 }
 
-// CBOR's depth check serves JSON too: the text is small, and nesting is refused before it is parsed.
+constexpr std::size_t kMostBody = 16 * 1024;
+constexpr int kMostDepth = 4;
+
+// How deep maps and lists are nested at the most; what stands within strings doesn't count.
+int nesting(std::string_view json) {
+  int depth = 0, most = 0;
+  bool in_string = false;
+  for (std::size_t i = 0; i < json.size(); ++i) {
+    const char c = json[i];
+    if (in_string && c == '\\') {
+      ++i; // whatever is escaped
+    } else if (c == '"') {
+      in_string = !in_string;
+    } else if (!in_string && (c == '{' || c == '[')) {
+      most = std::max(most, ++depth);
+    } else if (!in_string && (c == '}' || c == ']')) {
+      --depth;
+    }
+  }
+  return most;
+}
+
+// The text is small, and nesting is refused before it is parsed.
 std::optional<Json> parse_body(std::string_view body) {
-  if (body.size() > 16 * 1024 || std::count(body.begin(), body.end(), '{') > 4 ||
-      std::count(body.begin(), body.end(), '[') > 4)
-    return std::nullopt;
+  if (body.size() > kMostBody || nesting(body) > kMostDepth) return std::nullopt;
   auto j = Json::parse(body, nullptr, false);
   if (!j.is_object()) return std::nullopt;
   return j;
 }
 
+constexpr std::string_view kQuotaPath = "quotas/", kQuotaHistoryPath = "configuration/history/quota/";
+
+std::variant<AdminRequest, AdminError> read_quota_request(std::string_view method, std::string_view team,
+                                                          std::string_view body) {
+  if (method != "PUT") return AdminError{405, "method not allowed"};
+  if (!valid_name(team)) return AdminError{400, "team: not a name"};
+  const auto j = parse_body(body);
+  if (!j) return AdminError{400, "body: not a JSON object"};
+  auto change = read_quota_change(team, *j);
+  if (const auto *problem = std::get_if<std::string>(&change)) return AdminError{400, *problem};
+  AdminRequest r;
+  r.kind = AdminRequest::Kind::ChangeQuota;
+  r.quota = std::move(std::get<QuotaChange>(change));
+  return r;
+}
+
 Json age(double s) {
   return s < 0 ? Json() : Json(std::round(s * 10) / 10);
 }
@@ -115,7 +151,8 @@
                         Plain{"settings", "GET", Kind::Settings}, Plain{"settings", "PUT", Kind::Change},
                         Plain{"budgets", "GET", Kind::Budgets}, Plain{"budgets", "PUT", Kind::ChangeBudgets},
                         Plain{"statement", "GET", Kind::Statement}, Plain{"cells", "GET", Kind::Cells},
-                        Plain{"cells", "PUT", Kind::ChangeCells}}) {
+                        Plain{"cells", "PUT", Kind::ChangeCells}, Plain{"quotas", "GET", Kind::Quotas},
+                        Plain{"configuration", "GET", Kind::Configuration}}) {
     if (path != p.path) continue;
     known = true;
     if (method != p.method) continue;
@@ -134,6 +171,13 @@
     return r;
   }
   if (known) return AdminError{405, "method not allowed"};
+  if (path.starts_with(kQuotaPath)) return read_quota_request(method, path.substr(kQuotaPath.size()), body);
+  if (path.starts_with(kQuotaHistoryPath)) {
+    r.team = path.substr(kQuotaHistoryPath.size());
+    r.kind = Kind::QuotaHistory;
+    if (method != "GET") return AdminError{405, "method not allowed"};
+    return valid_name(r.team) ? std::variant<AdminRequest, AdminError>(r) : AdminError{400, "team: not a name"};
+  }
   if (path.substr(0, machines.size()) != machines) return AdminError{404, "no such path"};
   path.remove_prefix(machines.size());
   auto slash = path.find('/');
@@ -171,19 +215,28 @@
   return std::nullopt;
 }
 
+Json to_json(MachineOrder order) {
+  return kOrders[static_cast<int>(order)];
+}
+
 Json to_json(const MachineOrders &orders) {
   Json j = Json::object();
   for (const auto &[name, order] : orders)
-    j[name] = kOrders[static_cast<int>(order)];
+    j[name] = to_json(order);
   return j;
 }
 
+std::optional<MachineOrder> machine_order_from_json(const Json &j) {
+  for (int k = 0; k < 2; ++k)
+    if (j == kOrders[k]) return static_cast<MachineOrder>(k);
+  return std::nullopt;
+}
+
 MachineOrders machine_orders_from_json(const Json &j) {
   MachineOrders out;
   if (!j.is_object()) return out;
-  for (const auto &[name, order] : j.items())
-    for (int k = 0; k < 2; ++k)
-      if (order == kOrders[k] && out.size() < kMostMachineOrders) out[name] = static_cast<MachineOrder>(k);
+  for (const auto &[name, value] : j.items())
+    if (const auto order = machine_order_from_json(value); order && out.size() < kMostMachineOrders) out[name] = *order;
   return out;
 }
 
--- /dev/null
+++ b/src/wire/admin_configuration.cpp
@@ -0,0 +1,87 @@
+#include "loftrouter/wire/admin_configuration.hpp"
+
+#include <cmath>
+
+#include "loftrouter/wire/admin.hpp"
+
+namespace loft::wire {
+
+namespace {
+
+std::string dump(const Json &j) {
+  return j.dump(2, ' ', false, Json::error_handler_t::replace) + "\n";
+}
+
+Json amounts_json(const Amounts &a) {
+  auto limit = [](double x) { return std::isfinite(x) ? Json(x) : Json(); };
+  return {{"cpus", limit(a.cpus)}, {"gpus", limit(a.gpus)}};
+}
+
+Json by_cell_json(const AmountsByCell &all) {
+  Json j = Json::object();
+  for (const auto &[cell, a] : all)
+    j[cell] = amounts_json(a);
+  return j;
+}
+
+void put_limits(Json &j, const Team &t) {
+  j["cpus"] = t.cpus;
+  j["gpus"] = t.gpus;
+  j["cpus_max"] = t.cpus_max > 0 ? Json(t.cpus_max) : Json();
+  j["gpus_max"] = t.gpus_max > 0 ? Json(t.gpus_max) : Json();
+}
+
+Json times_json(const std::map<std::string, double> &since) {
+  Json j = Json::object();
+  for (const auto &[name, wall] : since)
+    j[name] = clock_time(wall);
+  return j;
+}
+
+} // namespace
+
+std::string encode_quotas(const std::vector<AdminQuota> &quotas) {
+  Json teams = Json::object();
+  for (const auto &q : quotas) {
+    Json j = {{"version", q.version}}, here = Json::object();
+    put_limits(j, q.over_all_cells);
+    put_limits(here, q.here);
+    j["here"] = std::move(here);
+    if (!q.owner.empty()) {
+      j["owner"] = q.owner;
+      j["caps"] = by_cell_json(q.caps);
+      j["held"] = by_cell_json(q.held);
+    }
+    teams[q.here.name] = std::move(j);
+  }
+  return dump({{"teams", std::move(teams)}});
+}
+
+std::string encode_configuration(const AdminConfiguration &c) {
+  Json records = Json::array();
+  for (const auto &r : c.records) {
+    Json j = {{"record", r.key}, {"revision", r.revision}, {"in_force_since", times_json(r.in_force)}};
+    Json missing = Json::array();
+    for (const auto &node : c.nodes)
+      if (!r.in_force.contains(node)) missing.push_back(node);
+    j["not_in_force_at"] = std::move(missing);
+    if (!r.acknowledged_cells.empty()) j["acknowledged_by_cells_since"] = times_json(r.acknowledged_cells);
+    records.push_back(std::move(j));
+  }
+  return dump({{"node", c.node},
+               {"revision", c.revision},
+               {"watches", c.watches},
+               {"current_s_ago", c.current_s < 0 ? Json() : Json(std::round(c.current_s * 10) / 10)},
+               {"records", std::move(records)}});
+}
+
+std::string encode_quota_history(const std::string &team, const std::vector<QuotaRecord::Change> &history) {
+  Json changes = Json::array();
+  for (const auto &c : history)
+    changes.push_back({{"at", clock_time(c.wall)},
+                       {"guaranteed", amounts_json(c.limits.guaranteed)},
+                       {"most", amounts_json(c.limits.most)}});
+  return dump({{"record", "quota/" + team}, {"changes", std::move(changes)}});
+}
+
+} // namespace loft::wire
--- a/src/wire/cell.cpp
+++ b/src/wire/cell.cpp
@@ -199,6 +199,15 @@
   case Kind::Recall:
     put(body, m.generation);
     break;
+  case Kind::Quota:
+  case Kind::QuotaApplied:
+  case Kind::QuotaChange:
+  case Kind::QuotaOutcome:
+    put(body, m.generation);
+    put(body, m.running);
+    put(body, static_cast<std::uint8_t>(m.yes));
+    put_body(body, m.body);
+    break;
   }
   std::string out;
   put(out, kMagic);
@@ -219,7 +228,7 @@
   const auto version = head.get<std::uint16_t>(), kind = head.get<std::uint16_t>();
   const auto length = head.get<std::uint32_t>();
   if (!head.ok) return PeerRead::NeedMore;
-  if (magic != kMagic || version != kVersion || kind < 1 || kind > static_cast<unsigned>(Kind::Recall) ||
+  if (magic != kMagic || version != kVersion || kind < 1 || kind > static_cast<unsigned>(Kind::QuotaOutcome) ||
       length > kCellMaxBody)
     return PeerRead::Garbage;
   if (buffer.size() < kHeader + length) return PeerRead::NeedMore;
@@ -271,6 +280,17 @@
   case Kind::Recall:
     out.generation = r.get<std::uint64_t>();
     break;
+  case Kind::Quota:
+  case Kind::QuotaApplied:
+  case Kind::QuotaChange:
+  case Kind::QuotaOutcome: {
+    out.generation = r.get<std::uint64_t>();
+    out.running = r.get<std::uint32_t>();
+    const auto yes = r.get<std::uint8_t>();
+    out.yes = yes == 1;
+    good &= yes < 2 && get_body(r, out.body);
+    break;
+  }
   }
   if (!good || !r.ok || !r.in.empty()) return PeerRead::Garbage;
   buffer.remove_prefix(kHeader + length);
--- a/tests/federation.cpp
+++ b/tests/federation.cpp
@@ -117,13 +117,21 @@
   there.emplace(cell, task.serial);
   homes_[{cell, task.serial}] = home;
   const auto &spec = (*this)[home].own(task.job)->spec;
-  const double used = used_[{home, spec.team}] += spec.need.cpus;
+  used_[{home, spec.team}] += spec.need.cpus;
+  const double used = used_by(spec.team);
   for (const auto &team : options_[static_cast<std::size_t>(home)].teams)
     if (team.name == spec.team && team.cpus_max > 0 && used > team.cpus_max + 1e-6)
       broken_.push_back("t=" + std::to_string(t_) + " quota over cells " + team.name);
   if (on_start) on_start(home, cell, task);
 }
 
+double Federation::used_by(const std::string &team) const {
+  double used = 0;
+  for (const auto &[of, cpus] : used_)
+    if (of.second == team) used += cpus;
+  return used;
+}
+
 void Federation::stopped(int cell, const World::On &task) {
   const int home = homes_.at({cell, task.serial}); // another job may bear the id by now
   homes_.erase({cell, task.serial});
--- a/tests/federation.hpp
+++ b/tests/federation.hpp
@@ -23,7 +23,8 @@
     cut(b, -1, a, -1, for_s);
   }
   bool all_over() const;
-  std::vector<std::string> broken() const; // in all of them, and over them
+  double used_by(const std::string &team) const; // CPUs of its tasks on machines, whichever cell its jobs are from
+  std::vector<std::string> broken() const;       // in all of them, and over them
   std::function<void(int home, int cell, const World::On &)> on_start;
   int frames = 0, loans = 0;                    // the latter: debts that were taken
   std::map<std::string, int> started_elsewhere; // tasks, by job: not in the cell that accepted it
--- a/tests/world.cpp
+++ b/tests/world.cpp
@@ -29,6 +29,7 @@
   s.cancel_s = o_.core_cancel_s > 0 ? o_.core_cancel_s : o_.cancel_s;
   s.cpu_share = o_.cpu_share;
   s.accounts = o_.accounts;
+  s.configuration = o_.configuration;
   s.cells = o_.cells;
   s.peer_listen = o_.cells.name + ":" + std::to_string(i);
   const bool old = old_.count(i) > 0;
--- a/tests/world.hpp
+++ b/tests/world.hpp
@@ -48,9 +48,10 @@
   double die_per_hour = 0; // machines
   double hang_per_hour = 0;
   bool accounts = false;
-  double value_kb = 8;      // most that the state service takes as a value
-  int txn_ops = 8;          // and changes in a transaction
-  double next_value_kb = 0; // the same from `limits_fall` on; 0: as before
+  bool configuration = false; // records of what operators configure are watched
+  double value_kb = 8;        // most that the state service takes as a value
+  int txn_ops = 8;            // and changes in a transaction
+  double next_value_kb = 0;   // the same from `limits_fall` on; 0: as before
   int next_txn_ops = 0;
   double untold_value_kb = 0;           // what it really takes, if that is less than it says
   bool begins_old = false;              // nodes write records as large as may be, until `upgrade`
