--- a/bench/scale/layout.cpp
+++ b/bench/scale/layout.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 constexpr int kNodesAPort = 5; // room for the controllers of a region
-constexpr int kCloudPorts = 10, kApiPorts = 20, kPeerPorts = 50, kRelayPorts = 100;
+constexpr int kCloudPorts = 10, kApiPorts = 20, kPeerPorts = 50, kRelayPorts = 100, kWorkerPort = 240;
 constexpr int kDescriptors = 18'000;
 constexpr double kMemoryMb = 4096;
 // Spot machines are not cheaper, so that the controllers have no reason to give ordinary ones back for them.
@@ -17,6 +17,9 @@
 }
 } // namespace
 
+int Layout::worker_port() const {
+  return base_port + kWorkerPort;
+}
 std::string Layout::state(int region) const {
   return local(base_port + region);
 }
--- a/bench/scale/layout.hpp
+++ b/bench/scale/layout.hpp
@@ -13,6 +13,7 @@
 struct Layout {
   int base_port = 21000;
 
+  int worker_port() const;
   std::string state(int region) const;
   std::string cloud(int region) const;
   ControllerAddress controller(int region, int node) const;
--- a/bench/scale/scenario.cpp
+++ b/bench/scale/scenario.cpp
@@ -196,6 +196,19 @@
   return base;
 }
 
+constexpr int kMostBases = 4; // one upon the other
+
+toml::table with_bases(const std::string &path, int bases_left) {
+  auto file = parse_toml(read_file(path));
+  const auto *base = file.get("base");
+  if (!base) return file;
+  if (bases_left == 0) throw ScenarioError("base: too many upon each other");
+  const auto name = base->value<std::string>().value_or("");
+  auto whole = with_bases((std::filesystem::path(path).parent_path() / name).string(), bases_left - 1);
+  file.erase("base");
+  return merged(std::move(whole), file);
+}
+
 Scenario read_scenario(const toml::table &file) {
   Scenario s;
   Fields f(file, "");
@@ -254,14 +267,7 @@
 
 Scenario load_scenario(const std::string &path) {
   try {
-    auto file = parse_toml(read_file(path));
-    if (const auto *base = file.get("base")) {
-      const auto name = base->value<std::string>().value_or("");
-      auto whole = parse_toml(read_file((std::filesystem::path(path).parent_path() / name).string()));
-      file.erase("base");
-      file = merged(std::move(whole), file);
-    }
-    return read_scenario(file);
+    return read_scenario(with_bases(path, kMostBases));
   } catch (const ScenarioError &e) {
     throw ScenarioError(path + ", " + e.what());
   }
--- a/bench/scale/workload.cpp
+++ b/bench/scale/workload.cpp
@@ -11,7 +11,6 @@
 namespace {
 constexpr int kTeamsOfGangs = 20; // the first so many teams submit the gangs, and have limits that let them run
 constexpr int kWorkersAnAddressBlock = 250;
-constexpr int kWorkerPort = 9000;
 constexpr double kLongestCancelAfter = 30; // s
 constexpr double kGangLimitFactor = 4;     // limit of those teams over the largest gang
 
@@ -29,7 +28,8 @@
 }
 } // namespace
 
-Workload::Workload(const Scenario &scenario, std::uint64_t seed) : scenario_(scenario), seed_(seed) {
+Workload::Workload(const Scenario &scenario, std::uint64_t seed, int worker_port)
+    : scenario_(scenario), seed_(seed), worker_port_(worker_port) {
   for (const auto &c : scenario.classes) {
     class_weights_.push_back(scenario.task_starts_per_s * c.starts_share / mean_tasks(c));
     jobs_per_s_ += class_weights_.back();
@@ -79,7 +79,7 @@
   w.zone = (index / scenario_.regions) % scenario_.zones_per_region;
   w.name = fmt::format("n-{:06}", index);
   w.address = fmt::format("127.1.{}.{}:{}", index / kWorkersAnAddressBlock + 1, index % kWorkersAnAddressBlock + 1,
-                          kWorkerPort);
+                          worker_port_);
   w.zone_name = scenario_.zone_name(w.region, w.zone);
   auto random = generator(seed_, 3, static_cast<std::uint64_t>(index));
   double left = uniform(random, 0, 1);
--- a/bench/scale/workload.hpp
+++ b/bench/scale/workload.hpp
@@ -29,7 +29,8 @@
 
 class Workload {
 public:
-  Workload(const Scenario &scenario, std::uint64_t seed);
+  // Workers listen on `worker_port`, each on a loopback address of its own.
+  Workload(const Scenario &scenario, std::uint64_t seed, int worker_port = 9000);
 
   double jobs_per_s() const { return jobs_per_s_; } // in all regions together
   std::uint32_t jobs_at_start() const { return jobs_at_start_; }
@@ -44,6 +45,7 @@
 private:
   const Scenario &scenario_;
   const std::uint64_t seed_;
+  const int worker_port_;
   std::vector<double> class_weights_; // jobs a second
   double jobs_per_s_ = 0;
   std::uint32_t jobs_at_start_ = 0;
