--- a/bench/scale/child.cpp
+++ b/bench/scale/child.cpp
@@ -81,8 +81,8 @@
   std::signal(SIGPIPE, SIG_IGN);
   try {
     const Scenario scenario = scenario_of(options);
-    const Workload workload(scenario, options.seed);
     const Layout layout{options.base_port};
+    const Workload workload(scenario, options.seed, layout.worker_port());
     net::Loop loop;
     switch (role) {
     case ChildRole::Outside:
--- a/bench/scale/runner.cpp
+++ b/bench/scale/runner.cpp
@@ -46,8 +46,8 @@
 class Run {
 public:
   explicit Run(const RunOptions &options)
-      : options_(options), scenario_(scenario_of(options)),
-        workload_(scenario_, options.seed), layout_{options.base_port}, judge_(scenario_, workload_),
+      : options_(options), scenario_(scenario_of(options)), layout_{options.base_port},
+        workload_(scenario_, options.seed, layout_.worker_port()), judge_(scenario_, workload_),
         tick_(loop_, [this] { tick(); }) {
     directory_ = std::filesystem::temp_directory_path() / fmt::format("loft-scale-{}", ::getpid());
     std::filesystem::create_directories(directory_);
@@ -574,8 +574,8 @@
 
   const RunOptions options_;
   Scenario scenario_;
-  const Workload workload_;
   const Layout layout_;
+  const Workload workload_;
   net::Loop loop_;
   Judge judge_;
   std::filesystem::path directory_;
