--- a/bench/scale/hollow_users.cpp
+++ b/bench/scale/hollow_users.cpp
@@ -17,6 +17,7 @@
 constexpr double kCheckEvery = 0.2, kAdminWithin = 2.0;                    // s, whether a change is in force
 constexpr double kGiveUpChange = 120.0;                                    // s
 constexpr int kUnhealthyAfter = 2;
+constexpr double kChangeStep = 1e-3; // CPUs or hours, between two changes
 constexpr std::size_t kConnectionsANode = 64, kQueuedANode = 2'000;
 constexpr int kBudgetTeams = 100; // that one record of budgets may name
 
@@ -234,9 +235,9 @@
   change.region = change.number % scenario_.regions;
   const bool budgets = scenario_.configuration.mechanism == ConfigurationLoad::Mechanism::Budgets;
   change.team = change.number % (budgets ? std::min(scenario_.teams, kBudgetTeams) : scenario_.teams);
-  // Grows with each change, so that a value seen tells whether this change or a later one is in force. A quota stays
-  // close below the platform's limit.
-  change.value = budgets ? 100'000 + change.number : workload_.team_limit(change.team) - 1 + 1e-4 * change.number;
+  // Falls with each change, so that a value seen tells whether this change or a later one is in force: what was there
+  // before is larger, also where there was no record yet. A quota stays close below the platform's limit.
+  change.value = (budgets ? 100'000 : workload_.team_limit(change.team) - 1) - kChangeStep * change.number;
   change.made_at = now;
   changes_[change.number] = std::move(change);
   put_change(next_change_number_ - 1);
@@ -285,9 +286,11 @@
                  for (auto &[number, change] : changes_) {
                    const auto team = scenario_.team_name(change.team);
                    if (!change.answered || !seen["teams"].contains(team)) continue;
-                   const double value = seen["teams"][team].value(budgets ? "cpu_hours" : "cpus_max", 0.0);
+                   const auto &field = seen["teams"][team][budgets ? "cpu_hours" : "cpus_max"];
+                   if (!field.is_number()) continue;
+                   const double value = field.get<double>();
                    bool &done = change.in_force[{r, static_cast<int>(n)}];
-                   if (done || value < change.value - 5e-5) continue;
+                   if (done || value > change.value + kChangeStep / 2) continue;
                    done = true;
                    runner_.send(fmt::format("in_force {} {} {} {:.4f}", number, r, n, at));
                  }
