Scale run: events that come too late to be judged in order make a run invalid

'Invented' is a start of a job that nobody has submitted yet, so a line of one process was read after later ones of another had been judged; the judge waited one second and did not notice. Change: it waits 4 s, counts what comes later than that, and the run is then invalid.

--- a/bench/scale/judge.cpp
+++ b/bench/scale/judge.cpp
@@ -35,7 +35,13 @@
   return jobs_.emplace(number, std::move(job)).first->second;
 }
 
+void Judge::add(JudgeEvent event) {
+  late_events_ += event.at < judged_up_to_;
+  held_.push(event);
+}
+
 void Judge::advance(double now) {
+  judged_up_to_ = std::max(judged_up_to_, now - kSettle);
   while (!held_.empty() && held_.top().at <= now - kSettle) {
     const JudgeEvent e = held_.top();
     held_.pop();
--- a/bench/scale/judge.hpp
+++ b/bench/scale/judge.hpp
@@ -33,7 +33,7 @@
   };
 
   Judge(const Scenario &scenario, const Workload &workload);
-  void add(JudgeEvent event) { held_.push(event); }
+  void add(JudgeEvent event);
   void advance(double now);                                     // judges what has settled
   void found(const std::string &rule, const std::string &text); // by a stand-in itself
   void measure_from(double at) { measure_from_ = at; }
@@ -41,6 +41,7 @@
   const std::map<std::string, std::uint64_t> &broken() const { return broken_; }
   const std::vector<std::string> &texts() const { return texts_; } // of the first few
   const std::vector<Waits> &waits() const { return waits_; }       // by class, of jobs submitted since measuring began
+  std::uint64_t late_events() const { return late_events_; } // came after later ones were judged: nothing is proved
   std::size_t running() const { return on_.size(); }
   std::uint64_t starts() const { return starts_; } // since measuring began
   std::uint64_t starts_after_cancellation() const { return late_starts_; }
@@ -48,7 +49,7 @@
   double most_over_limit() const { return most_over_limit_; } // CPUs, of any team over all regions
 
 private:
-  static constexpr double kSettle = 1.0; // s
+  static constexpr double kSettle = 4.0; // s
   struct Later {
     bool operator()(const JudgeEvent &a, const JudgeEvent &b) const { return a.at > b.at; }
   };
@@ -83,7 +84,8 @@
   std::map<std::string, std::uint64_t> broken_;
   std::vector<std::string> texts_;
   std::vector<Waits> waits_;
-  std::uint64_t starts_ = 0, late_starts_ = 0, done_ = 0;
+  std::uint64_t starts_ = 0, late_starts_ = 0, done_ = 0, late_events_ = 0;
+  double judged_up_to_ = -1e18;
   double measure_from_ = 1e18, most_over_limit_ = 0; // the former: not yet
 };
 
--- a/bench/scale/runner.cpp
+++ b/bench/scale/runner.cpp
@@ -542,6 +542,8 @@
         invalid.push_back(fmt::format("{} {} of region {} fell behind in {} of {} seconds", name(*p), p->number,
                                       p->region, late, p->lag.size()));
     }
+    if (judge_.late_events() > 0)
+      invalid.push_back(fmt::format("{} events came too late to be judged in order", judge_.late_events()));
     const auto &o = scenario_.objectives;
     auto at_most = [&failures](const char *what, const std::optional<double> &limit, double value) {
       if (limit && value > *limit)
--- a/tests/scale_test.cpp
+++ b/tests/scale_test.cpp
@@ -125,6 +125,16 @@
   EXPECT_EQ(broken("ran_twice"), 1U);
 }
 
+// On a machine that falls behind, a start may be told after the end that followed it: that is no proof of anything.
+TEST_F(ScaleJudge, CountsEventsThatCameTooLateToBeJudgedInOrder) {
+  const auto job = job_of(Shape::Array);
+  submit(job);
+  judge.advance(50);
+  EXPECT_EQ(judge.late_events(), 0U);
+  on(30, 5, job, 0);
+  EXPECT_EQ(judge.late_events(), 1U);
+}
+
 TEST_F(ScaleJudge, SeesJobsDoneTooEarlyAndTasksAfterTheirCancellation) {
   const auto job = job_of(Shape::Array);
   submit(job);
