--- /dev/null
+++ b/src/core/cells_survey.cpp
@@ -0,0 +1,123 @@
+// Cells: what this one tells others of itself, and how long its own work will wait.
+#include "cells_terms.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace loft::core {
+
+// Machines by kind, with what they still have to do and what waits for them, job after job in the order of their turns:
+// from it, how long each job's work will wait here.
+void Cells::survey() {
+  std::map<MachineKind, Lot> lots;
+  fleet_.each([&](int, const Machine &m) {
+    if (m.type < 0 || m.lost || m.returning || m.order || m.taken_at) return;
+    Lot &l = lots[{m.type, m.zone, m.spot}];
+    l.size = m.size;
+    if (!m.heard) {
+      ++l.starting;
+      return;
+    }
+    if (m.silent(port_.now(), settings_.report_s)) return;
+    ++l.machines;
+    l.idle += m.slots.empty();
+    l.cpus += m.size.cpus;
+    l.free.add(m.size);
+    l.free.add(m.used, -1);
+    for (const auto &s : m.slots) {
+      if (s.job < 0 || s.finished || jobs_[s.job].borrowed) continue;
+      const double ran = s.running_since >= 0 ? port_.now() - s.running_since : 0;
+      l.busy += std::max(3.0, jobs_[s.job].spec.estimate_s - ran) * s.need.cpus;
+    }
+  });
+  for (std::size_t t = 0; t < catalogue_.types().size(); ++t)
+    for (const auto &zone : catalogue_.types()[t].zones)
+      for (bool spot : {false, true}) {
+        const MachineKind kind(static_cast<int>(t), catalogue_.find_zone(zone), spot);
+        if (std::get<1>(kind) < 0) continue;
+        Lot &l = lots[kind];
+        l.size = catalogue_.types()[t].size;
+        l.refused = scaler_.refused(kind);
+      }
+  lots_.clear();
+  for (auto &[kind, l] : lots) {
+    l.kind = kind;
+    lots_.push_back(l);
+  }
+  std::vector<int> order;
+  jobs_.each([&](int j, const Job &n) {
+    if (!n.borrowed && !n.cancelled && n.pending() > 0 && n.spec.waits_for.empty()) order.push_back(j);
+  });
+  std::sort(order.begin(), order.end(), [this](int a, int b) {
+    return std::pair(-static_cast<int>(jobs_[a].spec.urgency), jobs_[a].submit_wall) <
+           std::pair(-static_cast<int>(jobs_[b].spec.urgency), jobs_[b].submit_wall);
+  });
+  waits_.assign(jobs_.slots(), 0);
+  std::fill(std::begin(wait_by_urgency_), std::end(wait_by_urgency_), 0);
+  own_waiting_cpus_ = 0;
+  const double cheapest = catalogue_.cheapest_cpu();
+  for (int j : order) {
+    const Job &n = jobs_[j];
+    const auto work = work_of(j);
+    const double est = std::max(3.0, n.spec.estimate_s), own = n.pending() * n.spec.need.cpus * est;
+    double cpus = 0, load = 0, places = 0, soon = std::numeric_limits<double>::infinity();
+    std::vector<Lot *> mine;
+    for (auto &l : lots_) {
+      if (!may_use(work, l)) continue;
+      mine.push_back(&l);
+      cpus += l.cpus;
+      load += l.busy + l.ahead;
+      if (l.ahead <= 0) {
+        cells::View one;
+        one.kinds.push_back({"", "", std::get<2>(l.kind), false, static_cast<std::uint32_t>(l.machines),
+                             static_cast<std::uint32_t>(l.idle), l.size, l.free, 0, 1});
+        auto any = work;
+        any.types.clear();
+        places += cells::room(any, one);
+      }
+      const auto &type = catalogue_.type(std::get<0>(l.kind));
+      const bool dear = Catalogue::cpu_price(type, std::get<2>(l.kind)) > kDear * cheapest;
+      if (l.starting > 0 || (!l.refused && !(dear && n.spec.urgency == Urgency::Low)))
+        soon = std::min(soon, 1.1 * type.boot_s + 1);
+    }
+    double wait = cpus > 0 ? (load + 0.5 * own) / cpus : std::numeric_limits<double>::infinity();
+    // A whole machine for each is free when what is on it ends, not when the average has ended.
+    if (n.spec.shape == Shape::Gang && places < n.pending()) wait = std::max(wait, 0.5 * est);
+    if (places >= n.pending()) wait = 0.25;
+    wait = std::min(wait, soon);
+    // Whatever the figures say: what has waited for so long without a start will wait on.
+    const double age = port_.wall() - n.submit_wall;
+    if (n.placed + n.done + n.unaccounted == 0 && age > kLongWait) wait = std::max(wait, 0.5 * age);
+    waits_[static_cast<std::size_t>(j)] = std::isfinite(wait) ? wait : 1e6;
+    auto &of_class = wait_by_urgency_[static_cast<std::size_t>(n.spec.urgency)];
+    of_class = std::max(of_class, std::min(wait, 3600.0));
+    own_waiting_cpus_ += n.pending() * n.spec.need.cpus;
+    for (auto *l : mine)
+      l->ahead += cpus > 0 ? own * l->cpus / cpus : 0;
+  }
+}
+
+void Cells::summarize(wire::CellMessage &m) const {
+  m.address = settings_.peer_listen;
+  m.lease_s = settings_.lease_s;
+  m.wait_s.assign(std::begin(wait_by_urgency_), std::end(wait_by_urgency_));
+  for (const auto &l : lots_) {
+    wire::CellKind k;
+    const auto [type, zone, spot] = l.kind;
+    k.type = catalogue_.type_name(type);
+    k.zone = catalogue_.zone_name(zone);
+    k.spot = spot;
+    k.refused = l.refused;
+    k.machines = static_cast<std::uint32_t>(l.machines);
+    k.size = l.size;
+    if (l.ahead <= 0) { // otherwise its own work waits for it
+      k.free = l.free;
+      k.idle = static_cast<std::uint32_t>(l.idle);
+    }
+    k.boot_s = catalogue_.type(type).boot_s;
+    k.fetch_gb_per_s = catalogue_.type(type).fetch_gb_per_s;
+    if (m.kinds.size() < wire::kCellMaxKinds) m.kinds.push_back(std::move(k));
+  }
+}
+
+} // namespace loft::core
