loft: tables of quotas and configuration read what they show

Cause: tried by hand against three regions, loft quota show ended with a use after scope: it iterated over a map that had ended with its expression. Change: the map is kept.

--- a/src/client/render.cpp
+++ b/src/client/render.cpp
@@ -134,9 +134,9 @@
   Table t{{"team", "cpus", "cpus_max", "here_cpus_max", "gpus", "gpus_max", "version", "owner", "held_by_cells"}, {}};
   const Json teams = quotas.is_object() ? quotas.value("teams", Json::object()) : Json::object();
   for (const auto &[name, x] : teams.items()) {
-    const Json here = x.value("here", Json::object());
+    const Json here = x.value("here", Json::object()), by_cell = x.value("held", Json::object());
     std::string held;
-    for (const auto &[cell, amounts] : x.value("held", Json::object()).items())
+    for (const auto &[cell, amounts] : by_cell.items())
       held += fmt::format("{}{}={}", held.empty() ? "" : " ", cell, text(amounts, "cpus"));
     t.rows.push_back({name, text(x, "cpus"), text(x, "cpus_max"), text(here, "cpus_max"), text(x, "gpus"),
                       text(x, "gpus_max"), text(x, "version"), text(x, "owner"), held});
@@ -147,8 +147,9 @@
 Table configuration_table(const Json &configuration) {
   Table t{{"record", "revision", "in_force_at", "not_in_force_at"}, {}};
   for (const auto &x : list(configuration, "records")) {
+    const Json since_by_node = x.value("in_force_since", Json::object());
     std::string in_force, missing;
-    for (const auto &[node, since] : x.value("in_force_since", Json::object()).items())
+    for (const auto &[node, since] : since_by_node.items())
       in_force += fmt::format("{}{} since {}", in_force.empty() ? "" : ", ", node, since.get<std::string>());
     for (const auto &node : list(x, "not_in_force_at"))
       missing += fmt::format("{}{}", missing.empty() ? "" : ", ", node.get<std::string>());
