Configuration: a watch's answer that comes while records are listed doesn't move the list's revision

Cause: found on reading the change again. A watch may be under way when the list of every 30 s begins. Its answer set the revision to follow from past that of the list's pages: a record newer than the pages was then taken for gone until the next list (a team's first quota: its limit back to the settings file's for up to 30 s), and a removal on an older page was not told again. Change: while a list is under way its own revision stays.

--- a/src/core/configuration.cpp
+++ b/src/core/configuration.cpp
@@ -77,7 +77,9 @@
                 }
                 for (const auto &e : r.events)
                   set(e.key, e.value, e.stamp);
-                follow_from_ = std::max(follow_from_, r.revision);
+                // A list under way counts from its first page: what came since is told again after it. Guards against a
+                // record that is newer than the list's pages being taken for gone.
+                if (!listing_now_) follow_from_ = std::max(follow_from_, r.revision);
                 current_at_ = std::max(current_at_, sent);
                 if (!listing_now_) follow();
               });
