--- a/review/lib/workers.py
+++ b/review/lib/workers.py
@@ -79,7 +79,7 @@
 
     def _start(self, key):
         spec = self.specs.get(key[0].split("/")[0])
-        task = {"status": "pulling", "cause": None, "on": False, "spec": spec, "until": time.monotonic()}
+        task = {"status": "pulling", "cause": None, "on": False, "spec": spec, "until": time.monotonic(), "since": 0.0}
         self.tasks[key] = task
         self.changed.set()
         live = [other for other in self.tasks.values() if other["status"] != "exited" and other["spec"]]
@@ -96,7 +96,7 @@
     def _arrive(self, key, task, now):
         """The task has its image."""
         self.site.record.write(f"worker {self.box}: {key[0]} try {key[1]} on")
-        task.update(status="running", on=True, until=now + self.run_s(task["spec"]))
+        task.update(status="running", on=True, since=now, until=now + self.run_s(task["spec"]))
         self.changed.set()
         if task["spec"]["shape"] != "gang":
             return
@@ -105,7 +105,7 @@
         gang[key[0]] = (self, task)
         if len(gang) == task["spec"]["pieces"]:
             for worker, mate in gang.values():
-                mate.update(status="running", until=now + self.run_s(task["spec"]))
+                mate.update(status="running", since=now, until=now + self.run_s(task["spec"]))
                 worker.changed.set()
 
     async def _clock(self):
