How many tasks fit is a division: a gang that needs nothing hung every leader

What callers saw: a gang with one_zone whose tasks take no cores, cards or memory is accepted and waits while a machine of its zone boots. Once it has waited for reserve_after_s, the leader answers nobody any more; the next one is elected, reads the job and stops too.

Cause: PlanBuilder::booting_slots_in_zone counted by subtracting the need until it no longer fitted. A stack of the hung process shows plan_job under CapacityPlanner::plan.

The same loop elsewhere: CellFederation::spare_cpus, reached by another cell's capacity request. Messages between cells hold thousandths, so a job of 0.0004 cores hung the leaders of a cell that had never seen it (stack: spare_cpus under CellFederation::dispatch). Two further loops, assign_to_booting and Round::reserve, were bounded by the tasks left. A count of 1e6 tasks a machine in the choice of a cell overflowed from 4,295 idle machines on.

Change: Resources::count_in answers by division, in constant time, with at most as many as a job can have; all five places use it. It agrees with the loop where the loop ended, so nothing else changes.

--- a/include/loftrouter/model/types.hpp
+++ b/include/loftrouter/model/types.hpp
@@ -4,6 +4,8 @@
 // in GB; prices in the cloud's currency per hour.
 #pragma once
 
+#include <algorithm>
+#include <cmath>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -45,11 +47,23 @@
 
 // Resources that a task needs or a machine has. Memory in GB.
 struct Resources {
+  static constexpr double kTolerance = 1e-6;          // for sums of rounded amounts
+  static constexpr std::uint32_t kMaxCount = 100'000; // tasks; no job has more
   double cpus = 0, gpus = 0, memory = 0;
   // Returns whether this fits in `free`.
   bool fits(const Resources &free) const {
-    constexpr double tolerance = 1e-6;
-    return cpus <= free.cpus + tolerance && gpus <= free.gpus + tolerance && memory <= free.memory + tolerance;
+    return cpus <= free.cpus + kTolerance && gpus <= free.gpus + kTolerance && memory <= free.memory + kTolerance;
+  }
+  // Returns how many tasks with this need fit in `free` at the same time, at most `kMaxCount`. Takes constant time:
+  // amounts may be zero, or too small to change a sum.
+  std::uint32_t count_in(const Resources &free) const {
+    double count = kMaxCount;
+    for (const auto &[amount, available] :
+         {std::pair(cpus, free.cpus), std::pair(gpus, free.gpus), std::pair(memory, free.memory)}) {
+      if (amount > available + kTolerance) return 0;
+      if (amount > 0) count = std::min(count, std::floor((available + kTolerance) / amount));
+    }
+    return static_cast<std::uint32_t>(count);
   }
   // Adds `times` the resources; subtracts if negative.
   void add(const Resources &resources, double times = 1) {
--- a/src/core/autoscaling/capacity_planner.cpp
+++ b/src/core/autoscaling/capacity_planner.cpp
@@ -263,10 +263,11 @@
 }
 
 void PlanBuilder::assign_to_booting(Demand &demand, BootingMachine &machine) const {
-  while (demand.unserved_tasks >= 1 && demand.job.need.fits(machine.free)) {
-    machine.free.add(demand.job.need, -1);
-    demand.unserved_tasks -= demand.waves;
-  }
+  if (demand.unserved_tasks < 1) return;
+  const double wanted = std::floor((demand.unserved_tasks - 1) / demand.waves) + 1;
+  const double slots = std::min<double>(wanted, demand.job.need.count_in(machine.free));
+  machine.free.add(demand.job.need, -slots);
+  demand.unserved_tasks -= slots * demand.waves;
 }
 
 double PlanBuilder::tasks_per_machine(const Demand &demand, const MachineType &type) const {
@@ -342,13 +343,8 @@
 
 double PlanBuilder::booting_slots_in_zone(const Demand &demand, int zone) const {
   double slots = 0;
-  for (BootingMachine machine : booting_) {
-    if (machine.kind.zone != zone || !allowed_on(demand, machine.kind)) continue;
-    while (demand.job.need.fits(machine.free)) {
-      machine.free.add(demand.job.need, -1);
-      ++slots;
-    }
-  }
+  for (const BootingMachine &machine : booting_)
+    if (machine.kind.zone == zone && allowed_on(demand, machine.kind)) slots += demand.job.need.count_in(machine.free);
   return slots;
 }
 
--- a/src/core/federation/delegation_plan.cpp
+++ b/src/core/federation/delegation_plan.cpp
@@ -11,25 +11,17 @@
   return work.types.empty() || std::find(work.types.begin(), work.types.end(), kind.type) != work.types.end();
 }
 
-static std::uint32_t slots_in(const Resources &available, const Resources &need) {
-  double slots = 1e6;
-  for (auto [amount, demand] : {std::pair(available.cpus, need.cpus), std::pair(available.gpus, need.gpus),
-                                std::pair(available.memory, need.memory)})
-    if (demand > 0) slots = std::min(slots, std::floor(amount / demand + 1e-9));
-  return static_cast<std::uint32_t>(std::max(0.0, slots));
-}
-
 // Free capacity on partly used machines is fragmented, so only small tasks are counted there.
 std::uint32_t free_slots(const DelegationCandidate &work, const CellCapacity &cell) {
   constexpr double small_task_share = 0.25; // of a machine
   std::uint32_t slots = 0;
   for (const auto &kind : cell.kinds) {
     if (!can_run_on(work, kind)) continue;
-    slots += kind.idle * slots_in(kind.size, work.need);
+    slots += kind.idle * work.need.count_in(kind.size);
     Resources fragmented = kind.free, small_task = kind.size;
     fragmented.add(kind.size, -static_cast<double>(kind.idle));
     small_task.add(kind.size, small_task_share - 1);
-    if (work.need.fits(small_task)) slots += slots_in(fragmented, work.need);
+    if (work.need.fits(small_task)) slots += work.need.count_in(fragmented);
   }
   return slots;
 }
--- a/src/core/federation/delegations_in.cpp
+++ b/src/core/federation/delegations_in.cpp
@@ -36,8 +36,7 @@
       return;
     Resources remaining = machine.size;
     remaining.add(machine.used, -1);
-    for (; work.need.fits(remaining); free_cpus += work.need.cpus)
-      remaining.add(work.need, -1);
+    free_cpus += work.need.count_in(remaining) * work.need.cpus;
   });
   for (JobIndex job_index : inbound_list_) {
     const Job &job = jobs_[job_index];
--- a/src/core/scheduling/placement.cpp
+++ b/src/core/scheduling/placement.cpp
@@ -367,10 +367,9 @@
   for (const auto &[negative_share, position] : most_free) {
     if (tasks == 0) break;
     PlacementMachine &reserved_machine = machine(position);
-    while (tasks > 0 && job.need.fits(reserved_machine.size)) {
-      reserved_machine.size.add(job.need, -1);
-      --tasks;
-    }
+    const std::uint32_t reserved_tasks = std::min(tasks, job.need.count_in(reserved_machine.size));
+    reserved_machine.size.add(job.need, -static_cast<double>(reserved_tasks));
+    tasks -= reserved_tasks;
     reserved_machine.free = {};
     if (reserved_) reserved_->push_back({job.index, reserved_machine.index});
   }
--- a/tests/cells_test.cpp
+++ b/tests/cells_test.cpp
@@ -56,6 +56,24 @@
   }
 }
 
+// Guards against a capacity request that never ends, which hangs every leader of the remote cell in turn: messages
+// between cells hold thousandths, so a smaller amount arrives there as zero.
+TEST(CellFederation, WorkThatNeedsNoResourcesDoesNotHangTheRemoteCell) {
+  for (double cpus : {0.0, 0.0004}) {
+    Federation federation(1, small_first_cell(2, 0));
+    federation[1].at(2, [&federation] { federation[1].submit(spot_array(federation[1], 4, 100)); });
+    federation[0].at(30, [&federation, cpus] {
+      auto spec = spot_array(federation[0], 4, 5);
+      spec.need = {cpus, 0, 0};
+      federation[0].submit(spec);
+    });
+    federation.run(300);
+    EXPECT_TRUE(federation.broken().empty()) << violations(federation);
+    EXPECT_EQ(federation[1].finished_jobs, 1);
+    EXPECT_FALSE(federation.remote_starts.empty()) << cpus;
+  }
+}
+
 // The remote cell is partitioned, for good or for a while: reported tasks stay done, the others return to the origin
 // cell once their lease has expired, and each job ends once.
 TEST(CellFederation, WorkOfAnUnreachableCellReturnsToItsOrigin) {
--- a/tests/placement_test.cpp
+++ b/tests/placement_test.cpp
@@ -123,6 +123,29 @@
 
 } // namespace
 
+// Guards against counts that never end or that differ from taking the resources of one task after another.
+TEST(Resources, CountInMatchesRepeatedSubtraction) {
+  std::mt19937_64 rng(3);
+  const auto draw = [&rng](double high) {
+    return rng() % 4 ? std::round(std::uniform_real_distribution<double>(0, high)(rng) * 100) / 100 : 0.0;
+  };
+  for (int round = 0; round < 20'000; ++round) {
+    Resources need{draw(4), draw(2), draw(8)};
+    const Resources free{draw(64) - 1, draw(8), draw(256)};
+    if (need.cpus + need.gpus + need.memory == 0) need.memory = 0.5;
+    std::uint32_t expected = 0;
+    for (Resources left = free; need.fits(left); left.add(need, -1))
+      ++expected;
+    ASSERT_EQ(need.count_in(free), expected) << need.cpus << " " << need.gpus << " " << need.memory;
+  }
+  const Resources machine{4, 0, 16};
+  EXPECT_EQ(Resources{}.count_in(machine), Resources::kMaxCount);
+  EXPECT_EQ((Resources{1e-300, 0, 0}.count_in(machine)), Resources::kMaxCount);
+  EXPECT_EQ((Resources{0, 0, 1e-9}.count_in(machine)), Resources::kMaxCount);
+  EXPECT_EQ((Resources{0, 1, 0}.count_in(machine)), 0U);
+  EXPECT_EQ(Resources{}.count_in({-1, 0, 0}), 0U);
+}
+
 TEST(Placement, FitScoreIsFreeShareTimesRequestedShare) {
   PlacementMachine machine;
   machine.size = {10, 0, 100};
--- a/tests/world_test.cpp
+++ b/tests/world_test.cpp
@@ -40,6 +40,28 @@
   }
 }
 
+// Guards against a capacity plan that never ends, which hangs every leader in turn: a gang whose tasks need nothing, or
+// next to nothing, waits while a machine of its zone boots. See docs/incidents/gang-that-needs-nothing.md.
+TEST(World, GangThatNeedsNoResourcesDoesNotHangTheLeader) {
+  for (double cpus : {0.0, 1e-300, 1e-9, 0.001}) {
+    WorldOptions options;
+    for (auto &type : options.types)
+      type.boot_s = 150; // longer than `reserve_after_s`
+    options.min_boot_share = options.max_boot_share = 1;
+    World world(1, options);
+    auto ordinary = world.job(Shape::Array, 4, 1, 5, "blue");
+    auto gang = world.job(Shape::Gang, 70, cpus, 5);
+    gang.one_zone = true;
+    world.at(2, [&] {
+      world.submit(ordinary);
+      world.submit(gang);
+    });
+    world.run(400);
+    EXPECT_TRUE(world.broken.empty()) << cpus << "\n" << all(world);
+    EXPECT_EQ(world.finished_jobs, 2) << cpus;
+  }
+}
+
 // Proves that the checker can fail: cores that believe in a shorter lease restart tasks too early.
 TEST(World, CheckerCatchesTasksThatRunTwice) {
   bool caught = false;
