Cancellations are followed through the whole graph: jobs far below were called queued

What callers saw: pipelines are cancelled at their first job while the state service refuses the leader, and a second later it is out for longer than cancel_s.

Cause: a controller derived a cancellation from the jobs that a job names itself, and left what is further up to the leader's writes. The outage only made that visible. In the simulated world the same happens with no failure at all, at the leader too, wherever more jobs are below a cancelled one than the write budget settles within cancel_s; and a job submitted then, naming one of these, was accepted as queued.

Every controller follows the names all the way, in a cache of its own (OpenJobCache, out of JobApiHandler), and answers queued only if no record on the way has a cancellation since the request came; a submission is judged the same way before its commit. Each cached record keeps the time at which it was last confirmed, for all waiting requests, in place of a list of keys with each request. Where a job depends on more records than one transaction compares, one read of all changes since a known revision confirms them, so the cost of a question does not grow with the graph. Records that are not cached are read eight at a time instead of one after the other, and kept between questions. Nothing stored changes, and stored jobs are answered rightly at once.

Why it works: marks and ends are for ever, so all controllers derive the same from the same records, whoever leads and whatever is still to be written.

--- a/src/core/api/job_api_handler.cpp
+++ b/src/core/api/job_api_handler.cpp
@@ -13,9 +13,10 @@
 namespace {
 constexpr double kStoreTimeoutS = 1.4; // a client waits 2 s for a lookup and 5 s for a submission
 constexpr int kMaxUserOperations = 256;
-// Capacity of the cache of open records, about 2.3 MB. An evicted record costs a read at the next request.
-constexpr std::size_t kMaxOpenJobs = 12'000;
 constexpr double kCheckIntervalS = 0.03;       // between revision checks
+constexpr double kFollowIdleS = 60;            // following ends when no request has needed it for so long
+constexpr double kFollowRetryS = 5;            // after a read of changes without an answer
+constexpr double kCheckRetryIntervalS = 0.01;  // after a check for which no read was left
 constexpr double kTimeoutScanIntervalS = 0.05; // between scans for requests that waited too long
 // A forwarded request has to be answered while the client waits: 2 s for a lookup, 5 s for a change.
 constexpr double kForwardedLookupTimeoutS = 1.8, kForwardedChangeTimeoutS = 4.5, kMinForwardTimeS = 0.15;
@@ -23,6 +24,9 @@
 constexpr std::string_view kUnreachable = "this node reaches neither the state service nor a replica that does";
 constexpr double kCancelRetryWindowS = 1.5; // for retries of a cancellation that lost a compare-and-swap
 constexpr double kReplicaStatusMaxAgeS = 1.2;
+constexpr std::size_t kMaxDependencyLookups = 8;         // in flight
+constexpr double kReadsPerLookup = 1.3;                  // on average: the open record, and sometimes the end record
+constexpr std::size_t kMaxDependenciesFollowed = 20'000; // in one batch; then the other requests wait for the next
 } // namespace
 
 JobApiHandler::Feasibility JobApiHandler::check_feasibility(const JobSpec &spec, std::string &reason) const {
@@ -138,9 +142,7 @@
   if (message.status == 200) {
     const bool short_reply = verb != Verb::Look;
     if (const auto *end = ended_.find(id)) return reply_ended(forwarded->request, id, *end, short_reply);
-    if (const auto it = open_jobs_.find(id);
-        it != open_jobs_.end() && (it->second.cancelled || !find_cancelled_dependency(id).empty()))
-      return reply_open({forwarded->request, id, short_reply, runtime_.now()}, true);
+    if (open_jobs_.known_cancelled(id)) return reply_open({forwarded->request, id, short_reply, runtime_.now()}, true);
   }
   runtime_.reply(forwarded->request, message.status, message.body,
                  message.retry_s ? std::optional<int>(message.retry_s) : std::nullopt);
@@ -224,10 +226,11 @@
   auto value = wire::to_json(record);
   runtime_.store(StoreCommit{{{wire::open_key(request.id), 0}, {wire::end_key(request.id), 0}},
                              {{wire::open_key(request.id), std::move(value), 0}}},
-                 kStoreTimeoutS, [this, request, record = std::move(record)](const wire::StoreReply &reply) {
+                 kStoreTimeoutS,
+                 [this, request, record = std::move(record), sent_at = runtime_.now()](const wire::StoreReply &reply) {
                    --operations_in_flight_;
                    if (reply.status == 200) {
-                     remember_open(record, reply.revision, record.cancelled);
+                     remember_open(record, reply.revision, record.cancelled, sent_at);
                      return runtime_.reply(
                          request.request_id, 201,
                          wire::encode_accepted(request.id, record.cancelled ? JobState::Cancelled : JobState::Queued));
@@ -267,61 +270,88 @@
     return reject_unless_accepted(
         submission->request, submission->record.spec,
         fmt::format("dependency {} is a service, which never completes", submission->service));
-  submission->record.cancelled = submission->cancelled;
-  commit_submission(submission->request, std::move(submission->record));
+  if (submission->cancelled) {
+    submission->record.cancelled = true;
+    return commit_submission(submission->request, std::move(submission->record));
+  }
+  if (unverified_requests_.size() >= kMaxUserOperations)
+    return runtime_.refuse(submission->request.request_id, "too many concurrent requests");
+  // What is cached of the dependencies may be old, and jobs further up may be cancelled.
+  PendingRequest request = submission->request;
+  request.max_wait_s = runtime_.now() - request.received_at + kDependenciesMaxWaitS;
+  request.submission = submission;
+  unverified_requests_.push_back(std::move(request));
+  cache_changed_ = true;
 }
 
 const JobApiHandler::OpenJob *JobApiHandler::find_open_job(const std::string &id) {
-  if (const auto it = open_jobs_.find(id); it != open_jobs_.end()) return &it->second;
+  if (const OpenJob *open = open_jobs_.find(id)) return open;
   // A cancellation that this leader propagated along the dependency graph may not be recorded yet.
   const JobIndex job_index = leadership_.leading() ? jobs_.index(id) : JobIndex();
   if (!job_index.valid() || jobs_[job_index].cancelled || jobs_[job_index].ending || jobs_[job_index].delegated_here)
     return nullptr;
   remember_open({jobs_[job_index].spec, jobs_[job_index].submit_wall, false, {}}, jobs_[job_index].open_mod_revision,
-                false);
-  return &open_jobs_.find(id)->second;
+                false, OpenJobCache::kNeverConfirmed);
+  return open_jobs_.find(id);
 }
 
 JobApiHandler::JobStatus JobApiHandler::known_status(const std::string &id) {
   if (const auto *end = ended_.find(id)) return end->cancelled ? JobStatus::Cancelled : JobStatus::Done;
   const auto *open = find_open_job(id);
   if (!open) return JobStatus::Unknown;
-  return open->cancelled ? JobStatus::Cancelled : open->service ? JobStatus::Service : JobStatus::Open;
+  return open->is_cancelled() ? JobStatus::Cancelled : open->service ? JobStatus::Service : JobStatus::Open;
 }
 
-// Reads the open record before the end record, the order in which a job moves through them.
 void JobApiHandler::look_up(const std::string &id, std::function<void(JobStatus)> callback) {
-  if (operations_in_flight_ >= kMaxUserOperations || !state_limits_.take_read(runtime_.now(), 1.3))
-    return callback(JobStatus::Unknown);
+  if (!try_look_up(id, callback)) callback(JobStatus::Unknown);
+}
+
+// Reads the open record before the end record, the order in which a job moves through them.
+bool JobApiHandler::try_look_up(const std::string &id, std::function<void(JobStatus)> callback) {
+  if (operations_in_flight_ >= kMaxUserOperations || !state_limits_.take_read(runtime_.now(), kReadsPerLookup))
+    return false;
   ++operations_in_flight_;
-  runtime_.store(StoreGet{wire::open_key(id)}, kStoreTimeoutS / 2,
-                 [this, id, callback](const wire::StoreReply &open_reply) {
-                   --operations_in_flight_;
-                   const bool has_record = open_reply.status == 200 && open_reply.entries.size() == 1;
-                   if (auto end = has_record ? wire::final_from_json(open_reply.entries[0].value) : std::nullopt) {
-                     ended_.remember(id, std::move(*end));
-                     return callback(known_status(id));
-                   }
-                   if (auto open = has_record ? wire::open_from_json(open_reply.entries[0].value) : std::nullopt;
-                       open && !open->delegated) {
-                     remember_open(*open, open_reply.entries[0].mod_revision, open->cancelled);
-                     return callback(known_status(id));
-                   } else if (open_reply.status != 404 && !open) {
-                     return callback(JobStatus::Unknown);
-                   }
-                   ++operations_in_flight_;
-                   runtime_.store(StoreGet{wire::end_key(id)}, kStoreTimeoutS / 2,
-                                  [this, id, callback](const wire::StoreReply &reply) {
-                                    --operations_in_flight_;
-                                    if (reply.status == 404) return callback(JobStatus::NeverAccepted);
-                                    auto end = reply.status == 200 && reply.entries.size() == 1
-                                                   ? wire::end_from_json(reply.entries[0].value)
-                                                   : std::nullopt;
-                                    if (!end) return callback(JobStatus::Unknown);
-                                    ended_.remember(id, std::move(*end));
-                                    callback(known_status(id));
-                                  });
-                 });
+  runtime_.store(
+      StoreGet{wire::open_key(id)}, kStoreTimeoutS / 2,
+      [this, id, callback = std::move(callback), sent_at = runtime_.now()](const wire::StoreReply &open_reply) {
+        --operations_in_flight_;
+        const bool has_record = open_reply.status == 200 && open_reply.entries.size() == 1;
+        if (auto end = has_record ? wire::final_from_json(open_reply.entries[0].value) : std::nullopt) {
+          ended_.remember(id, std::move(*end));
+          return callback(known_status(id));
+        }
+        if (auto open = has_record ? wire::open_from_json(open_reply.entries[0].value) : std::nullopt;
+            open && !open->delegated) {
+          remember_open(*open, open_reply.entries[0].mod_revision, open->cancelled, sent_at);
+          return callback(known_status(id));
+        } else if (open_reply.status != 404 && !open) {
+          return callback(JobStatus::Unknown);
+        }
+        ++operations_in_flight_;
+        runtime_.store(
+            StoreGet{wire::end_key(id)}, kStoreTimeoutS / 2, [this, id, callback](const wire::StoreReply &reply) {
+              --operations_in_flight_;
+              if (reply.status == 404) return callback(JobStatus::NeverAccepted);
+              auto end = reply.status == 200 && reply.entries.size() == 1 ? wire::end_from_json(reply.entries[0].value)
+                                                                          : std::nullopt;
+              if (!end) return callback(JobStatus::Unknown);
+              ended_.remember(id, std::move(*end));
+              callback(known_status(id));
+            });
+      });
+  return true;
+}
+
+// Reads the record of a job that waiting requests need to know about.
+void JobApiHandler::look_up_dependency(const std::string &id) {
+  if (dependency_lookups_.size() >= kMaxDependencyLookups || dependency_lookups_.contains(id)) return;
+  const bool started = try_look_up(id, [this, id](JobStatus status) {
+    dependency_lookups_.erase(id);
+    if (status == JobStatus::NeverAccepted || status == JobStatus::Unknown)
+      failed_dependency_lookups_[id] = runtime_.now();
+    cache_changed_ = true;
+  });
+  if (started) dependency_lookups_.insert(id);
 }
 
 void JobApiHandler::take(LookupCommand &&command) {
@@ -332,22 +362,23 @@
 void JobApiHandler::reply_state(const PendingRequest &request) {
   if (const auto *end = ended_.find(request.id))
     return reply_ended(request.request_id, request.id, *end, request.is_submission);
-  auto cached = open_jobs_.find(request.id);
+  const OpenJob *cached = open_jobs_.find(request.id);
   // Cancellation is permanent; that a job is still open has to be checked.
-  if (cached != open_jobs_.end() && cached->second.cancelled) return reply_open(request, true);
+  if (cached && cached->is_cancelled()) return reply_open(request, true);
   if (replicas_.state_service_lost()) return forward_or_refuse(request, Verb::Look, kUnreachable);
-  if (cached == open_jobs_.end()) return read_open_record(request);
+  if (!cached) return read_open_record(request);
   if (unverified_requests_.size() >= kMaxUserOperations)
     return runtime_.refuse(request.request_id, "too many concurrent requests");
   unverified_requests_.push_back(request);
 }
 
 void JobApiHandler::read_open_record(const PendingRequest &request) {
-  if (operations_in_flight_ >= kMaxUserOperations || !state_limits_.take_read(runtime_.now(), 1.3))
+  if (operations_in_flight_ >= kMaxUserOperations || !state_limits_.take_read(runtime_.now(), kReadsPerLookup))
     return runtime_.refuse(request.request_id, "too many concurrent requests");
   ++operations_in_flight_;
   runtime_.store(
-      StoreGet{wire::open_key(request.id)}, kStoreTimeoutS / 2, [this, request](const wire::StoreReply &reply) {
+      StoreGet{wire::open_key(request.id)}, kStoreTimeoutS / 2,
+      [this, request, sent_at = runtime_.now()](const wire::StoreReply &reply) {
         --operations_in_flight_;
         if (reply.status == 404) return read_end_record(request, false);
         if (auto end = reply.entries.size() == 1 ? wire::final_from_json(reply.entries[0].value) : std::nullopt) {
@@ -360,178 +391,249 @@
         if (open->delegated)
           return request.is_submission ? reclaim_job_id(request, reply.entries[0].mod_revision, std::move(*open))
                                        : read_end_record(request, false);
-        remember_open(*open, reply.entries[0].mod_revision, open->cancelled);
+        remember_open(*open, reply.entries[0].mod_revision, open->cancelled, sent_at);
         if (open->cancelled || open->spec.dependencies.empty()) return reply_open(request, open->cancelled);
-        PendingRequest dependency_check = request;
-        dependency_check.max_wait_s = kDependenciesMaxWaitS;
-        dependency_check.unchanged_keys.push_back(wire::open_key(request.id));
-        unverified_requests_.push_back(std::move(dependency_check));
+        unverified_requests_.push_back(request);
+        cache_changed_ = true;
       });
 }
 
-// Returns a dependency that this node knows to be cancelled, or an empty string.
-std::string JobApiHandler::find_cancelled_dependency(const std::string &id) {
-  const auto it = open_jobs_.find(id);
-  if (it == open_jobs_.end()) return {};
-  const auto dependencies = it->second.dependencies;
-  for (const auto &name : dependencies)
-    if (known_status(name) == JobStatus::Cancelled) return name;
-  return {};
-}
-
 void JobApiHandler::reply_open(const PendingRequest &request, bool cancelled) {
   // The caches were updated while the request was in flight and are newer than what was read.
   if (const auto *end = ended_.find(request.id))
     return reply_ended(request.request_id, request.id, *end, request.is_submission);
-  if (auto it = open_jobs_.find(request.id); it != open_jobs_.end()) cancelled |= it->second.cancelled;
-  const auto cancelled_dependency = find_cancelled_dependency(request.id);
+  if (const OpenJob *open = open_jobs_.find(request.id)) cancelled |= open->is_cancelled();
+  const auto cancelled_dependency = open_jobs_.cancelled_dependency(request.id);
   auto view = status_reporter_.view(request.id, cancelled || !cancelled_dependency.empty());
   if (!cancelled_dependency.empty()) view.reason = dependency_cancelled_reason(cancelled_dependency);
   runtime_.reply(request.request_id, 200,
                  request.is_submission ? wire::encode_accepted(request.id, view.state) : wire::encode_job_view(view));
 }
 
-void JobApiHandler::remember_open(const OpenRecord &record, std::uint64_t mod_revision, bool cancelled) {
+void JobApiHandler::remember_open(const OpenRecord &record, std::uint64_t mod_revision, bool cancelled,
+                                  double confirmed_at) {
   const std::string &id = record.spec.id;
+  OpenJob job;
+  job.mod_revision = mod_revision;
+  job.cancelled = cancelled;
+  job.service = record.spec.shape == Shape::Service;
+  job.dependencies = record.spec.dependencies;
+  job.confirmed_at = confirmed_at;
   // The leader has to learn of every cancellation that was reported to a user, whichever node wrote it.
-  const auto previous = open_jobs_.find(id);
-  if (cancelled && (previous == open_jobs_.end() || !previous->second.cancelled)) cancellations_.record(id);
-  auto [it, inserted] = open_jobs_.try_emplace(
-      id, OpenJob{mod_revision, cancelled, record.spec.shape == Shape::Service, record.spec.dependencies});
-  if (!inserted && mod_revision > it->second.mod_revision) {
-    it->second.mod_revision = mod_revision;
-    it->second.cancelled = cancelled;
-  }
-  if (!inserted) return;
-  open_job_order_.push_back(id);
-  if (open_job_order_.size() <= kMaxOpenJobs) return;
-  open_jobs_.erase(open_job_order_.front());
-  open_job_order_.pop_front();
-}
-
-// Adds preconditions to `commit`: that the records of the request's job, and of its dependencies that are not known to
-// be done, are unchanged. Returns nullopt if the request was answered or deferred. A job with a cancelled dependency is
-// cancelled too; every replica derives that from the same records, without waiting for the leader to record it.
-std::optional<JobApiHandler::RevisionCheck> JobApiHandler::prepare_check(PendingRequest request, StoreCommit &commit) {
-  std::vector<std::pair<std::string, std::uint64_t>> expected;
-  const auto own_entry = open_jobs_.find(request.id);
-  if (own_entry == open_jobs_.end() || own_entry->second.cancelled) { // ended, cancelled or evicted meanwhile
-    reply_state(request);
-    return std::nullopt;
-  }
-  RevisionCheck check;
-  expected.emplace_back(wire::open_key(request.id), own_entry->second.mod_revision);
-  const auto dependencies = own_entry->second.dependencies; // a copy: the calls below may move the entry
-  std::vector<std::string> done_dependencies;
-  for (const auto &name : dependencies) {
-    const JobStatus status = known_status(name);
-    if (status == JobStatus::Cancelled) {
-      reply_open(request, true);
-      return std::nullopt;
-    }
-    if (status == JobStatus::Unknown) {
-      request.max_wait_s = kDependenciesMaxWaitS;
-      look_up(name, [this, request](JobStatus read_status) mutable {
-        if (read_status == JobStatus::NeverAccepted || read_status == JobStatus::Unknown)
-          return forward_or_refuse(request, Verb::Look, "the state of the job's dependencies is not known at present");
-        unverified_requests_.push_back(std::move(request));
-      });
-      return std::nullopt;
-    }
-    if (status == JobStatus::Done)
-      done_dependencies.push_back(name);
-    else
-      expected.emplace_back(wire::open_key(name), open_jobs_.find(name)->second.mod_revision);
-  }
-  if (auto it = open_jobs_.find(request.id); it != open_jobs_.end() && !done_dependencies.empty())
-    std::erase_if(it->second.dependencies, [&](const auto &name) {
-      return std::find(done_dependencies.begin(), done_dependencies.end(), name) != done_dependencies.end();
-    });
-  for (auto &[key, mod_revision] : expected) {
-    if (std::find(request.unchanged_keys.begin(), request.unchanged_keys.end(), key) != request.unchanged_keys.end())
-      continue;
-    if (std::none_of(commit.preconditions.begin(), commit.preconditions.end(),
-                     [&key = key](const auto &precondition) { return precondition.key == key; })) {
-      if (commit.preconditions.size() >= max_preconditions()) {
-        check.complete = false; // the remaining keys go into the next check
-        break;
-      }
-      commit.preconditions.push_back({key, mod_revision});
-    }
-    check.keys.push_back(key);
-  }
-  check.request = std::move(request);
-  return check;
+  if (open_jobs_.remember(id, std::move(job))) cancellations_.record(id);
+}
+
+void JobApiHandler::on(const JobEndLearned &event) {
+  open_jobs_.erase(event.id);
+  cache_changed_ = true;
 }
 
 // Answers many requests with one transaction of revision preconditions: a cached record whose revision is unchanged is
-// current. The transaction is sent after the requests arrived, so the replies are not stale.
+// current. Where a job depends on more records than a transaction compares, one read of all changes since the last one
+// confirms them instead. Either is sent after the requests arrived, so the replies are not stale.
 void JobApiHandler::check_open_records() {
+  if (unverified_requests_.empty()) return;
+  refuse_expired_requests();
   const double now = runtime_.now();
-  if (!unverified_requests_.empty() && now >= next_timeout_scan_at_) {
-    next_timeout_scan_at_ = now + kTimeoutScanIntervalS;
-    for (std::size_t left = unverified_requests_.size(); left-- > 0;) {
-      PendingRequest request = std::move(unverified_requests_.front());
-      unverified_requests_.pop_front();
-      if (now - request.received_at > request.max_wait_s)
-        runtime_.refuse(request.request_id, "too many concurrent requests");
-      else
-        unverified_requests_.push_back(std::move(request));
-    }
+  const bool check_due = !check_in_flight_ && now >= next_check_at_;
+  const bool follow_due = open_jobs_.following() && !follow_in_flight_ && now >= next_follow_at_;
+  if (!std::exchange(cache_changed_, false) && !check_due && !follow_due) return;
+  if (open_jobs_.following() && now >= follow_until_) open_jobs_.stop_following();
+  NeededChecks needed = answer_waiting_requests();
+  if (check_due && !needed.unconfirmed.empty()) {
+    next_check_at_ = now + kCheckRetryIntervalS;
+    if (state_limits_.take_read(now)) send_check(std::move(needed.unconfirmed));
   }
-  if (check_in_flight_ || unverified_requests_.empty() || now < next_check_at_ || !state_limits_.take_read(now)) return;
-  next_check_at_ = now + kCheckIntervalS;
-  check_in_flight_ = true;
-  StoreCommit commit;
-  std::vector<RevisionCheck> checks;
-  const std::size_t limit = max_preconditions();
+  if (follow_due && needed.follow) {
+    next_follow_at_ = now + kCheckRetryIntervalS;
+    if (state_limits_.take_read(now)) read_changes();
+  }
+}
+
+void JobApiHandler::refuse_expired_requests() {
+  const double now = runtime_.now();
+  if (now < next_timeout_scan_at_) return;
+  next_timeout_scan_at_ = now + kTimeoutScanIntervalS;
+  std::erase_if(failed_dependency_lookups_,
+                [now](const auto &failed) { return now - failed.second > kDependenciesMaxWaitS; });
+  std::erase_if(unverified_requests_, [this, now](const PendingRequest &request) {
+    const bool reply_expected = (check_in_flight_ && request.received_at <= check_requested_at_) ||
+                                (follow_in_flight_ && request.received_at <= follow_requested_at_);
+    const bool expired = !reply_expected && now - request.received_at > request.max_wait_s;
+    if (expired) runtime_.refuse(request.request_id, "too many concurrent requests");
+    return expired;
+  });
+}
+
+JobApiHandler::NeededChecks JobApiHandler::answer_waiting_requests() {
+  NeededChecks needed;
   for (std::size_t left = unverified_requests_.size();
-       left-- > 0 && checks.size() < limit && commit.preconditions.size() < limit;) {
+       left-- > 0 && needed.dependencies_followed < kMaxDependenciesFollowed;) {
     PendingRequest request = std::move(unverified_requests_.front());
     unverified_requests_.pop_front();
-    auto check = prepare_check(std::move(request), commit);
-    if (!check) continue;
-    if (check->keys.empty() && check->complete)
-      reply_open(check->request, false); // just read, and all of its dependencies are done
+    if (advance(request, needed) == Progress::Waiting) unverified_requests_.push_back(std::move(request));
+  }
+  return needed;
+}
+
+// Answers the request if everything is known that the answer depends on. Otherwise reads what is not cached, and adds
+// the cached records to be confirmed. A job with a cancelled dependency is cancelled too, and so is what depends on it;
+// every replica derives that from the same records, without waiting for the leader to record it.
+JobApiHandler::Progress JobApiHandler::advance(PendingRequest &request, NeededChecks &needed) {
+  std::vector<std::string> examined{request.id};
+  if (request.submission) {
+    examined = request.submission->record.spec.dependencies;
+  } else {
+    const OpenJob *open = open_jobs_.find(request.id);
+    if (!open || open->is_cancelled()) { // ended, cancelled or evicted meanwhile
+      reply_state(request);
+      return Progress::Answered;
+    }
+    if (!open->dependencies.empty()) request.max_wait_s = kDependenciesMaxWaitS;
+  }
+  auto examination = examine(examined, request.received_at, needed);
+  if (examination.cancelled || examination.all_confirmed()) {
+    finish(request, examination.cancelled);
+    return Progress::Answered;
+  }
+  if (const std::string_view failure = failure_of(examination, request.received_at); !failure.empty()) {
+    fail(request, failure);
+    return Progress::Answered;
+  }
+  for (const auto &id : examination.unknown) {
+    if (find_open_job(id))
+      cache_changed_ = true; // the leader knows it
     else
-      checks.push_back(std::move(*check));
+      look_up_dependency(id);
+  }
+  const bool follow = examination.follow_needed && examination.unknown.empty() && examination.unconfirmed.empty();
+  needed.follow |= follow;
+  if (!examination.unconfirmed.empty()) needed.unconfirmed.push_back(std::move(examination.unconfirmed));
+  return Progress::Waiting;
+}
+
+// Examines jobs and what they depend on, by following where there are too many records for one transaction.
+OpenJobCache::Examination JobApiHandler::examine(const std::vector<std::string> &ids, double since,
+                                                 NeededChecks &needed) {
+  OpenJobCache::ExaminationOptions options{.since = since, .max_listed = max_preconditions() + 1};
+  auto examination = open_jobs_.examine(ids, options);
+  needed.dependencies_followed += examination.dependencies_followed;
+  if (!examination.too_many) return examination;
+  follow_until_ = runtime_.now() + kFollowIdleS;
+  options.by_following = true;
+  examination = open_jobs_.examine(ids, options);
+  needed.dependencies_followed += examination.dependencies_followed;
+  return examination;
+}
+
+// Returns why a request received at that time can't be answered here, or an empty text while it may still be.
+std::string_view JobApiHandler::failure_of(const OpenJobCache::Examination &examination, double received_at) const {
+  const bool lookup_failed = std::any_of(examination.unknown.begin(), examination.unknown.end(), [&](const auto &id) {
+    const auto failed = failed_dependency_lookups_.find(id);
+    return failed != failed_dependency_lookups_.end() && failed->second >= received_at;
+  });
+  if (lookup_failed) return "the state of the job's dependencies is not known at present";
+  const bool check_failed = !examination.unconfirmed.empty() && received_at <= failed_check_requested_at_;
+  const bool follow_failed = examination.too_many && received_at <= failed_follow_requested_at_;
+  return check_failed || follow_failed ? "the state service did not answer" : "";
+}
+
+void JobApiHandler::finish(const PendingRequest &request, bool cancelled) {
+  if (!request.submission) return reply_open(request, cancelled);
+  OpenRecord &record = request.submission->record;
+  record.cancelled = cancelled;
+  commit_submission(request.submission->request, std::move(record));
+}
+
+void JobApiHandler::fail(const PendingRequest &request, std::string_view reason) {
+  if (!request.submission) return forward_or_refuse(request, Verb::Look, reason);
+  forward_or_refuse(request.submission->request, request.submission->record.spec, reason);
+}
+
+// Adds as many records as one transaction takes, those of the requests first that need the fewest: one job far down a
+// large graph must not hold up all others.
+void JobApiHandler::send_check(std::vector<std::vector<std::string>> unconfirmed) {
+  std::stable_sort(unconfirmed.begin(), unconfirmed.end(),
+                   [](const auto &left, const auto &right) { return left.size() < right.size(); });
+  std::set<std::string> checked;
+  StoreCommit commit;
+  for (const auto &ids : unconfirmed)
+    for (const auto &id : ids) {
+      if (commit.preconditions.size() >= max_preconditions()) break;
+      const OpenJob *open = open_jobs_.find(id);
+      if (open && checked.insert(id).second) commit.preconditions.push_back({wire::open_key(id), open->mod_revision});
+    }
+  if (commit.preconditions.empty()) return;
+  check_requested_at_ = runtime_.now();
+  next_check_at_ = check_requested_at_ + kCheckIntervalS;
+  check_in_flight_ = true;
+  auto preconditions = commit.preconditions;
+  runtime_.store(std::move(commit), kStoreTimeoutS / 2,
+                 [this, preconditions = std::move(preconditions)](const wire::StoreReply &reply) {
+                   on_check_reply(preconditions, reply);
+                 });
+}
+
+void JobApiHandler::on_check_reply(const std::vector<wire::Precondition> &checked, const wire::StoreReply &reply) {
+  const double requested_at = check_requested_at_;
+  check_in_flight_ = false;
+  cache_changed_ = true;
+  if (reply.status == 409) { // read again: these have been cancelled or have ended meanwhile
+    for (const auto &key : reply.failed)
+      open_jobs_.erase(wire::record_name(key));
+    return;
   }
-  if (commit.preconditions.empty()) {
-    check_in_flight_ = false;
+  if (reply.status != 200) {
+    failed_check_requested_at_ = requested_at;
     return;
   }
-  runtime_.store(
-      std::move(commit), kStoreTimeoutS / 2, [this, checks = std::move(checks)](const wire::StoreReply &reply) {
-        check_in_flight_ = false;
-        auto failed = [&](const std::string &key) {
-          return std::find(reply.failed.begin(), reply.failed.end(), key) != reply.failed.end();
-        };
-        for (auto check : checks) {
-          auto &request = check.request;
-          if (reply.status != 200 && reply.status != 409) {
-            forward_or_refuse(request, Verb::Look, "the state service did not answer");
-            continue;
-          }
-          if (failed(wire::open_key(request.id))) {
-            read_open_record(request); // cancelled or ended meanwhile
-            continue;
-          }
-          for (const auto &key : check.keys)
-            if (failed(key)) { // a dependency changed; it is read again
-              open_jobs_.erase(wire::record_name(key));
-              request.max_wait_s = kDependenciesMaxWaitS;
-            }
-          if (reply.status == 200 && check.complete) {
-            reply_open(request, false);
-            continue;
-          }
-          if (reply.status == 200) {
-            request.max_wait_s = kDependenciesMaxWaitS;
-            request.unchanged_keys.insert(request.unchanged_keys.end(), check.keys.begin(), check.keys.end());
-          }
-          unverified_requests_.push_back(std::move(request));
-        }
-      });
+  const bool start_following =
+      !open_jobs_.following() && runtime_.now() < follow_until_ && runtime_.now() >= follow_retry_at_;
+  if (start_following) open_jobs_.start_following(reply.revision, requested_at);
+  for (const auto &precondition : checked)
+    open_jobs_.confirm(wire::record_name(precondition.key), precondition.mod_revision, requested_at);
+  if (start_following) open_jobs_.revision_learned(runtime_.now());
+}
+
+// Reads what has changed in the open records since the revision that is followed.
+void JobApiHandler::read_changes() {
+  follow_in_flight_ = true;
+  follow_requested_at_ = runtime_.now();
+  next_follow_at_ = follow_requested_at_ + kCheckIntervalS;
+  const std::uint64_t from = open_jobs_.followed_revision();
+  runtime_.store(StoreWatch{std::string(wire::kOpenPrefix), from, 0}, kStoreTimeoutS / 2,
+                 [this, from](const wire::StoreReply &reply) { on_changes(from, reply); });
+}
+
+void JobApiHandler::on_changes(std::uint64_t from, const wire::StoreReply &reply) {
+  const double requested_at = follow_requested_at_;
+  follow_in_flight_ = false;
+  cache_changed_ = true;
+  if (!open_jobs_.following() || open_jobs_.followed_revision() != from) return; // begun anew meanwhile
+  if (reply.status != 200) { // transactions are used again, and following begins anew after a while
+    open_jobs_.stop_following();
+    failed_follow_requested_at_ = requested_at;
+    follow_retry_at_ = runtime_.now() + kFollowRetryS;
+    return;
+  }
+  for (const auto &change : reply.events)
+    apply_change(change, requested_at);
+  open_jobs_.followed_to(reply.revision, requested_at, runtime_.now());
+}
+
+// Applies a change to a cached record; what is not cached is not followed.
+void JobApiHandler::apply_change(const wire::WatchEvent &change, double requested_at) {
+  const std::string id = wire::record_name(change.key);
+  if (!open_jobs_.find(id)) return;
+  if (auto end = change.value ? wire::final_from_json(*change.value) : std::nullopt) {
+    ended_.remember(id, std::move(*end));
+    return open_jobs_.erase(id);
+  }
+  const auto open = change.value ? wire::open_from_json(*change.value) : std::nullopt;
+  if (open && !open->delegated)
+    remember_open(*open, change.mod_revision, open->cancelled, requested_at);
+  else
+    open_jobs_.erase(id);
 }
 
 // Cancels a job delegated from another cell whose id a local user has submitted: local users have priority. The user
@@ -599,7 +701,7 @@
         if (!open) return forward_or_refuse(request, Verb::Abort, "the state service did not answer");
         if (open->delegated) return read_end_record(request, true); // not a job of a local user
         if (open->cancelled) {
-          remember_open(*open, open_reply.entries[0].mod_revision, true);
+          remember_open(*open, open_reply.entries[0].mod_revision, true, OpenJobCache::kNeverConfirmed);
           return runtime_.reply(request.request_id, 200, wire::encode_accepted(request.id, JobState::Cancelled));
         }
         open->cancelled = true;
@@ -616,7 +718,7 @@
                        kStoreTimeoutS, [this, request, record = *open](const wire::StoreReply &reply) {
                          --operations_in_flight_;
                          if (reply.status == 200) {
-                           remember_open(record, reply.revision, true);
+                           remember_open(record, reply.revision, true, OpenJobCache::kNeverConfirmed);
                            return runtime_.reply(request.request_id, 200,
                                                  wire::encode_accepted(request.id, JobState::Cancelled));
                          }
--- a/src/store/store_client.cpp
+++ b/src/store/store_client.cpp
@@ -10,7 +10,8 @@
 
 const net::HttpClient::Options kRequestOptions{.max_connections = 8, .max_queued = 256, .max_response = 4 << 20};
 const net::HttpClient::Options kLeaseOptions{.max_connections = 2, .max_queued = 8, .max_response = 64 << 10};
-const net::HttpClient::Options kWatchOptions{.max_connections = 2, .max_queued = 4, .max_response = 8 << 20};
+// Two watches are held open, of the open records and of the configuration; the third connection reads changes at once.
+const net::HttpClient::Options kWatchOptions{.max_connections = 3, .max_queued = 4, .max_response = 8 << 20};
 constexpr double kMillisecondsPerSecond = 1000;
 
 std::string list_target(const core::StoreList &list) {
--- a/tests/pipelines_test.cpp
+++ b/tests/pipelines_test.cpp
@@ -4,6 +4,8 @@
 
 #include <fstream>
 
+#include <fmt/format.h>
+
 #include "leadership_fixture.hpp"
 #include "loftrouter/app/settings.hpp"
 #include "scenario.hpp"
@@ -57,6 +59,51 @@
     });
 }
 
+// Submits `layers` layers of `width` jobs, each job needing all jobs of the layer before, and returns the ids by layer.
+// The jobs of the first layer run for a long time.
+std::vector<std::vector<std::string>> submit_layers(World &world, int layers, int width) {
+  std::vector<std::vector<std::string>> ids(static_cast<std::size_t>(layers));
+  for (std::size_t layer = 0; layer < ids.size(); ++layer)
+    for (int i = 0; i < width; ++i) {
+      auto spec = world.job(Shape::Array, 1, 0.01, layer == 0 ? 5000 : 5);
+      if (layer > 0) spec.dependencies = ids[layer - 1];
+      ids[layer].push_back(spec.id);
+      submit_when_accepted(world, spec, world.now() + 300);
+    }
+  return ids;
+}
+
+// Collects what every replica answers about the jobs, asked again every `interval_s` for `for_s`, as "id at node:
+// answer".
+std::vector<std::string> answers_other_than_aborted(World &world, const std::vector<std::string> &ids,
+                                                    double interval_s, double for_s) {
+  struct Question {
+    std::string who;
+    std::shared_ptr<World::Answer> answer;
+  };
+  std::vector<Question> questions;
+  const double end = world.now() + for_s;
+  while (world.now() < end) {
+    for (const auto &id : ids)
+      for (int node = 0; node < 3; ++node)
+        questions.push_back({fmt::format("t={:.2f} {} at {}", world.now(), id, node), world.look_up(node, id)});
+    world.run(world.now() + interval_s);
+  }
+  world.run(world.now() + 2);
+  std::vector<std::string> wrong;
+  int aborted = 0;
+  for (const auto &[who, answer] : questions) {
+    if (answer->status != 200) continue;
+    const auto status = answer->body["status"].get<std::string>();
+    if (status == "aborted")
+      ++aborted;
+    else
+      wrong.push_back(who + ": " + status);
+  }
+  if (aborted == 0) wrong.push_back("no question was answered");
+  return wrong;
+}
+
 } // namespace
 
 // ---- compatibility with the version in production ----
@@ -378,6 +425,81 @@
   EXPECT_EQ(world.open_records(), 0);
 }
 
+// Guards against jobs called queued longer than `cancel_s` after a job far above them was cancelled: the leader, which
+// is refused and then without the state service, can't record the ends of the jobs between. One replica restarts.
+TEST(Pipelines, JobsFarBelowACancelledOneAreAbortedAfterAnOutage) {
+  for (int restarted : {-1, 0, 1}) { // counted from the leader
+    World world(9, {});
+    std::vector<std::vector<std::vector<std::string>>> pipelines;
+    world.at(5, [&] {
+      for (int i = 0; i < 3; ++i)
+        pipelines.push_back(submit_layers(world, 5, 1 + i));
+    });
+    world.run(30);
+    const int leader = world.leader();
+    ASSERT_GE(leader, 0);
+    world.cut_state(leader, 60, World::Cut::Refuse);
+    for (const auto &pipeline : pipelines)
+      world.cancel(pipeline[0].back(), (leader + 1) % 3);
+    world.run(31);
+    ASSERT_EQ(world.cancelled_jobs, 3) << "confirmed before the state service is out";
+    if (restarted >= 0) world.crash((leader + restarted) % 3, 40);
+    world.outage(44); // longer than `cancel_s`
+    world.run(75);
+    world.cut_state(leader, 0, World::Cut::Refuse);
+    std::vector<std::string> last;
+    for (const auto &pipeline : pipelines)
+      last.push_back(pipeline.back().front());
+    EXPECT_EQ(answers_other_than_aborted(world, last, 0.05, 5), std::vector<std::string>());
+    EXPECT_TRUE(world.broken.empty()) << all(world);
+  }
+}
+
+// Guards against the same without any failure: the ends of many jobs between take longer than `cancel_s` to write. Jobs
+// that are submitted meanwhile are accepted as cancelled.
+TEST(Pipelines, JobsFarBelowACancelledOneAreAbortedWhileEndsAreWritten) {
+  WorldOptions options;
+  options.state_write_rps = 2;
+  World world(10, options);
+  std::vector<std::vector<std::string>> layers;
+  world.at(5, [&] { layers = submit_layers(world, 4, 50); });
+  world.run(300);
+  ASSERT_EQ(world.accepted_jobs, 200);
+  world.cancel(layers[0].back(), 0);
+  world.run(300 + 41);
+  ASSERT_GT(world.open_records(), 100) << "ends are still being written";
+  const std::vector<std::string> asked{layers[1].back(), layers[2].back(), layers[3].front(), layers[3].back()};
+  EXPECT_EQ(answers_other_than_aborted(world, asked, 1, 10), std::vector<std::string>());
+  std::vector<std::shared_ptr<World::Answer>> submissions;
+  for (int node = 0; node < 3; ++node) {
+    auto spec = world.job(Shape::Array, 1, 1, 5);
+    spec.dependencies = {layers[3][static_cast<std::size_t>(10 + node)]};
+    submissions.push_back(world.submit_at(node, spec));
+    world.run(world.now() + 2);
+    EXPECT_EQ(submissions.back()->status, 201);
+    EXPECT_EQ(submissions.back()->body["status"], "aborted") << "at " << node;
+  }
+  EXPECT_TRUE(world.broken.empty()) << all(world);
+}
+
+// Guards against questions about a job far down a large pipeline that are refused for ever, also at a replica that has
+// just restarted and knows none of the jobs.
+TEST(Pipelines, JobBelowHundredsOfOthersIsAnsweredByEveryReplica) {
+  World world(11, {});
+  std::vector<std::vector<std::string>> layers;
+  world.at(5, [&] { layers = submit_layers(world, 8, 30); });
+  world.run(150);
+  ASSERT_EQ(world.accepted_jobs, 240);
+  for (int node = 0; node < 3; ++node) {
+    world.crash(node, 0.5);
+    world.run(world.now() + 30);
+    const auto answer = world.look_up(node, layers.back().front());
+    world.run(world.now() + 2);
+    EXPECT_EQ(answer->status, 200) << "at " << node;
+  }
+  EXPECT_TRUE(world.broken.empty()) << all(world);
+}
+
 TEST(Pipelines, AChainOfFiftyJobsSurvivesFailovers) {
   World world(6, {});
   std::string previous_id;
