--- a/include/loftrouter/core/jobs/dependencies.hpp
+++ b/include/loftrouter/core/jobs/dependencies.hpp
@@ -2,8 +2,8 @@
 //
 // Owns the graph; used by the core's thread alone. A job is ready once the state service has confirmed that all its
 // dependencies are done (docs/safety.md "too_early"). Cancelling a job cancels its transitive dependents ("orphaned"),
-// none of whose tasks has started. Dependencies that are not in the job table are looked up in the state service, which
-// uses the read budget of user requests.
+// none of whose tasks has started. Dependencies that are not in the job table are looked up in the state service, a few
+// at a time and within the read budget of user requests; nothing scans ended jobs.
 //
 // Priorities and deadlines propagate from dependents to their dependencies.
 #pragma once
--- a/include/loftrouter/core/jobs/ended_jobs.hpp
+++ b/include/loftrouter/core/jobs/ended_jobs.hpp
@@ -21,7 +21,8 @@
   void remember(const std::string &job_id, EndRecord end);
 
 private:
-  static constexpr std::size_t kMaxRecords = 12'000; // of about 0.4 KB each
+  // Jobs end faster with more machines: about one for each of 11,000. 4.6 MB at about 0.4 KB each.
+  static constexpr std::size_t kMaxRecords = 12'000;
   Events &events_;
   std::unordered_map<std::string, EndRecord> records_; // by job id
   std::deque<std::string> insertion_order_;            // job ids, oldest first
--- a/include/loftrouter/core/scheduling/large_task_reservations.hpp
+++ b/include/loftrouter/core/scheduling/large_task_reservations.hpp
@@ -1,5 +1,6 @@
 // Tracks the instance types whose on-demand machines are reserved for large tasks: those that fit no other type and
-// don't fit twice on one machine. `FleetSnapshot` keeps small tasks off such machines. Safety doesn't depend on it.
+// don't fit twice on one machine. `FleetSnapshot` keeps small tasks off such machines. Safety doesn't depend on it:
+// at worst a machine is idle, or a large task waits for small ones.
 #pragma once
 
 #include <unordered_map>
--- a/include/loftrouter/core/scheduling/placement.hpp
+++ b/include/loftrouter/core/scheduling/placement.hpp
@@ -82,7 +82,8 @@
 bool allowed(const PlacementJob &job, const PlacementMachine &machine);
 // Returns whether one more task fits the machine's free resources.
 bool fits_free_resources(const PlacementJob &job, const PlacementMachine &machine);
-// Sums, over the resources, the free share of the machine times the share that a task requests.
+// F of the paper (docs/design.md): sums, over the resources, the free share of the machine times the share that a task
+// requests.
 double fit_score(const PlacementJob &job, const PlacementMachine &machine);
 // Adds a bonus for a cached image to the fit score and subtracts the price premium, both weighted.
 double placement_score(const PlacementJob &job, const PlacementMachine &machine, const PlacementOptions &options);
--- a/include/loftrouter/core/state/cancellations.hpp
+++ b/include/loftrouter/core/state/cancellations.hpp
@@ -49,6 +49,7 @@
 
 private:
   static constexpr double kNever = -1e9;
+  // Bounds, in jobs: as many as a replica caches as open.
   static constexpr std::size_t kMaxRecorded = 12'000;
   static constexpr std::size_t kMaxUnmatched = 12'000;
 
--- a/include/loftrouter/core/state/period_rollup.hpp
+++ b/include/loftrouter/core/state/period_rollup.hpp
@@ -3,8 +3,8 @@
 //
 // Invariant: one transaction, conditional on the revisions of both records, removes the sums from a shard and adds them
 // to the period's record; if there is no reply, ProgressWriter reads the shard to find out whether it was applied.
-// Otherwise usage could be counted twice or not at all (docs/accounts.md). Not thread-safe: used by the core thread
-// only.
+// Otherwise usage could be counted twice or not at all (docs/accounts.md). A period's record that cannot be read is
+// never overwritten. Not thread-safe: used by the core thread only.
 #pragma once
 
 #include <functional>
--- a/include/loftrouter/core/workers/machine.hpp
+++ b/include/loftrouter/core/workers/machine.hpp
@@ -1,6 +1,8 @@
 // Describes a worker machine and the tasks allocated to it, as known to the leader.
 //
-// Owned and modified by the `WorkerRegistry` alone. Times are monotonic seconds; -1 means "never".
+// Owned and modified by the `WorkerRegistry` alone. Times are monotonic seconds; -1 means "never". The lifecycle of an
+// allocation only moves forward: if one that was sent were taken for unsent, its task would be started elsewhere while
+// it runs (docs/safety.md "ran_twice").
 #pragma once
 
 #include <compare>
--- a/src/core/autoscaling/capacity_planner.cpp
+++ b/src/core/autoscaling/capacity_planner.cpp
@@ -323,7 +323,8 @@
   }
 }
 
-// Returns how long the job may queue for running machines before this type is requested. Low-priority jobs get
+// Returns how long the job may queue for running machines before this type is requested. Cheap types are requested for
+// whatever would queue longer than their boot takes. Low-priority jobs get
 // expensive types only to meet a target that queueing would miss, or if they would otherwise be very late.
 double PlanBuilder::horizon_s(const Demand &demand, const MachineType &type, double task_price,
                               double cheapest_price) const {
--- a/src/core/autoscaling/scale_in.cpp
+++ b/src/core/autoscaling/scale_in.cpp
@@ -10,12 +10,14 @@
 constexpr double kCallDeadlineS = 5.0;
 constexpr double kRemovalRetentionS = 600.0;
 constexpr double kUnknownTypeBootS = 60.0;
-constexpr double kBootTimeoutFactor = 2.0; // in boot times of the type
+// A machine that has not come up after so many boot times of its type, and the margin, is taken for one that never
+// will.
+constexpr double kBootTimeoutFactor = 2.0;
 constexpr double kBootTimeoutMarginS = 10.0;
 constexpr double kMassLossTimeoutS = 30.0; // beyond the lease, while more machines are lost than available
 constexpr double kReclaimMarginS = 1.0;
 constexpr double kDownlinkLossTimeoutS = 15.0; // beyond the lease
-constexpr int kMassDownlinkLosses = 3;         // fewer don't point at the network
+constexpr int kMassDownlinkLosses = 3;         // fewer are the machines' own fault, not the network's
 constexpr double kReservedIdleBoots = 1.5;     // in boot times, for types reserved for large tasks
 constexpr double kReservedWithinS = 300.0;
 constexpr double kReservedWithinForDrainS = 600.0;
--- a/src/core/jobs/critical_path.cpp
+++ b/src/core/jobs/critical_path.cpp
@@ -6,7 +6,7 @@
 namespace loftrouter::core {
 
 namespace {
-constexpr double kEstimateFactor = 1.25; // safety margin for run time estimates
+constexpr double kEstimateFactor = 1.25; // safety margin for run time estimates, which are often wrong by half
 constexpr double kStartDelayS = 2.0;     // besides the wait for a heartbeat
 } // namespace
 
--- a/src/core/jobs/failure_attribution.cpp
+++ b/src/core/jobs/failure_attribution.cpp
@@ -13,7 +13,7 @@
 constexpr double kMachineAvoidedS = 120.0;           // after a failure of the job there
 constexpr std::size_t kMaxFailuresPerJob = 8;
 constexpr double kMaxRetryPauseS = 80.0; // between retries of a suspected job
-constexpr int kMaxRetryExponent = 10;    // of the backoff
+constexpr int kMaxRetryExponent = 10;    // of the backoff, whose pause has reached its maximum long before
 } // namespace
 
 const FailureAttribution::JobHistory &FailureAttribution::history(JobIndex job_index) const {
--- a/src/core/jobs/job_objectives.cpp
+++ b/src/core/jobs/job_objectives.cpp
@@ -8,7 +8,7 @@
 namespace loftrouter::core {
 
 namespace {
-constexpr double kDefaultTargetS = 3600.0; // for jobs without a deadline or an objective
+constexpr double kDefaultTargetS = 3600.0; // for jobs without a deadline or an objective; expensive machines can wait
 constexpr double kMaxDeferralS = 1800.0;   // after that, small work may use expensive machines, too
 // The kinds of objectives in the settings.
 constexpr std::string_view kCompletionObjective = "finished";
--- a/src/core/scheduling/placement.cpp
+++ b/src/core/scheduling/placement.cpp
@@ -116,6 +116,7 @@
   std::vector<Resources> team_headroom_;
   const PlacementOptions &options_;
   std::vector<MachineReservation> *reserved_;
+  // A full fleet, as whenever much waits, is searched on a few machines and not on thousands.
   Resources least_need_;                // minimum over all jobs, for each resource
   std::vector<int> usable_machines_;    // ascending positions; without those too full for `least_need_`
   std::vector<int> zones_;              // without duplicates
--- a/src/core/scheduling/preemption.cpp
+++ b/src/core/scheduling/preemption.cpp
@@ -8,8 +8,8 @@
 
 namespace {
 constexpr double kImageFetchWeight = 2.0; // lost CPU seconds that a saved CPU second of image fetch outweighs
-constexpr double kNominationS = 15.0;
-constexpr double kUnconfirmedRunS = 0.1; // assumed run time of a task not reported as running yet
+constexpr double kNominationS = 15.0;     // a machine emptied for a job is kept free for it that long
+constexpr double kUnconfirmedRunS = 0.1;  // assumed run time of a task not reported as running yet
 } // namespace
 
 // A machine on which victims could be stopped for a job.
