Submissions: what is known of the dependencies may be 5 s old

Cause: since cancellations are followed through the graph, a submission with dependencies waited for one more answer of the state service before its commit.

Change: nobody has been told anything of a new job yet, so its dependencies are known well enough if they were confirmed 5 s ago, and a quarter of cancel_s at most. A pipeline submitted job by job needs no further read, as before. docs/safety.md says why.

--- a/include/loftrouter/core/api/job_api_handler.hpp
+++ b/include/loftrouter/core/api/job_api_handler.hpp
@@ -104,6 +104,7 @@
   NeededChecks answer_waiting_requests();
   Progress advance(PendingRequest &request, NeededChecks &needed);
   OpenJobCache::Examination examine(const std::vector<std::string> &ids, double since, NeededChecks &needed);
+  double confirmed_since(const PendingRequest &request) const;
   std::string_view failure_of(const OpenJobCache::Examination &examination, double received_at) const;
   void finish(const PendingRequest &request, bool cancelled);
   void fail(const PendingRequest &request, std::string_view reason);
--- a/src/core/api/job_api_handler.cpp
+++ b/src/core/api/job_api_handler.cpp
@@ -24,6 +24,8 @@
 constexpr std::string_view kUnreachable = "this node reaches neither the state service nor a replica that does";
 constexpr double kCancelRetryWindowS = 1.5; // for retries of a cancellation that lost a compare-and-swap
 constexpr double kReplicaStatusMaxAgeS = 1.2;
+constexpr double kSubmissionMaxAgeS = 5.0;               // of what is known of a new job's dependencies
+constexpr double kSubmissionMaxAgeShare = 0.25;          // of `cancel_s`, at most
 constexpr std::size_t kMaxDependencyLookups = 8;         // in flight
 constexpr double kReadsPerLookup = 1.3;                  // on average: the open record, and sometimes the end record
 constexpr std::size_t kMaxDependenciesFollowed = 20'000; // in one batch; then the other requests wait for the next
@@ -491,7 +493,7 @@
     }
     if (!open->dependencies.empty()) request.max_wait_s = kDependenciesMaxWaitS;
   }
-  auto examination = examine(examined, request.received_at, needed);
+  auto examination = examine(examined, confirmed_since(request), needed);
   if (examination.cancelled || examination.all_confirmed()) {
     finish(request, examination.cancelled);
     return Progress::Answered;
@@ -512,6 +514,13 @@
   return Progress::Waiting;
 }
 
+// Returns since when the records that the request depends on must have been confirmed. Nobody has been told of a new
+// job yet, so an answer older than the request contradicts nothing; only cancellations of `cancel_s` ago must be known.
+double JobApiHandler::confirmed_since(const PendingRequest &request) const {
+  if (!request.submission) return request.received_at;
+  return request.received_at - std::min(kSubmissionMaxAgeS, kSubmissionMaxAgeShare * settings_.cancel_s);
+}
+
 // Examines jobs and what they depend on, by following where there are too many records for one transaction.
 OpenJobCache::Examination JobApiHandler::examine(const std::vector<std::string> &ids, double since,
                                                  NeededChecks &needed) {
