--- a/src/core/autoscaling/capacity_planner.cpp
+++ b/src/core/autoscaling/capacity_planner.cpp
@@ -272,9 +272,8 @@
 
 double PlanBuilder::tasks_per_machine(const Demand &demand, const MachineType &type) const {
   const Resources &need = demand.job.need;
-  double tasks = need.cpus > 0 ? std::floor(type.size.cpus / need.cpus + kRoundingTolerance) : kSlotsWithoutCpuRequest;
-  if (need.memory > 0) tasks = std::min(tasks, std::floor(type.size.memory / need.memory + kRoundingTolerance));
-  if (need.gpus > 0) tasks = std::min(tasks, std::floor(type.size.gpus / need.gpus + kRoundingTolerance));
+  double tasks = need.count_in(type.size);
+  if (need.cpus <= 0) tasks = std::min(tasks, kSlotsWithoutCpuRequest);
   return std::max(1.0, tasks);
 }
 
