--- a/review/lib-2/harness.cpp
+++ b/review/lib-2/harness.cpp
@@ -78,10 +78,11 @@
 }
 
 Json job(const std::string &id, const std::string &team, const Json &changes) {
-  Json out = {{"id", id},        {"jobclass", "batch"}, {"crew", team},      {"shape", "array"},  {"urgency", "normal"},
-              {"pieces", 1},     {"cores", 1.0},        {"cards", 0.0},      {"ram_gb", 1.0},     {"bundle", "img-01"},
-              {"image_gb", 0.5}, {"hulls", nullptr},    {"yard", nullptr},   {"one_zone", false}, {"apart", false},
-              {"standby", false}, {"guess_s", 10.0},    {"bookmark_s", 0.0}, {"stash_s", 0.0},    {"due_s", nullptr}};
+  Json out = {
+      {"id", id},         {"jobclass", "batch"}, {"crew", team},      {"shape", "array"},  {"urgency", "normal"},
+      {"pieces", 1},      {"cores", 1.0},        {"cards", 0.0},      {"ram_gb", 1.0},     {"bundle", "img-01"},
+      {"image_gb", 0.5},  {"hulls", nullptr},    {"yard", nullptr},   {"one_zone", false}, {"apart", false},
+      {"standby", false}, {"guess_s", 10.0},     {"bookmark_s", 0.0}, {"stash_s", 0.0},    {"due_s", nullptr}};
   out.update(changes);
   return out;
 }
@@ -174,9 +175,9 @@
   std::string error;
   auto listener = net::listen_on(*net::parse_address(local(port)), error);
   if (!listener) throw std::runtime_error("worker: " + error);
-  server_ = std::make_unique<net::HttpServer>(
-      bench_.loop, std::move(listener), net::HttpServer::Options{},
-      [this](net::ConnId id, net::HttpMessage &&message) { order(id, message); });
+  server_ =
+      std::make_unique<net::HttpServer>(bench_.loop, std::move(listener), net::HttpServer::Options{},
+                                        [this](net::ConnId id, net::HttpMessage &&message) { order(id, message); });
 }
 
 Worker::~Worker() = default;
@@ -239,8 +240,10 @@
     if (task.status == "exited") piece["cause"] = task.cause;
     pieces.push_back(std::move(piece));
   }
-  return {{"box", name},     {"address", local(port)}, {"hull", type.name},    {"yard", zone},
-          {"standby", false}, {"shift", shift_},        {"tick", ++tick_},      {"baton", baton_},
+  return {{"box", name},          {"address", local(port)},
+          {"hull", type.name},    {"yard", zone},
+          {"standby", false},     {"shift", shift_},
+          {"tick", ++tick_},      {"baton", baton_},
           {"warning_s", nullptr}, {"pieces", std::move(pieces)}};
 }
 
@@ -255,8 +258,9 @@
   last_report_ = sent;
   const Json json = report();
   longest_report = std::max(longest_report, json.dump().size());
-  client->request("POST", "/v1/report", loftrouter::wire::encode(json), 4.0,
-                  [this, sent, shift = shift_](int status, std::string &&body) { answered(sent, shift, status, body); });
+  client->request(
+      "POST", "/v1/report", loftrouter::wire::encode(json), 4.0,
+      [this, sent, shift = shift_](int status, std::string &&body) { answered(sent, shift, status, body); });
 }
 
 void Worker::answered(double sent, std::uint64_t shift, int status, const std::string &body) {
@@ -299,9 +303,8 @@
     const auto piece = order["piece"].get<std::string>();
     const auto attempt = order["try"].get<std::uint64_t>();
     const auto verb = order["verb"].get<std::string>();
-    const auto found = std::find_if(tasks.begin(), tasks.end(), [&](const Task &task) {
-      return task.piece == piece && task.attempt == attempt;
-    });
+    const auto found = std::find_if(tasks.begin(), tasks.end(),
+                                    [&](const Task &task) { return task.piece == piece && task.attempt == attempt; });
     if (verb == "reap") {
       if (found != tasks.end() && found->status == "exited") tasks.erase(found);
     } else if (verb == "kill") {
@@ -360,9 +363,9 @@
   std::string error;
   auto listener = net::listen_on(*net::parse_address(local(port)), error);
   if (!listener) throw std::runtime_error("cloud: " + error);
-  server_ = std::make_unique<net::HttpServer>(
-      bench_.loop, std::move(listener), net::HttpServer::Options{},
-      [this](net::ConnId id, net::HttpMessage &&message) { request(id, message); });
+  server_ =
+      std::make_unique<net::HttpServer>(bench_.loop, std::move(listener), net::HttpServer::Options{},
+                                        [this](net::ConnId id, net::HttpMessage &&message) { request(id, message); });
 }
 
 std::string Cloud::rent(const std::string &type, const std::string &zone, double boots_in_s) {
@@ -417,7 +420,9 @@
                      {"hull", machine.type},
                      {"yard", machine.zone},
                      {"standby", false},
-                     {"status", failed ? "failed" : machine.up ? "running" : "starting"},
+                     {"status", failed       ? "failed"
+                                : machine.up ? "running"
+                                             : "starting"},
                      {"age_s", now - machine.since}});
     }
     return reply(200, {{"boxes", std::move(out)}, {"truncated", false}});
@@ -480,8 +485,7 @@
     pids_.push_back(0);
   }
   state_ = std::make_unique<loftrouter::scale::StateStandIn>(
-      loop, local(state_port_),
-      loftrouter::scale::StateLimits{layout.state_rps, layout.state_write_rps, 8, 8, 0.006});
+      loop, local(state_port_), loftrouter::scale::StateLimits{layout.state_rps, layout.state_write_rps, 8, 8, 0.006});
   cloud = std::make_unique<Cloud>(*this, cloud_port_);
   step_timer_.once(0.02);
 }
@@ -513,6 +517,49 @@
   for (auto &[name, worker] : workers)
     worker->step();
   gangs();
+  watch_waiting();
+}
+
+std::string Bench::room_for(const std::string &id) const {
+  const Json &spec = jobs.at(id);
+  for (const auto &[name, worker] : workers) {
+    const bool named = spec["hulls"].is_null() ||
+                       std::find(spec["hulls"].begin(), spec["hulls"].end(), worker->type.name) != spec["hulls"].end();
+    const bool in_yard = spec["yard"].is_null() || spec["yard"] == worker->zone;
+    if (!worker->alive() || worker->sick || !named || !in_yard) continue;
+    double cores = worker->type.cores, ram = worker->type.ram_gb, cards = worker->type.cards;
+    for (const auto &task : worker->tasks) {
+      if (task.status == "exited") continue;
+      const Json &need = jobs.at(task.job);
+      cores -= need["cores"].get<double>();
+      ram -= need["ram_gb"].get<double>();
+      cards -= need["cards"].get<double>();
+    }
+    if (spec["cores"].get<double>() <= cores + 1e-6 && spec["ram_gb"].get<double>() <= ram + 1e-6 &&
+        spec["cards"].get<double>() <= cards + 1e-6)
+      return name;
+  }
+  return {};
+}
+
+void Bench::watch_waiting() {
+  for (auto &[id, waiting] : waiting_) {
+    const auto pieces = jobs[id]["pieces"].get<int>();
+    int here = 0;
+    for (const auto &[name, worker] : workers)
+      for (const auto &task : worker->tasks)
+        here += task.job == id && task.status != "exited";
+    if (here + done(id) >= pieces || room_for(id).empty()) {
+      waiting.since = -1;
+    } else {
+      if (waiting.since < 0) waiting.since = now();
+      waiting.longest = std::max(waiting.longest, now() - waiting.since);
+    }
+  }
+}
+
+double Bench::longest_wait_beside_room(const std::string &id) {
+  return waiting_[id].longest;
 }
 
 // Tasks of a gang find one another by attempt number.
@@ -525,7 +572,8 @@
   for (auto &[key, members] : gangs) {
     const auto pieces = jobs[key.first]["pieces"].get<std::size_t>();
     const bool complete = members.size() == pieces;
-    const bool running = std::any_of(members.begin(), members.end(), [](auto &m) { return m.second->status == "running"; });
+    const bool running =
+        std::any_of(members.begin(), members.end(), [](auto &m) { return m.second->status == "running"; });
     for (auto &[worker, task] : members) {
       if (!running && complete) {
         task->status = "running";
@@ -562,7 +610,11 @@
                           {"address", local(proxied(own + ">" + std::to_string(i), peers[i]))}});
   Json teams = Json::array();
   for (const auto &name : layout.teams)
-    teams.push_back({{"name", name}, {"cpus", 0.0}, {"cpus_max", 0.0}, {"gpus", 0.0}, {"gpus_max", 0.0}});
+    teams.push_back({{"name", name},
+                     {"cpus", 0.0},
+                     {"cpus_max", layout.cpus_max.contains(name) ? layout.cpus_max.at(name) : 0.0},
+                     {"gpus", 0.0},
+                     {"gpus_max", 0.0}});
   const Json settings = {
       {"node_name", "roost-" + own},
       {"site", layout.zones[0]},
@@ -675,7 +727,8 @@
   }
 }
 
-Answer Bench::call(int node, const std::string &method, const std::string &target, const Json *body, double deadline_s) {
+Answer Bench::call(int node, const std::string &method, const std::string &target, const Json *body,
+                   double deadline_s) {
   Answer answer;
   bool over = false;
   {
@@ -746,8 +799,8 @@
 }
 
 int Bench::done(const std::string &id) const {
-  return static_cast<int>(std::count_if(results.begin(), results.end(),
-                                        [&](const std::string &piece) { return job_of(piece) == id; }));
+  return static_cast<int>(
+      std::count_if(results.begin(), results.end(), [&](const std::string &piece) { return job_of(piece) == id; }));
 }
 
 void Bench::started(const Worker &worker, const Task &task) {
--- a/review/lib-2/harness.hpp
+++ b/review/lib-2/harness.hpp
@@ -34,12 +34,13 @@
   int nodes = 3;
   std::vector<std::string> zones;
   std::vector<std::string> teams;
+  std::map<std::string, double> cpus_max; // by team; none: 0
   double report_s = 1, lease_s = 10, gang_wait_s = 35, gang_peer_s = 4, cancel_s = 40;
   double state_rps = 250, state_write_rps = 15, cloud_rps = 5, list_lag_s = 3;
   std::vector<Type> types;
-  double boots_in_s = 2;                       // true boot time of each machine
-  std::map<std::string, int> capacity;         // "type/zone" -> ordinary machines that the cloud has to give
-  bool proxies = false;                        // each controller reaches the state service and its siblings by proxies
+  double boots_in_s = 2;               // true boot time of each machine
+  std::map<std::string, int> capacity; // "type/zone" -> ordinary machines that the cloud has to give
+  bool proxies = false;                // each controller reaches the state service and its siblings by proxies
 };
 
 struct Answer {
@@ -148,7 +149,7 @@
   Bench(Layout layout, const std::string &folder);
   ~Bench();
 
-  void start();       // all controllers; returns when each answers GET /up with 200
+  void start(); // all controllers; returns when each answers GET /up with 200
   void start(int node);
   void kill(int node);
   void signal(int node, int number);
@@ -173,6 +174,11 @@
   // Tasks of the job that are on a machine now.
   int on_machines(const std::string &job) const;
   int done(const std::string &job) const;
+  // A machine that is up and has room for one more task of the job; empty: none.
+  std::string room_for(const std::string &job) const;
+  // For how long a task of the job has waited while a machine that fits has had room, at most so far.
+  // Counted while `wait` and `until` run, from the first call on.
+  double longest_wait_beside_room(const std::string &job);
   void started(const Worker &worker, const Task &task);
   bool exited(const Worker &worker, const Task &task);
 
@@ -181,17 +187,22 @@
   std::vector<int> api, peers;
   std::unique_ptr<Cloud> cloud;
   std::map<std::string, std::unique_ptr<Worker>> workers;
-  std::map<std::string, Json> jobs;         // by id, as users uploaded them
-  std::map<std::string, double> run_s;      // by id: true run time of a task
-  std::set<std::string> results;            // pieces that are done
+  std::map<std::string, Json> jobs;                   // by id, as users uploaded them
+  std::map<std::string, double> run_s;                // by id: true run time of a task
+  std::set<std::string> results;                      // pieces that are done
   std::vector<std::pair<double, std::string>> starts; // when a task was on its machine, and which
   // Called with each start command that a worker takes.
   std::function<void(const Worker &, const std::string &piece)> on_start_order;
 
 private:
+  struct Waiting {
+    double since = -1, longest = 0;
+  };
   void step();
   void gangs();
+  void watch_waiting();
 
+  std::map<std::string, Waiting> waiting_;
   std::string folder_, temporary_;
   FILE *record_ = nullptr;
   double began_;
@@ -206,8 +217,8 @@
 
 // A job with the fields of the users' page; `changes` replaces or adds fields.
 Json job(const std::string &id, const std::string &team, const Json &changes);
-bool trouble();                    // false: TROUBLE=0
-double watch_s(double otherwise);  // REVIEW_WATCH_S, for a look beyond the script's time
+bool trouble();                   // false: TROUBLE=0
+double watch_s(double otherwise); // REVIEW_WATCH_S, for a look beyond the script's time
 std::string local(int port);
 
 } // namespace review
