--- a/review/6/case.cpp
+++ b/review/6/case.cpp
@@ -33,13 +33,13 @@
   bench.say("no machine fails tasks any more");
   if (bench.submit(job("j-000002", "frontcounter", {{"hulls", {"quoll"}}, {"guess_s", 300.0}})) != 201) return 2;
   if (!bench.until(10, [&] { return bench.on_machines("j-000002") == 1; })) return 2;
-  bench.longest_wait_beside_room("j-000001"); // counted from here
+  bench.longest_wait_beside_room("j-000001", false); // counted from here
   bench.until(watch_s(91), [&] { return bench.on_machines("j-000001") == 3; });
   bench.look("j-000001");
   bench.say(fmt::format("{} of 3 replicas run; the others have waited for {:.1f} s beside a machine with room ({})",
-                        bench.on_machines("j-000001"), bench.longest_wait_beside_room("j-000001"),
+                        bench.on_machines("j-000001"), bench.longest_wait_beside_room("j-000001", false),
                         bench.room_for("j-000001")));
-  return bench.longest_wait_beside_room("j-000001") > 90 ? 1 : 0;
+  return bench.longest_wait_beside_room("j-000001", false) > 90 ? 1 : 0;
 } catch (const std::exception &e) {
   std::fprintf(stderr, "%s\n", e.what());
   return 2;
--- a/review/lib-2/harness.cpp
+++ b/review/lib-2/harness.cpp
@@ -8,6 +8,7 @@
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
+#include <random>
 #include <sstream>
 #include <stdexcept>
 
@@ -20,7 +21,6 @@
 
 #include <fmt/format.h>
 
-#include "../../tests/free_port.hpp"
 #include "loftrouter/wire/cbor.hpp"
 
 extern char **environ;
@@ -37,11 +37,15 @@
   ::_exit(2);
 }
 
-// Ports that were handed out are not handed out again.
+// A loopback port that nobody uses, below those that the system hands out to clients by itself.
 int free_port() {
   static std::set<int> used;
-  for (;;)
-    if (const int port = loftrouter::test::free_port(); used.insert(port).second) return port;
+  static std::mt19937 random{std::random_device{}()};
+  for (;;) {
+    const int port = std::uniform_int_distribution<int>(12'000, 30'000)(random);
+    std::string error;
+    if (net::listen_on(*net::parse_address(local(port)), error) && used.insert(port).second) return port;
+  }
 }
 
 std::string run_command() {
@@ -336,7 +340,9 @@
         task.status = "exited";
         task.cause = "full";
       } else {
-        task.until = bench_.now() + 0.3; // its image
+        const auto image = spec->second["bundle"].get<std::string>();
+        const double fetch_s = spec->second["image_gb"].get<double>() / type.pull_gb_per_s;
+        task.until = images.try_emplace(image, bench_.now() + fetch_s).first->second;
       }
       tasks.push_back(std::move(task));
     }
@@ -545,11 +551,15 @@
 void Bench::watch_waiting() {
   for (auto &[id, waiting] : waiting_) {
     const auto pieces = jobs[id]["pieces"].get<int>();
-    int here = 0;
+    int running = 0, here = 0;
     for (const auto &[name, worker] : workers)
-      for (const auto &task : worker->tasks)
+      for (const auto &task : worker->tasks) {
+        running += task.job == id && task.status == "running";
         here += task.job == id && task.status != "exited";
-    if (here + done(id) >= pieces || room_for(id).empty()) {
+      }
+    const int ended = done(id);
+    const bool waits = ended < pieces && (waiting.whole ? running == 0 : here + ended < pieces);
+    if (!waits || room_for(id).empty()) {
       waiting.since = -1;
     } else {
       if (waiting.since < 0) waiting.since = now();
@@ -558,7 +568,8 @@
   }
 }
 
-double Bench::longest_wait_beside_room(const std::string &id) {
+double Bench::longest_wait_beside_room(const std::string &id, bool whole) {
+  waiting_[id].whole = whole;
   return waiting_[id].longest;
 }
 
--- a/review/lib-2/harness.hpp
+++ b/review/lib-2/harness.hpp
@@ -93,6 +93,7 @@
   int port = 0;
   bool sick = false; // fails every task that it starts
   std::vector<Task> tasks;
+  std::map<std::string, double> images; // cached or being fetched: from when on it is there
   bool changed = true;
   std::size_t longest_report = 0; // as JSON, bytes
   double died_at = 0;
@@ -176,9 +177,10 @@
   int done(const std::string &job) const;
   // A machine that is up and has room for one more task of the job; empty: none.
   std::string room_for(const std::string &job) const;
-  // For how long a task of the job has waited while a machine that fits has had room, at most so far.
-  // Counted while `wait` and `until` run, from the first call on.
-  double longest_wait_beside_room(const std::string &job);
+  // For how long at a time the job has been waiting while a machine that fits had room: with `whole` for how long none
+  // of its tasks ran (it was queued), otherwise for how long one of them was neither on a machine nor under way to it.
+  // Counted while `wait` and `until` run, from the first call on; the longest such time so far.
+  double longest_wait_beside_room(const std::string &job, bool whole);
   void started(const Worker &worker, const Task &task);
   bool exited(const Worker &worker, const Task &task);
 
@@ -197,6 +199,7 @@
 private:
   struct Waiting {
     double since = -1, longest = 0;
+    bool whole = false;
   };
   void step();
   void gangs();
