--- a/review/lib-2/harness.cpp
+++ b/review/lib-2/harness.cpp
@@ -475,6 +475,7 @@
   ::signal(SIGPIPE, SIG_IGN);
   ::signal(SIGTERM, end_all);
   ::signal(SIGINT, end_all);
+  ::signal(SIGABRT, end_all);
   record_ = std::fopen((folder_ + "/record.txt").c_str(), "w");
   if (!record_) throw std::runtime_error("record.txt cannot be written");
   std::string name = (std::filesystem::temp_directory_path() / "loft-review-XXXXXX").string();
