CBOR: nesting is bounded before the library meets the bytes

What callers saw: controllers ended by themselves, one after the other, each with SIGSEGV and no last log line, as long as one request was repeated. Users' jobs stayed unanswered, and what the machines ran was lost with its leases.

Cause: the body is 60,000 times 0x5f, the head of a byte string of indefinite length, whose first piece is again one. nlohmann's CBOR reader recurses for each level (get_cbor_binary, get_cbor_string) and reports nothing until the string is complete, so the limit on depth in our callbacks never saw it: a check in one path of the recursion and not in the other. 0x7f does the same, closed or not, also as a key. Heartbeats are read by a second handler with the same flaw.

Fix: a scan with a stack of its own bounds nesting, items and declared lengths by the caller's limits. It and the library are called in one function, parse_cbor, which decode and decode_heartbeat share; so all that is decoded goes through it: requests, replies, bodies between cells, stored records. The limits are as before; a text in pieces may contain texts in pieces to the same depth.

--- a/include/loftrouter/wire/cbor.hpp
+++ b/include/loftrouter/wire/cbor.hpp
@@ -1,7 +1,7 @@
 // Encodes and decodes CBOR message bodies.
 //
-// All functions are pure. `decode` accepts untrusted input: nesting and item count are bounded, so that no message can
-// exhaust the stack or memory.
+// All functions are pure. `decode` accepts untrusted input: nesting, item count and declared lengths are checked before
+// anything is decoded, so that no message can exhaust the stack or memory.
 #pragma once
 
 #include <cstddef>
@@ -16,7 +16,7 @@
 using Json = nlohmann::json;
 
 struct DecodeLimits {
-  std::size_t depth = 16;      // nested maps and arrays
+  std::size_t depth = 16;      // nested maps and arrays; also of nested texts of indefinite length
   std::size_t items = 200'000; // maps, arrays and scalars in total
 };
 
--- a/src/wire/cbor.cpp
+++ b/src/wire/cbor.cpp
@@ -3,6 +3,8 @@
 #include <cmath>
 #include <vector>
 
+#include "cbor_structure.hpp"
+
 namespace loftrouter::wire {
 
 namespace {
@@ -48,11 +50,10 @@
   return 0;
 }
 
-// Builds a JSON tree from parser events. A callback that returns false aborts the parse. The parser is recursive, so
-// the depth limit also bounds its stack.
-class BoundedTreeBuilder final : public nlohmann::json_sax<Json> {
+// Builds a JSON tree from parser events. A callback that returns false aborts the parse.
+class TreeBuilder final : public nlohmann::json_sax<Json> {
 public:
-  BoundedTreeBuilder(Json &root, DecodeLimits limits) : root_(root), limits_(limits) {}
+  explicit TreeBuilder(Json &root) : root_(root) {}
 
   bool null() override { return add_value(nullptr); }
   bool boolean(bool value) override { return add_value(value); }
@@ -75,11 +76,13 @@
   bool parse_error(std::size_t, const std::string &, const nlohmann::detail::exception &) override { return false; }
 
 private:
-  template <class Value> bool add_value(Value &&value) { return add(Json(std::forward<Value>(value))) != nullptr; }
+  template <class Value> bool add_value(Value &&value) {
+    add(Json(std::forward<Value>(value)));
+    return true;
+  }
 
-  // Returns the value's place in the tree, or null if the item limit is exceeded.
+  // Returns the value's place in the tree.
   Json *add(Json &&value) {
-    if (++item_count_ > limits_.items) return nullptr;
     if (open_containers_.empty()) {
       root_ = std::move(value);
       return &root_;
@@ -95,10 +98,7 @@
   }
 
   bool open_container(Json &&empty) {
-    if (open_containers_.size() >= limits_.depth) return false;
-    Json *const added = add(std::move(empty));
-    if (!added) return false;
-    open_containers_.push_back(added);
+    open_containers_.push_back(add(std::move(empty)));
     return true;
   }
 
@@ -108,10 +108,8 @@
   }
 
   Json &root_;
-  DecodeLimits limits_;
   std::vector<Json *> open_containers_; // unfinished maps and arrays, innermost last
   std::string next_key_;                // key of the next value of the innermost map
-  std::size_t item_count_ = 0;
 };
 
 } // namespace
@@ -127,8 +125,8 @@
 
 std::optional<Json> decode(std::string_view bytes, DecodeLimits limits) {
   Json root;
-  BoundedTreeBuilder builder(root, limits);
-  if (!Json::sax_parse(bytes.begin(), bytes.end(), &builder, Json::input_format_t::cbor, true)) return std::nullopt;
+  TreeBuilder builder(root);
+  if (!parse_cbor(bytes, limits, builder)) return std::nullopt;
   return root;
 }
 
--- a/src/wire/heartbeat_reader.cpp
+++ b/src/wire/heartbeat_reader.cpp
@@ -7,8 +7,8 @@
 #include <bitset>
 #include <cmath>
 
+#include "cbor_structure.hpp"
 #include "json_fields.hpp"
-#include "loftrouter/wire/cbor.hpp"
 #include "loftrouter/wire/worker.hpp"
 #include "protocol_names.hpp"
 #include "task_sets.hpp"
@@ -297,7 +297,7 @@
 
 std::optional<Heartbeat> decode_heartbeat(std::string_view body) {
   HeartbeatReader reader;
-  if (!Json::sax_parse(body.begin(), body.end(), &reader, Json::input_format_t::cbor, true)) return std::nullopt;
+  if (!parse_cbor(body, {}, reader)) return std::nullopt;
   return reader.take();
 }
 
