Stored entries and quota messages: a field of another type is no exception

What callers would see: every controller ends with SIGABRT when it reads one stored entry of the operators' documents (config/budget/..., config/machine/...) whose field in_document is no boolean, and again at each start, as the record stays. The leader of a cell ends by a quota message whose team is no text.

Fields from outside are read by functions of wire that return whether the type was right; these two were read in core with the library's own value(), which throws, and nobody catches. A stored number beyond the range of an int was converted without a check as well (undefined behaviour).

Fix: both are typed messages of wire now, EntryRecord and QuotaUpdate, with readers beside those of the other records. A malformed entry is ignored as a whole, so the document's entry stays in force; a malformed message is dropped, and its sender repeats it. Records and messages have the same bytes as before.

--- a/include/loftrouter/wire/configuration.hpp
+++ b/include/loftrouter/wire/configuration.hpp
@@ -66,6 +66,23 @@
 [[nodiscard]] Json to_json(const QuotaRecord &record);
 [[nodiscard]] std::optional<QuotaRecord> quota_from_json(const Json &json);
 
+// QuotaUpdate is the body of a message that sends a quota record to another cell.
+struct QuotaUpdate {
+  std::string team;
+  QuotaRecord record;
+};
+[[nodiscard]] std::string encode_quota_update(const QuotaUpdate &update);
+[[nodiscard]] std::optional<QuotaUpdate> decode_quota_update(std::string_view body);
+
+// EntryRecord is one entry of an operators' document, stored under `config/budget/<team>` or
+// `config/machine/<machine>`.
+struct EntryRecord {
+  Json value;
+  bool in_document = false; // mirrored in the document, which earlier versions read
+};
+[[nodiscard]] Json to_json(const EntryRecord &entry);
+[[nodiscard]] std::optional<EntryRecord> entry_from_json(const Json &json);
+
 // QuotaChange is an operator's request. Fields that are not set keep their values.
 struct QuotaChange {
   std::string team;
--- a/src/core/api/configuration_api_handler.cpp
+++ b/src/core/api/configuration_api_handler.cpp
@@ -273,7 +273,7 @@
       entries.erase(name);
     transaction.preconditions.push_back({key, known ? known->revision : 0});
     if (value)
-      transaction.writes.push_back({key, wire::Json{{"value", *value}, {"in_document", in_document}}, 0});
+      transaction.writes.push_back({key, wire::to_json(wire::EntryRecord{*value, in_document}), 0});
     else if (known)
       transaction.writes.push_back({key, std::nullopt, 0});
   }
--- a/src/core/configuration/operator_settings.cpp
+++ b/src/core/configuration/operator_settings.cpp
@@ -5,11 +5,12 @@
 namespace loftrouter::core {
 
 namespace {
-// Returns whether a record takes precedence over the document's entry of this name.
-bool takes_precedence(const Configuration::Record &record, std::uint64_t document_revision) {
-  if (!record.value.is_object() || !record.value.contains("value")) return false;
-  // False for a record mirrored in the document if an earlier version has written the document since.
-  return !record.value.value("in_document", false) || document_revision <= record.revision;
+// Returns the record's entry if it takes precedence over the document's entry of this name.
+std::optional<wire::EntryRecord> preceding_entry(const Configuration::Record &record, std::uint64_t document_revision) {
+  auto entry = wire::entry_from_json(record.value);
+  // An earlier version has written the document since.
+  if (entry && entry->in_document && document_revision > record.revision) return std::nullopt;
+  return entry;
 }
 } // namespace
 
@@ -49,7 +50,7 @@
     for (const auto &[name, value] : document.items())
       merged[name] = value;
   configuration_.each(prefix, [&](std::string_view name, const Configuration::Record &record) {
-    if (takes_precedence(record, document_revision)) merged[std::string(name)] = record.value["value"];
+    if (auto entry = preceding_entry(record, document_revision)) merged[std::string(name)] = std::move(entry->value);
   });
   return merged;
 }
@@ -85,8 +86,10 @@
   const auto *document = configuration_.find(kMachineAdminStatesKey);
   const auto *record = configuration_.find(std::string(wire::kConfigMachine) + machine);
   std::optional<wire::MachineAdminState> read;
-  if (record && takes_precedence(*record, document ? document->revision : 0))
-    read = wire::machine_admin_state_from_json(record->value["value"]);
+  std::optional<wire::EntryRecord> entry;
+  if (record) entry = preceding_entry(*record, document ? document->revision : 0);
+  if (entry)
+    read = wire::machine_admin_state_from_json(entry->value);
   else if (document && document->value.is_object() && document->value.contains(machine))
     read = wire::machine_admin_state_from_json(document->value[machine]);
   if (read)
--- a/src/core/federation/quota_exchange.cpp
+++ b/src/core/federation/quota_exchange.cpp
@@ -102,7 +102,7 @@
   last_sent = {record.version, runtime_.now() + kResendIntervalS};
   auto message = federation_.make_message(Kind::Quota, cell);
   message.version = record.version;
-  message.body = wire::encode({{"team", team}, {"record", wire::to_json(record)}});
+  message.body = wire::encode_quota_update({team, record});
   return federation_.send_quota_message(cell, std::move(message));
 }
 
@@ -139,26 +139,26 @@
 
 void QuotaExchange::handle_record(int cell, const wire::CellMessage &message) {
   if (!leadership_.active() || !quotas_.ready()) return;
-  const auto json = wire::decode(message.body);
-  if (!json || !json->is_object() || !json->contains("record")) return;
-  const auto team = json->value("team", std::string());
-  const auto record = wire::quota_from_json((*json)["record"]);
-  if (!record || quotas_.find_team(team) < 0 || changes_.owner(team) != federation_.cell_name(cell)) return;
+  const auto update = wire::decode_quota_update(message.body);
+  if (!update) return;
+  const std::string &team = update->team;
+  const wire::QuotaRecord &record = update->record;
+  if (quotas_.find_team(team) < 0 || changes_.owner(team) != federation_.cell_name(cell)) return;
   const auto own = quotas_.record(team);
   const auto *found = configuration_.find(std::string(wire::kConfigQuota) + team);
-  if (own && own->version == record->version) {
+  if (own && own->version == record.version) {
     used_ = quotas_.used();
     auto response = federation_.make_message(Kind::QuotaApplied, cell);
-    response.version = record->version;
+    response.version = record.version;
     response.within_cap = within_cap(team, *own);
     response.body = team;
     federation_.send_quota_message(cell, std::move(response));
     return;
   }
-  if ((own && own->version > record->version) || committing_.contains(team)) return;
+  if ((own && own->version > record.version) || committing_.contains(team)) return;
   state_limits_.take_leader_writes(runtime_.now(), 1);
   committing_.insert(team);
-  changes_.commit(team, *record, found ? found->revision : 0, [this, team, epoch = leadership_.epoch()](bool) {
+  changes_.commit(team, record, found ? found->revision : 0, [this, team, epoch = leadership_.epoch()](bool) {
     if (epoch == leadership_.epoch()) committing_.erase(team); // acknowledged when the owner sends it again
   });
 }
--- a/src/wire/configuration.cpp
+++ b/src/wire/configuration.cpp
@@ -12,6 +12,7 @@
 namespace {
 
 constexpr std::size_t kMaxCells = 17; // this cell and 16 others
+constexpr std::uint64_t kMaxHttpStatus = 599;
 
 void put_unless_unlimited(Json &json, const char *name, double value) {
   if (std::isfinite(value)) json[name] = value;
@@ -188,6 +189,29 @@
   return json;
 }
 
+std::string encode_quota_update(const QuotaUpdate &update) {
+  return encode({{setting::kTeam, update.team}, {setting::kRecord, to_json(update.record)}});
+}
+
+std::optional<QuotaUpdate> decode_quota_update(std::string_view body) {
+  const auto json = decode(body);
+  if (!json) return std::nullopt;
+  auto team = read_text(member(*json, setting::kTeam));
+  auto record = quota_from_json(member(*json, setting::kRecord));
+  if (!team || !record) return std::nullopt;
+  return QuotaUpdate{std::move(*team), std::move(*record)};
+}
+
+Json to_json(const EntryRecord &entry) {
+  return {{setting::kValue, entry.value}, {setting::kInDocument, entry.in_document}};
+}
+
+std::optional<EntryRecord> entry_from_json(const Json &json) {
+  if (!json.is_object() || !json.contains(setting::kValue)) return std::nullopt;
+  if (json.contains(setting::kInDocument) && !json[setting::kInDocument].is_boolean()) return std::nullopt;
+  return EntryRecord{json[setting::kValue], read_flag(member(json, setting::kInDocument))};
+}
+
 Json to_json(const ForwardedChange &forwarded) {
   return {{setting::kTeam, forwarded.change.team},
           {setting::kChange, to_json(forwarded.change)},
@@ -202,7 +226,8 @@
   ForwardedChange forwarded;
   forwarded.change = std::move(std::get<QuotaChange>(change));
   forwarded.node = read_text_or_empty(member(json, setting::kNode));
-  if (const Json &status = member(json, setting::kStatus); status.is_number()) forwarded.status = status.get<int>();
+  if (const auto status = read_count(member(json, setting::kStatus)); status && *status <= kMaxHttpStatus)
+    forwarded.status = static_cast<int>(*status);
   forwarded.text = read_text_or_empty(member(json, setting::kText));
   return forwarded;
 }
--- a/src/wire/protocol_names.hpp
+++ b/src/wire/protocol_names.hpp
@@ -239,6 +239,13 @@
 inline constexpr const char *kNumber = "number";         // of the request
 inline constexpr const char *kAt = "at";                 // wall time
 
+// Entries of an operators' document that have a record of their own.
+inline constexpr const char *kValue = "value";            // the entry
+inline constexpr const char *kInDocument = "in_document"; // whether the document has it, too
+
+// A quota record sent to another cell.
+inline constexpr const char *kRecord = "record"; // the record; its team is under kTeam
+
 // Changes forwarded to another cell, and the revision that a node has applied.
 inline constexpr const char *kTeam = "team";         // team whose quota changes
 inline constexpr const char *kChange = "change";     // requested change
--- a/tests/configuration_test.cpp
+++ b/tests/configuration_test.cpp
@@ -187,6 +187,14 @@
   EXPECT_FALSE(wire::quota_from_json(nullptr));
   EXPECT_FALSE(wire::applied_from_json({{"revision", -1}, {"at", 1}}));
   EXPECT_FALSE(wire::forwarded_from_json({{"team", "red"}, {"change", {{"cpus", "x"}}}}));
+  const json forwarded = {{"team", "red"}, {"change", {{"cpus_max", 4}}}, {"status", 200}};
+  ASSERT_TRUE(wire::forwarded_from_json(forwarded));
+  EXPECT_EQ(wire::forwarded_from_json(forwarded)->status, 200);
+  for (const json &status : {json(1e300), json(-1e300), json(4'000'000'000U), json(-7), json("200")}) {
+    auto malformed_status = forwarded;
+    malformed_status["status"] = status;
+    EXPECT_EQ(wire::forwarded_from_json(malformed_status)->status, 0) << status;
+  }
 }
 
 WorldOptions configuration_options() {
@@ -492,6 +500,51 @@
   EXPECT_EQ(admin_get(world, 2, "/admin/v1/settings")["machines"], json({{"box-3", "drain"}}));
 }
 
+// Guards against the end of every controller, at each start anew, by a stored entry with a field of another type.
+TEST(ConfigDocuments, EntryWithAFieldOfAnotherTypeIsIgnored) {
+  for (const json &in_document : {json("yes"), json(1), json(nullptr), json::array({true})}) {
+    World world(9, configuration_options());
+    world.put_record("conf/machines", {{"box-2", "quarantine"}});
+    world.put_record("config/machine/box-1", {{"value", "drain"}, {"in_document", in_document}});
+    world.put_record("config/machine/box-2", {{"value", "drain"}, {"in_document", in_document}});
+    world.put_record("config/budget/red", {{"value", {{"cpu_hours", 5}}}, {"in_document", in_document}});
+    world.run(10);
+    world.crash(0, 1);
+    world.run(20);
+    for (int node = 0; node < 3; ++node) {
+      EXPECT_EQ(admin_get(world, node, "/admin/v1/budgets")["teams"], json::object()) << in_document;
+      EXPECT_EQ(admin_get(world, node, "/admin/v1/settings")["machines"], json({{"box-2", "quarantine"}}))
+          << in_document;
+    }
+  }
+}
+
+// Guards against the end of a leader by a message of another cell with a field of another type.
+TEST(ConfigDocuments, QuotaMessageWithAFieldOfAnotherTypeIsIgnored) {
+  Federation federation(5, std::vector<WorldOptions>(2, configuration_options()));
+  federation.run(20);
+  const json record = wire::to_json(wire::QuotaRecord{});
+  const std::vector<json> bodies = {{{"team", 7}, {"record", record}},
+                                    {{"team", nullptr}, {"record", record}},
+                                    {{"team", {{"red", 1}}}, {"record", record}},
+                                    {{"record", record}},
+                                    {{"team", "red"}, {"record", 3}},
+                                    json::array({"team", "record"})};
+  for (const auto &body : bodies)
+    for (int node = 0; node < 3; ++node) {
+      core::CellMessageCommand command{-1, 0, {}};
+      command.message.kind = wire::CellMessage::Kind::Quota;
+      command.message.from = Federation::name(1);
+      command.message.to = Federation::name(0);
+      command.message.version = 1;
+      command.message.body = wire::encode(body);
+      federation[0].deliver_cell(node, std::move(command), 0.1);
+    }
+  federation.run(25);
+  EXPECT_EQ(put_quota(federation, federation[0], 0, "blue", R"({"cpus_max": 9})"), 200);
+  EXPECT_TRUE(federation.broken().empty()) << federation.broken().front();
+}
+
 // ---- limits on records and responses ----
 
 constexpr std::size_t kMaxResponseBytes = 64 * 1024;
