--- a/include/loftrouter/wire/cbor.hpp
+++ b/include/loftrouter/wire/cbor.hpp
@@ -15,6 +15,8 @@
 
 using Json = nlohmann::json;
 
+inline constexpr std::size_t kMaxDecodeDepth = 64; // limits on depth beyond this count as this
+
 struct DecodeLimits {
   std::size_t depth = 16;      // nested maps and arrays; also of nested texts of indefinite length
   std::size_t items = 200'000; // maps, arrays and scalars in total
--- a/src/wire/cbor.cpp
+++ b/src/wire/cbor.cpp
@@ -1,5 +1,6 @@
 #include "loftrouter/wire/cbor.hpp"
 
+#include <algorithm>
 #include <cmath>
 #include <vector>
 
@@ -14,7 +15,7 @@
 struct Utf8Sequence {
   unsigned char first_min;
   unsigned char first_max;
-  std::size_t length;
+  unsigned char length;
   unsigned char second_min;
   unsigned char second_max;
 };
@@ -115,12 +116,15 @@
 } // namespace
 
 bool valid_utf8(std::string_view text) {
-  while (!text.empty()) {
+  const auto ascii = [](char character) { return static_cast<unsigned char>(character) < kContinuationMin; };
+  for (;;) {
+    const auto *const other = std::find_if_not(text.begin(), text.end(), ascii);
+    text.remove_prefix(static_cast<std::size_t>(other - text.begin()));
+    if (text.empty()) return true;
     const std::size_t length = utf8_sequence_length(text);
     if (length == 0) return false;
     text.remove_prefix(length);
   }
-  return true;
 }
 
 std::optional<Json> decode(std::string_view bytes, DecodeLimits limits) {
