Daemon: the last line of a process that ends by a fault, and rejected bodies

In the incident the logs said nothing of what ended the processes, and nothing of the request that did.

- a process that a fault ends writes one last line, process_faulted: signal, uptime, the body that it decodes (interface, method, path, size) or the kind of command that it applies, and the leader's term.
The handler has a stack of its own and calls async-signal-safe functions; the exit stays the signal's;
- a process that starts says how the run before it ended (process_started: stopped, faulted, killed, or unknown where files do not outlive a process);
- bodies that are rejected are counted by interface and reason, in the status under rejected_bodies, and some are logged with peer, path, size and their first bytes (body_rejected, at most one in two seconds after a burst of five): users', workers' and operators' requests, replies of the state service and the cloud, frames of replicas and cells.

The routing of requests leaves the daemon for a module of its own, request_reader, which is pure.

--- a/include/loftrouter/cloud/cloud_client.hpp
+++ b/include/loftrouter/cloud/cloud_client.hpp
@@ -9,13 +9,15 @@
 
 #include "loftrouter/core/runtime/effects.hpp"
 #include "loftrouter/net/client.hpp"
+#include "loftrouter/net/reply_observer.hpp"
 
 namespace loftrouter::cloud {
 
 class CloudClient {
 public:
   using Done = std::function<void(core::OpId, wire::CloudReply &&)>;
-  CloudClient(net::Loop &loop, net::Address address, Done done);
+  // The observer must outlive the client.
+  CloudClient(net::Loop &loop, net::Address address, net::ReplyObserver &observer, Done done);
 
   // Sends a request. Its reply has status 0 if there is no answer by the operation's deadline.
   void send(const core::CloudOp &operation);
@@ -25,6 +27,7 @@
                const std::string &body = "");
 
   net::HttpClient http_;
+  net::ReplyObserver &observer_;
   Done done_;
 };
 
--- a/include/loftrouter/core/core.hpp
+++ b/include/loftrouter/core/core.hpp
@@ -28,6 +28,11 @@
 
   Effects apply(std::vector<Command> batch, Now now);
 
+  // Is told what the core works on next: the name of a command's kind, or kRoundName for what follows a batch.
+  using WorkObserver = std::function<void(std::string_view name)>;
+  static constexpr std::string_view kRoundName = "round";
+  void set_work_observer(WorkObserver observer) { observe_work_ = std::move(observer); }
+
   bool leading() const { return leadership_.leading(); }
   std::uint64_t term() const { return leading() ? leadership_.term() : 0; }
   void set_log_level(LogLevel level) { runtime_.set_log_level(level); }
@@ -48,6 +53,7 @@
   void deliver_events();
   bool consistent() const;
 
+  WorkObserver observe_work_ = [](std::string_view) {};
   const Settings settings_;
   Runtime runtime_;
   Events events_;
--- a/include/loftrouter/core/runtime/commands.hpp
+++ b/include/loftrouter/core/runtime/commands.hpp
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <string>
+#include <string_view>
 #include <variant>
 
 #include "loftrouter/core/runtime/dense_index.hpp"
@@ -30,30 +31,40 @@
 using RequestId = std::uint64_t; // identifies an HTTP request until its response
 using OpId = std::uint64_t;      // identifies a request to the state service or the cloud provider
 
-struct TickCommand {}; // sent several times a second
+// Each command has the name of its kind, for logs.
+
+struct TickCommand { // sent several times a second
+  static constexpr std::string_view kName = "tick";
+};
 
 // ---- HTTP requests: each gets exactly one response ----
 
 struct SubmitCommand {
+  static constexpr std::string_view kName = "submission";
   RequestId req;
   JobSpec spec;
 };
 struct LookupCommand {
+  static constexpr std::string_view kName = "lookup";
   RequestId req;
   std::string id; // job id
 };
 struct CancelCommand {
+  static constexpr std::string_view kName = "cancellation";
   RequestId req;
   std::string id; // job id
 };
 struct HealthCheckCommand {
+  static constexpr std::string_view kName = "health check";
   RequestId req;
 };
 struct HeartbeatCommand {
+  static constexpr std::string_view kName = "heartbeat";
   RequestId req;
   Heartbeat heartbeat;
 };
 struct AdminCommand {
+  static constexpr std::string_view kName = "administration";
   RequestId req;
   wire::AdminRequest request;
 };
@@ -61,10 +72,12 @@
 // ---- replies of the state service and the cloud provider ----
 
 struct StoreReplyCommand {
+  static constexpr std::string_view kName = "state service reply";
   OpId op;
   wire::StoreReply reply;
 };
 struct CloudReplyCommand {
+  static constexpr std::string_view kName = "cloud reply";
   OpId op;
   wire::CloudReply reply;
 };
@@ -72,11 +85,13 @@
 // ---- messages from other controllers ----
 
 struct PeerMessageCommand {
+  static constexpr std::string_view kName = "replica message";
   ReplicaIndex replica; // set if this replica opened the connection
   std::uint64_t link;   // connection for the response
   wire::PeerMessage message;
 };
 struct CellMessageCommand {
+  static constexpr std::string_view kName = "cell message";
   int node;           // node of another cell; -1 if the other side opened the connection
   std::uint64_t link; // connection for the response
   wire::CellMessage message;
--- a/include/loftrouter/net/loop.hpp
+++ b/include/loftrouter/net/loop.hpp
@@ -87,6 +87,8 @@
 };
 
 std::optional<Address> parse_address(std::string_view text); // "10.0.0.1:8080"
+// The reverse. `ip` is in host order.
+std::string format_address(std::uint32_t ip, std::uint16_t port);
 
 class Fd {
 public:
--- a/include/loftrouter/net/server.hpp
+++ b/include/loftrouter/net/server.hpp
@@ -23,14 +23,18 @@
     double write_timeout_s = 10;
   };
   using Handler = std::function<void(ConnId, HttpMessage &&)>;
+  // Called for a request that is malformed or too large, which the server answers itself.
+  using RejectionHandler = std::function<void(ConnId, const char *text)>;
 
-  HttpServer(Loop &loop, Fd listener, Options options, Handler handler);
+  HttpServer(Loop &loop, Fd listener, Options options, Handler handler, RejectionHandler on_rejected = {});
   ~HttpServer();
 
   // Answers the request a connection is waiting on; unknown ids (closed meanwhile) are ignored.
   void respond(ConnId id, int status, std::string_view body, std::optional<int> retry_after = {},
                std::string_view content_type = "application/cbor");
   std::size_t connections() const { return conns_.size(); }
+  // Returns the client's address and port, or an empty text if the connection is closed.
+  std::string remote_address(ConnId id) const;
 
 private:
   struct Conn;
@@ -47,6 +51,7 @@
   Fd spare_; // given up to accept and close a connection when descriptors have run out
   Options options_;
   Handler handler_;
+  RejectionHandler on_rejected_;
   IoWatch accept_watch_;
   Timer sweep_timer_;
   ConnId next_id_ = 1;
--- a/include/loftrouter/store/store_client.hpp
+++ b/include/loftrouter/store/store_client.hpp
@@ -9,13 +9,15 @@
 
 #include "loftrouter/core/runtime/effects.hpp"
 #include "loftrouter/net/client.hpp"
+#include "loftrouter/net/reply_observer.hpp"
 
 namespace loftrouter::store {
 
 class StoreClient {
 public:
   using Done = std::function<void(core::OpId, wire::StoreReply &&)>;
-  StoreClient(net::Loop &loop, net::Address address, Done done);
+  // The observer must outlive the client.
+  StoreClient(net::Loop &loop, net::Address address, net::ReplyObserver &observer, Done done);
 
   // Sends a request. Its reply has status 0 if there is no answer by the operation's deadline.
   void send(const core::StoreOp &operation);
@@ -29,6 +31,7 @@
   net::HttpClient requests_;
   net::HttpClient leases_;
   net::HttpClient watches_;
+  net::ReplyObserver &observer_;
   Done done_;
 };
 
--- a/include/loftrouter/wire/admin_request.hpp
+++ b/include/loftrouter/wire/admin_request.hpp
@@ -49,8 +49,9 @@
 };
 
 struct AdminError {
-  int status;       // HTTP
-  std::string text; // names the invalid field, if any
+  int status;               // HTTP
+  std::string text;         // names the invalid field, if any
+  bool undecodable = false; // the body is not a JSON object of the supported size and depth
 };
 
 [[nodiscard]] std::variant<AdminRequest, AdminError> read_admin_request(std::string_view method,
--- a/include/loftrouter/wire/admin_status.hpp
+++ b/include/loftrouter/wire/admin_status.hpp
@@ -19,11 +19,19 @@
   double p99 = 0; // ms
 };
 
+// RejectedBodyCount counts the bodies that a process has rejected on one interface for one reason.
+struct RejectedBodyCount {
+  std::string interface;
+  std::string reason;
+  std::uint64_t count = 0;
+};
+
 // ProcessLoad is measured outside the core.
 struct ProcessLoad {
-  LatencyQuantiles batch_ms;      // processing time of a batch of commands
-  LatencyQuantiles queue_wait_ms; // waiting time of a command before its batch starts
-  double cpu_s = 0;               // processor time used by this process
+  LatencyQuantiles batch_ms;                      // processing time of a batch of commands
+  LatencyQuantiles queue_wait_ms;                 // waiting time of a command before its batch starts
+  double cpu_s = 0;                               // processor time used by this process
+  std::vector<RejectedBodyCount> rejected_bodies; // since the process started
 };
 
 // AdminStatus is one node's view of the service.
@@ -120,6 +128,7 @@
 
   LatencyQuantiles batch_ms;
   LatencyQuantiles queue_wait_ms;
+  std::vector<RejectedBodyCount> rejected_bodies;
   std::vector<std::string> troubles; // current problems, one sentence each
 };
 
--- a/include/loftrouter/wire/cloud_api.hpp
+++ b/include/loftrouter/wire/cloud_api.hpp
@@ -25,6 +25,7 @@
   std::vector<std::string> names;      // ScaleOut: rented machines
   std::vector<ListedMachine> machines; // ListMachines
   bool more = false;                   // ListMachines: further entries follow the last one
+  bool undecodable = false;            // there was a body, and it could not be read
 };
 
 // Encodes a request to rent up to `count` machines. `request_name` is an idempotency key and must be unique across all
--- a/include/loftrouter/wire/state_service.hpp
+++ b/include/loftrouter/wire/state_service.hpp
@@ -47,6 +47,7 @@
   std::uint64_t revision = 0;      // store-wide revision
   std::uint64_t lease = 0;         // granted lease
   bool more = false;               // further entries follow the last one
+  bool undecodable = false;        // there was a body, and it could not be read
   std::vector<std::string> failed; // keys with a failed precondition (409)
   std::vector<KeyValue> entries;   // of a list request; at most one of a get
   std::vector<WatchEvent> events;  // of a watch
--- a/src/app/daemon.cpp
+++ b/src/app/daemon.cpp
@@ -8,7 +8,12 @@
 #include <spdlog/sinks/stdout_sinks.h>
 #include <spdlog/spdlog.h>
 
+#include "loftrouter/app/current_work.hpp"
+#include "loftrouter/app/fault_report.hpp"
 #include "loftrouter/app/latency.hpp"
+#include "loftrouter/app/rejected_bodies.hpp"
+#include "loftrouter/app/request_reader.hpp"
+#include "loftrouter/app/run_record.hpp"
 #include "loftrouter/cloud/cloud_client.hpp"
 #include "loftrouter/core/core.hpp"
 #include "loftrouter/net/loop.hpp"
@@ -41,14 +46,18 @@
 class Daemon {
 public:
   Daemon(const Settings &settings, net::Fd api, net::Fd peers)
-      : core_(settings, std::random_device{}()),
-        server_(loop_, std::move(api), server_options(settings),
-                [this](net::ConnId id, net::HttpMessage &&m) { on_request(id, std::move(m)); }),
-        store_(loop_, *net::parse_address(settings.state_address),
+      : run_record_(settings), core_(settings, std::random_device{}()),
+        server_(
+            loop_, std::move(api), server_options(settings),
+            [this](net::ConnId id, net::HttpMessage &&m) { on_request(id, std::move(m)); },
+            [this](net::ConnId id, const char *text) { on_rejected_request(id, text); }),
+        state_service_replies_(*this, BodyInterface::StateService, settings.state_address),
+        cloud_replies_(*this, BodyInterface::Cloud, settings.cloud_address),
+        store_(loop_, *net::parse_address(settings.state_address), state_service_replies_,
                [this](core::OpId op, wire::StoreReply &&reply) {
                  push(core::StoreReplyCommand{op, std::move(reply)});
                }),
-        cloud_(loop_, *net::parse_address(settings.cloud_address),
+        cloud_(loop_, *net::parse_address(settings.cloud_address), cloud_replies_,
                [this](core::OpId op, wire::CloudReply &&reply) {
                  push(core::CloudReplyCommand{op, std::move(reply)});
                }),
@@ -67,12 +76,19 @@
         pass_on_(loop_, [this] {
           passing_on_ = false;
           peers_.send_all();
-        }) {}
+        }) {
+    core_.set_work_observer([this](std::string_view name) { work_now_.apply_command(name); });
+    install_fault_report(work_now_, {.json = log_as_json, .run_record_fd = run_record_.fd()});
+  }
 
   void run() {
     core_.set_log_level(spdlog::should_log(spdlog::level::debug)  ? core::LogLevel::Debug
                         : spdlog::should_log(spdlog::level::info) ? core::LogLevel::Info
                                                                   : core::LogLevel::Error);
+    const auto &previous = run_record_.previous();
+    write_log({core::LogLevel::Info,
+               "process_started",
+               {{"previous_run", previous_run_name(previous.end)}, {"its_last_line", previous.detail}}});
     tick_.once(0);
     loop_.run();
   }
@@ -100,6 +116,7 @@
   bool on_cell(net::LinkId link, int node, std::string_view &rest) {
     wire::CellMessage message;
     const auto got = wire::read_cell(rest, message);
+    if (got == wire::FrameRead::Garbage) reject_frame(link, BodyInterface::Cells, rest);
     if (got != wire::FrameRead::Frame) return got == wire::FrameRead::NeedMore;
     const auto ip = peers_.remote_ip(link);
     const bool known = std::any_of(cells_.begin(), cells_.end(), [&](const auto &c) {
@@ -118,7 +135,19 @@
     return true;
   }
 
+  void reject_frame(net::LinkId link, BodyInterface interface, std::string_view rest) {
+    reject(
+        {interface, RejectionReason::Undecodable, net::format_address(peers_.remote_ip(link), 0), {}, "frame", rest});
+  }
+
   bool on_peer(net::LinkId link, int replica, std::string &buffer) {
+    work_now_.decode_body(interface_name(BodyInterface::Replicas), {}, "frame", buffer.size());
+    const bool keep = read_frames(link, replica, buffer);
+    work_now_.finish();
+    return keep;
+  }
+
+  bool read_frames(net::LinkId link, int replica, std::string &buffer) {
     std::string_view rest = buffer;
     const int node = replica - static_cast<int>(replicas_);
     for (;;) {
@@ -132,6 +161,7 @@
       if (node >= 0 && rest.size() >= 4) return false; // from another cell, and no frame of one
       wire::PeerMessage message;
       const auto got = wire::read_peer(rest, message);
+      if (got == wire::FrameRead::Garbage) reject_frame(link, BodyInterface::Replicas, rest);
       if (got == wire::FrameRead::Frame) {
         const auto dialled =
             replica >= 0 ? core::ReplicaIndex(static_cast<std::size_t>(replica)) : core::ReplicaIndex();
@@ -144,6 +174,7 @@
   }
 
   void push(core::Command c) {
+    work_now_.finish();
     if (queue_.empty()) queued_at_ = loop_.now();
     queue_.push_back(std::move(c));
   }
@@ -154,6 +185,8 @@
     const double began = net::mono_now();
     wait_ms_.add((began - queued_at_) * 1000);
     auto effects = core_.apply(std::move(batch), {began, net::wall_now()});
+    work_now_.finish();
+    work_now_.set_leader_term(core_.term());
     batch_ms_.add((net::mono_now() - began) * 1000);
     for (const auto &l : effects.logs)
       write_log(l);
@@ -203,62 +236,67 @@
     write_line(line);
   }
 
-  void on_request(net::ConnId id, net::HttpMessage &&m) {
-    std::string_view target = m.target;
-    auto query = target.find('?');
-    if (query != std::string_view::npos) target = target.substr(0, query);
-    auto only = [&](std::string_view method) {
-      if (m.method == method) return true;
-      server_.respond(id, 405, wire::encode_error("method not allowed"));
-      return false;
-    };
-    if (target == "/v1/report") {
-      if (!only("POST")) return;
-      auto r = wire::decode_heartbeat(m.body);
-      if (!r) return server_.respond(id, 400, wire::encode_error("malformed report"));
-      return push(core::HeartbeatCommand{id, std::move(*r)});
-    }
-    if (target == "/up") {
-      if (!only("GET")) return;
-      return push(core::HealthCheckCommand{id});
-    }
-    constexpr std::string_view jobs = "/api/jobs";
-    if (target == jobs) {
-      if (!only("POST")) return;
-      auto spec = wire::decode_job(m.body);
-      if (auto *problem = std::get_if<wire::FieldError>(&spec))
-        return server_.respond(id, 400, wire::encode_error(problem->message));
-      return push(core::SubmitCommand{id, std::move(std::get<JobSpec>(spec))});
+  void on_request(net::ConnId id, net::HttpMessage &&message) {
+    const auto interface = interface_of(message.target);
+    work_now_.decode_body(interface_name(interface), message.method, message.target, message.body.size());
+    auto read = read_request(id, message);
+    work_now_.finish();
+    if (const auto *rejected = std::get_if<RejectedRequest>(&read)) {
+      if (rejected->reason)
+        reject(
+            {interface, *rejected->reason, server_.remote_address(id), message.method, message.target, message.body});
+      return server_.respond(id, rejected->status, rejected->body, {}, rejected->content_type);
     }
-    if (target.size() > jobs.size() + 1 && target.substr(0, jobs.size() + 1) == "/api/jobs/") {
-      auto rest = target.substr(jobs.size() + 1);
-      constexpr std::string_view abort = "/abort";
-      if (rest.size() > abort.size() && rest.substr(rest.size() - abort.size()) == abort) {
-        if (!only("POST")) return;
-        return push(core::CancelCommand{id, std::string(rest.substr(0, rest.size() - abort.size()))});
-      }
-      if (!only("GET")) return;
-      return push(core::LookupCommand{id, std::string(rest)});
+    auto &command = std::get<core::Command>(read);
+    if (auto *admin = std::get_if<core::AdminCommand>(&command)) admin->request.process = process_load();
+    push(std::move(command));
+  }
+
+  // The HTTP parser has no whole request to show.
+  void on_rejected_request(net::ConnId id, const char *text) {
+    reject({BodyInterface::Users, RejectionReason::InvalidRequest, server_.remote_address(id), {}, text, {}});
+  }
+
+  void reject(const RejectedBody &rejected) {
+    if (const auto line = rejected_bodies_.add(rejected, net::mono_now())) write_log(*line);
+  }
+
+  wire::ProcessLoad process_load() const {
+    return {.batch_ms = {batch_ms_.quantile(0.5), batch_ms_.quantile(0.99)},
+            .queue_wait_ms = {wait_ms_.quantile(0.5), wait_ms_.quantile(0.99)},
+            .cpu_s = static_cast<double>(std::clock()) / CLOCKS_PER_SEC,
+            .rejected_bodies = rejected_bodies_.counts()};
+  }
+
+  // Counts and logs the replies of one service that cannot be decoded.
+  class ServiceReplies final : public net::ReplyObserver {
+  public:
+    ServiceReplies(Daemon &daemon, BodyInterface interface, std::string address)
+        : daemon_(daemon), interface_(interface), address_(std::move(address)) {}
+    void decoding(std::string_view method, std::string_view target, std::string_view body) override {
+      daemon_.work_now_.decode_body(interface_name(interface_), method, target, body.size());
     }
-    if (target.substr(0, 7) == "/admin/") {
-      auto ask = wire::read_admin_request(m.method, m.target, m.body);
-      if (auto *problem = std::get_if<wire::AdminError>(&ask))
-        return server_.respond(id, problem->status, wire::encode_admin_error(problem->text), {}, "application/json");
-      auto &a = std::get<wire::AdminRequest>(ask);
-      a.process.batch_ms = {batch_ms_.quantile(0.5), batch_ms_.quantile(0.99)};
-      a.process.queue_wait_ms = {wait_ms_.quantile(0.5), wait_ms_.quantile(0.99)};
-      a.process.cpu_s = static_cast<double>(std::clock()) / CLOCKS_PER_SEC;
-      return push(core::AdminCommand{id, std::move(a)});
+    void rejected(std::string_view method, std::string_view target, std::string_view body) override {
+      daemon_.reject({interface_, RejectionReason::Undecodable, address_, method, target, body});
     }
-    server_.respond(id, 404, wire::encode_error("no such path"));
-  }
+
+  private:
+    Daemon &daemon_;
+    BodyInterface interface_;
+    std::string address_;
+  };
 
   static constexpr double kLogRate = 50, kLogBurst = 200;
 
+  CurrentWork work_now_;
+  RunRecord run_record_;
+  RejectedBodies rejected_bodies_;
   net::Loop loop_;
   core::Core core_;
   std::vector<core::Command> queue_;
   net::HttpServer server_;
+  ServiceReplies state_service_replies_;
+  ServiceReplies cloud_replies_;
   store::StoreClient store_;
   cloud::CloudClient cloud_;
   net::PeerLinks peers_;
--- a/src/cloud/cloud_client.cpp
+++ b/src/cloud/cloud_client.cpp
@@ -18,13 +18,17 @@
 
 } // namespace
 
-CloudClient::CloudClient(net::Loop &loop, net::Address address, Done done)
-    : http_(loop, std::move(address), kOptions), done_(std::move(done)) {}
+CloudClient::CloudClient(net::Loop &loop, net::Address address, net::ReplyObserver &observer, Done done)
+    : http_(loop, std::move(address), kOptions), observer_(observer), done_(std::move(done)) {}
 
 void CloudClient::request(const core::CloudOp &operation, wire::CloudCall call, std::string_view method,
                           const std::string &target, const std::string &body) {
-  const auto answered = [this, id = operation.op, call](int status, std::string &&answer) {
-    done_(id, wire::decode_cloud_reply(call, status, answer));
+  const auto answered = [this, id = operation.op, call, name = std::string(method), target](int status,
+                                                                                            std::string &&answer) {
+    observer_.decoding(name, target, answer);
+    auto reply = wire::decode_cloud_reply(call, status, answer);
+    if (reply.undecodable) observer_.rejected(name, target, answer);
+    done_(id, std::move(reply));
   };
   http_.request(method, target, body, operation.timeout_s, answered);
 }
--- a/src/core/api/administration_api_handler.cpp
+++ b/src/core/api/administration_api_handler.cpp
@@ -135,6 +135,7 @@
     });
   }
   status.troubles = describe_problems(status, silent_machines, excluded_machines);
+  status.rejected_bodies = request.process.rejected_bodies;
   status.batch_ms = request.process.batch_ms;
   status.queue_wait_ms = request.process.queue_wait_ms;
   runtime_.reply_json(request_id, 200, wire::encode_status(status));
--- a/src/core/configuration/operator_settings.cpp
+++ b/src/core/configuration/operator_settings.cpp
@@ -59,8 +59,8 @@
   const auto *document = configuration_.find(kBudgetsKey);
   wire::Json settings = document ? document->value : wire::Json::object();
   if (!settings.is_object()) settings = wire::Json::object();
-  const auto teams =
-      entries(wire::kConfigBudget, settings.value("teams", wire::Json::object()), document ? document->revision : 0);
+  const wire::Json document_teams = settings.contains("teams") ? settings["teams"] : wire::Json::object();
+  const auto teams = entries(wire::kConfigBudget, document_teams, document ? document->revision : 0);
   settings.erase("teams");
   wire::Budgets budgets;
   auto problem = wire::apply_budgets(settings, budgets);
--- a/src/core/core.cpp
+++ b/src/core/core.cpp
@@ -69,9 +69,15 @@
   federation_.expire_delegations();
   deliver_events();
   for (auto &command : batch) {
-    std::visit([this](auto &&cmd) { on(std::move(cmd)); }, std::move(command));
+    std::visit(
+        [this](auto &&cmd) {
+          observe_work_(cmd.kName);
+          on(std::move(cmd));
+        },
+        std::move(command));
     deliver_events();
   }
+  observe_work_(kRoundName);
   job_api_.check_open_records();
   deliver_events();
   if (leadership_.leading()) {
--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -12,6 +12,8 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <fmt/format.h>
+
 namespace loftrouter::net {
 
 namespace {
@@ -105,6 +107,10 @@
   return Address{ntohl(ip.s_addr), static_cast<std::uint16_t>(port), std::string(text)};
 }
 
+std::string format_address(std::uint32_t ip, std::uint16_t port) {
+  return fmt::format("{}.{}.{}.{}:{}", ip >> 24, ip >> 16 & 0xFF, ip >> 8 & 0xFF, ip & 0xFF, port);
+}
+
 Fd &Fd::operator=(Fd &&descriptor) noexcept {
   if (this != &descriptor) {
     reset();
--- a/src/net/server.cpp
+++ b/src/net/server.cpp
@@ -23,10 +23,10 @@
   double since = 0;     // when the present phase began
 };
 
-HttpServer::HttpServer(Loop &loop, Fd listener, Options options, Handler handler)
+HttpServer::HttpServer(Loop &loop, Fd listener, Options options, Handler handler, RejectionHandler on_rejected)
     : loop_(loop), listener_(std::move(listener)), spare_(::open("/dev/null", O_RDONLY | O_CLOEXEC)), options_(options),
-      handler_(std::move(handler)), accept_watch_(loop, listener_.get(), [this](int) { accept_ready(); }),
-      sweep_timer_(loop, [this] { sweep(); }) {
+      handler_(std::move(handler)), on_rejected_(std::move(on_rejected)),
+      accept_watch_(loop, listener_.get(), [this](int) { accept_ready(); }), sweep_timer_(loop, [this] { sweep(); }) {
   accept_watch_.want(EV_READ);
   sweep_timer_.once(0.5);
 }
@@ -99,6 +99,7 @@
   case HttpParser::State::NeedMore:
     return;
   case HttpParser::State::Failed:
+    if (on_rejected_) on_rejected_(connection.id, connection.parser.error_text());
     connection.closing = true;
     connection.out =
         format_response(connection.parser.error_status(), connection.parser.error_text(), {}, false, "text/plain");
@@ -114,6 +115,15 @@
   handler_(connection.id, std::move(msg));
 }
 
+std::string HttpServer::remote_address(ConnId id) const {
+  const auto it = conns_.find(id);
+  sockaddr_in address{};
+  socklen_t size = sizeof address;
+  if (it == conns_.end() || ::getpeername(it->second->fd.get(), reinterpret_cast<sockaddr *>(&address), &size) != 0)
+    return {};
+  return format_address(ntohl(address.sin_addr.s_addr), ntohs(address.sin_port));
+}
+
 void HttpServer::respond(ConnId id, int status, std::string_view body, std::optional<int> retry_after,
                          std::string_view content_type) {
   auto it = conns_.find(id);
--- a/src/store/store_client.cpp
+++ b/src/store/store_client.cpp
@@ -26,14 +26,18 @@
 
 } // namespace
 
-StoreClient::StoreClient(net::Loop &loop, net::Address address, Done done)
+StoreClient::StoreClient(net::Loop &loop, net::Address address, net::ReplyObserver &observer, Done done)
     : requests_(loop, address, kRequestOptions), leases_(loop, address, kLeaseOptions),
-      watches_(loop, std::move(address), kWatchOptions), done_(std::move(done)) {}
+      watches_(loop, std::move(address), kWatchOptions), observer_(observer), done_(std::move(done)) {}
 
 void StoreClient::request(net::HttpClient &client, const core::StoreOp &operation, std::string_view method,
                           const std::string &target, const std::string &body) {
-  const auto answered = [this, id = operation.op](int status, std::string &&answer) {
-    done_(id, wire::decode_store_reply(status, answer));
+  const auto answered = [this, id = operation.op, name = std::string(method), target](int status,
+                                                                                      std::string &&answer) {
+    observer_.decoding(name, target, answer);
+    auto reply = wire::decode_store_reply(status, answer);
+    if (reply.undecodable) observer_.rejected(name, target, answer);
+    done_(id, std::move(reply));
   };
   client.request(method, target, body, operation.timeout_s, answered);
 }
--- a/src/wire/admin_request.cpp
+++ b/src/wire/admin_request.cpp
@@ -117,7 +117,7 @@
 
 // Parses a JSON map. Rejects deep nesting first, because the parser is recursive and could exhaust the stack.
 std::variant<Json, AdminError> parse_body(std::string_view body) {
-  const AdminError error{400, "body: must be a JSON object"};
+  const AdminError error{400, "body: must be a JSON object", true};
   if (body.size() > kMaxBodyBytes || nesting(body) > kMaxNesting) return error;
   Json json = Json::parse(body, nullptr, false);
   if (!json.is_object()) return error;
--- a/src/wire/admin_status.cpp
+++ b/src/wire/admin_status.cpp
@@ -76,6 +76,10 @@
           {"tasks_borrowed", cell.delegated_in_tasks}};
 }
 
+Json to_json(const RejectedBodyCount &rejected) {
+  return {{"interface", rejected.interface}, {"reason", rejected.reason}, {"count", rejected.count}};
+}
+
 template <class Element> Json list_json(const std::vector<Element> &elements) {
   Json list = Json::array();
   for (const auto &element : elements)
@@ -128,6 +132,7 @@
                           {"served", list_json(status.served)},
                           {"cell", text_or_null(status.cell)},
                           {"cells", list_json(status.cells)},
+                          {"rejected_bodies", list_json(status.rejected_bodies)},
                           {"batch_ms", to_json(status.batch_ms)},
                           {"queue_wait_ms", to_json(status.queue_wait_ms)}});
 }
--- a/src/wire/cloud_api.cpp
+++ b/src/wire/cloud_api.cpp
@@ -117,6 +117,7 @@
   reply.status = status;
   const auto json = body.empty() ? std::nullopt : decode(body, kReplyLimits);
   if (!json || !json->is_object()) {
+    reply.undecodable = !body.empty();
     // A scale-in reply has no body that matters.
     if (status == 200 && call != CloudCall::ScaleIn) reply.status = 0;
     return reply;
--- a/src/wire/state_service.cpp
+++ b/src/wire/state_service.cpp
@@ -73,6 +73,7 @@
   if (status == 0 || body.empty()) return reply;
   const auto json = decode(body, kReplyLimits);
   if (!json || !json->is_object()) {
+    reply.undecodable = true;
     // With an invalid reply, it is unknown whether the request was executed.
     if (status == 200) reply.status = 0;
     return reply;
