Fuzzing: bodies of any structure up to the largest size, and a check of decode paths

Why nothing had found the fault: the seeded worlds send only what a user may send; libFuzzer's inputs are 4 KiB at most by default, and a drawn or mutated input holds no run of the same head that is long enough; a search by requests of mutated fields keeps the structure that it began with.

--- a/tests/fuzz/targets.cpp
+++ b/tests/fuzz/targets.cpp
@@ -1,5 +1,7 @@
 #include "targets.hpp"
 
+#include "structures.hpp"
+
 #include <cstdio>
 #include <cstdlib>
 #include <map>
@@ -10,6 +12,7 @@
 #include "loftrouter/wire/admin_request.hpp"
 #include "loftrouter/wire/cell.hpp"
 #include "loftrouter/wire/cloud_api.hpp"
+#include "loftrouter/wire/configuration.hpp"
 #include "loftrouter/wire/job.hpp"
 #include "loftrouter/wire/job_records.hpp"
 #include "loftrouter/wire/progress_record.hpp"
@@ -63,6 +66,7 @@
     (void)types_from_json(*j);
   }
   (void)decode_commands(in);
+  (void)decode_quota_update(in);
   (void)decode_store_reply(200, in);
   for (auto call : {CloudCall::MachineTypes, CloudCall::ListMachines, CloudCall::ScaleOut, CloudCall::ScaleIn})
     (void)decode_cloud_reply(call, 200, in);
@@ -94,6 +98,14 @@
   }
 }
 
+// Bodies of any structure, up to the largest size, through every decoder.
+void structure(std::string_view in) {
+  const std::string body = build_structure(in);
+  wire(body);
+  peer(body);
+  cell(body);
+}
+
 // Sequences of reports into a leading core: a task is started only when every earlier start of it is known to be over.
 // The input picks machines, what they show of what they were told, and how time passes.
 void reports(std::string_view in) {
@@ -181,8 +193,8 @@
   }
 }
 
-const std::map<std::string_view, Target> kTargets{
-    {"http", http}, {"wire", wire}, {"peer", peer}, {"cell", cell}, {"reports", reports}};
+const std::map<std::string_view, Target> kTargets{{"http", http}, {"wire", wire},           {"peer", peer},
+                                                  {"cell", cell}, {"structure", structure}, {"reports", reports}};
 
 } // namespace
 
@@ -236,6 +248,12 @@
     }
     return all;
   }
+  if (name == "structure") {
+    std::vector<std::string> programs;
+    for (unsigned seed = 1; seed <= 32; ++seed)
+      programs.push_back(draw_program(seed));
+    return programs;
+  }
   std::mt19937 rng(1); // long ones: what can go wrong takes many turns
   std::vector<std::string> all(24, std::string(600, 0));
   for (auto &turns : all)
--- a/tests/fuzz_test.cpp
+++ b/tests/fuzz_test.cpp
@@ -4,11 +4,23 @@
 #include <filesystem>
 #include <fstream>
 #include <iterator>
+#include <random>
 
+#include "fuzz/structures.hpp"
 #include "fuzz/targets.hpp"
 
+namespace {
+
+// Passes a body to all that decode CBOR or frames.
+void decode_everywhere(std::string_view body) {
+  for (const char *name : {"wire", "peer", "cell"})
+    loftrouter::fuzz::target(name)(body);
+}
+
+} // namespace
+
 TEST(Fuzz, KeptInputsAreTakenWell) {
-  for (const char *name : {"http", "wire", "peer", "cell", "reports"}) {
+  for (const char *name : {"http", "wire", "peer", "cell", "structure", "reports"}) {
     const auto run = loftrouter::fuzz::target(name);
     ASSERT_TRUE(run);
     for (const auto &input : loftrouter::fuzz::seeds(name)) {
@@ -26,3 +38,26 @@
   }
   EXPECT_FALSE(loftrouter::fuzz::target("other"));
 }
+
+TEST(Fuzz, EveryByteRepeatedToTheLargestBodyPassesThroughEveryDecoder) {
+  for (int byte = 0; byte < 256; ++byte)
+    decode_everywhere(loftrouter::fuzz::repeated(std::string(1, static_cast<char>(byte))));
+}
+
+TEST(Fuzz, DrawnUnitsRepeatedToTheLargestBodyPassThroughEveryDecoder) {
+  constexpr int kUnits = 3000;
+  std::mt19937 rng(11);
+  for (int i = 0; i < kUnits; ++i) {
+    std::string unit(2 + rng() % 2, '\0');
+    for (char &byte : unit)
+      byte = static_cast<char>(rng());
+    decode_everywhere(loftrouter::fuzz::repeated(unit));
+  }
+}
+
+TEST(Fuzz, DrawnStructuresPassThroughEveryDecoder) {
+  constexpr unsigned kStructures = 3000;
+  const auto run = loftrouter::fuzz::target("structure");
+  for (unsigned seed = 1; seed <= kStructures; ++seed)
+    run(loftrouter::fuzz::draw_program(seed));
+}
--- a/tests/wire_cbor_test.cpp
+++ b/tests/wire_cbor_test.cpp
@@ -2,6 +2,7 @@
 
 #include <string>
 
+#include "fuzz/structures.hpp"
 #include "loftrouter/wire/cbor.hpp"
 #include "loftrouter/wire/cloud_api.hpp"
 #include "loftrouter/wire/state_service.hpp"
@@ -12,7 +13,7 @@
 
 namespace {
 
-constexpr std::size_t kLargestBodyBytes = 64 * 1024;
+using loftrouter::fuzz::kLargestBodyBytes;
 constexpr char kIndefiniteText = '\x7f';
 constexpr char kIndefiniteBytes = '\x5f';
 constexpr char kBreak = '\xff';
@@ -106,3 +107,19 @@
     EXPECT_FALSE(decode_commands(body));
   }
 }
+
+// The library, which decodes without limits, is the reference for what is well-formed.
+TEST(WireCbor, DrawnItemsAreReadAsByTheLibrary) {
+  constexpr unsigned kSeeds = 20'000;
+  std::size_t containers = 0;
+  for (unsigned seed = 1; seed <= kSeeds; ++seed) {
+    const std::string item = loftrouter::fuzz::draw_well_formed(seed, 5);
+    const auto decoded = decode(item);
+    ASSERT_TRUE(decoded) << "seed " << seed;
+    EXPECT_EQ(*decoded, Json::from_cbor(item)) << "seed " << seed;
+    EXPECT_FALSE(decode(item.substr(0, item.size() - 1))) << "seed " << seed;
+    EXPECT_FALSE(decode(item + '\0')) << "seed " << seed;
+    containers += decoded->is_structured();
+  }
+  EXPECT_GT(containers, kSeeds / 10);
+}
